--- /dev/null
+++ b/src/bin/cardamomroad-entry.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cardamomroad.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,3 @@
+//! The operators' configuration set.
+
+pub mod object;
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,5 @@
+//! Small types that the other modules share: names, ids, sizes and rates.
+
+pub mod duration_text;
+pub mod id;
+pub mod units;
--- /dev/null
+++ b/src/util/id.rs
@@ -0,0 +1,284 @@
+//! Newtypes for names and ids.
+//!
+//! Names are kept as bytes and become text only for display.
+
+use std::{
+    fmt,
+    str::FromStr, //
+};
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Deserializer,
+    Serialize,
+    Serializer, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use thiserror::Error;
+
+/// The longest name that the configuration accepts, in bytes.
+pub const NAME_MAX_BYTES: usize = 63;
+
+/// A failure to parse a name, an id or a digest.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum IdError {
+    /// The name is empty or longer than [`NAME_MAX_BYTES`].
+    #[error("name {0:?} has {1} bytes; use 1 to {NAME_MAX_BYTES}")]
+    Length(String, usize),
+    /// The name holds a byte outside `a-z`, `0-9`, `-` and `.`.
+    #[error("name {0:?} may hold only a-z, 0-9, '-' and '.', and starts with a letter or digit")]
+    Character(String),
+    /// The text is not the id that was asked for.
+    #[error("{0:?} is not {1}")]
+    Malformed(String, &'static str),
+}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() || text.len() > NAME_MAX_BYTES {
+        return Err(IdError::Length(text.to_owned(), text.len()));
+    }
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
+    let first = text.as_bytes()[0];
+    if !text.bytes().all(allowed) || !(first.is_ascii_lowercase() || first.is_ascii_digit()) {
+        return Err(IdError::Character(text.to_owned()));
+    }
+    Ok(())
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $type(Bytes);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                std::str::from_utf8(&self.0).unwrap_or_default()
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_name(text)?;
+                Ok(Self(Bytes::copy_from_slice(text.as_bytes())))
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(self.as_str())
+            }
+        }
+
+        impl fmt::Debug for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({})", stringify!($type), self.as_str())
+            }
+        }
+
+        impl Serialize for $type {
+            fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                s.serialize_str(self.as_str())
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $type {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(d)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+name!(
+    /// The name of a region.
+    RegionName
+);
+name!(
+    /// The name of an availability zone.
+    ZoneName
+);
+name!(
+    /// The name of an entry host, unique over all zones.
+    HostName
+);
+name!(
+    /// The name of an organisation.
+    OrganisationName
+);
+name!(
+    /// The name of a service.
+    ServiceName
+);
+name!(
+    /// The name of any other configured object: route, link, key, pool, drain, client block.
+    ObjectName
+);
+
+macro_rules! number {
+    ($(#[$doc:meta])* $type:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $type(pub u64);
+
+        impl FromStr for $type {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| IdError::Malformed(text.to_owned(), $what))
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+number!(
+    /// The number of an accepted configuration; it only grows.
+    Generation,
+    "a generation number"
+);
+number!(
+    /// One life of an entry host's process. A later process of the same host has a larger one.
+    Incarnation,
+    "an incarnation number"
+);
+number!(
+    /// A coarse tick of one host's own clock since its start, in units of [`STAMP_TICK`].
+    ///
+    /// Stamps of different hosts or incarnations are never compared.
+    Stamp,
+    "a stamp"
+);
+number!(
+    /// The version of an object in the platform's store; a write gives a larger one.
+    Version,
+    "a store version"
+);
+
+/// The length of one [`Stamp`] tick.
+pub const STAMP_TICK: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// The SHA-256 digest of a caller's key. The key itself is never kept.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Returns the digest of a key as it was presented.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// Returns the raw digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for b in self.0 {
+            write!(f, "{b:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({self})")
+    }
+}
+
+impl FromStr for KeyDigest {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let malformed = || IdError::Malformed(text.to_owned(), "a SHA-256 digest of 64 hex digits");
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(malformed());
+        }
+        let mut digest = [0; 32];
+        for (i, b) in digest.iter_mut().enumerate() {
+            *b = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|_| malformed())?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// The id of a request: the host and incarnation that may run it, that host's
+/// stamp when the caller looked it up, and the caller's nonce.
+///
+/// Written `host/incarnation/stamp/nonce`, for example `bac-a-1/1718/42/9f3c`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RequestId {
+    /// The only host that may run the request.
+    pub host: HostName,
+    /// The only incarnation of that host that may run it.
+    pub incarnation: Incarnation,
+    /// The host's own clock when it gave the look-up answer.
+    pub stamp: Stamp,
+    /// The caller's part, a name of its own choice.
+    pub nonce: ObjectName,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}/{}/{}/{}",
+            self.host, self.incarnation, self.stamp, self.nonce
+        )
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let malformed =
+            || IdError::Malformed(text.to_owned(), "a request id host/incarnation/stamp/nonce");
+        let mut parts = text.split('/');
+        let mut next = || parts.next().ok_or_else(malformed);
+        let id = Self {
+            host: next()?.parse()?,
+            incarnation: next()?.parse()?,
+            stamp: next()?.parse()?,
+            nonce: next()?.parse()?,
+        };
+        if parts.next().is_some() {
+            return Err(malformed());
+        }
+        Ok(id)
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
