--- /dev/null
+++ b/src/connection.rs
@@ -0,0 +1,202 @@
+//! HTTP/1.1 connections to upstreams and to other entry hosts.
+//!
+//! A connection goes back to its pool only after its answer was read to the
+//! end. A connection whose answer was abandoned is closed with it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{
+        self,
+        SendRequest, //
+    },
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
+
+use crate::body::ProxyBody;
+
+/// Idle connections that are kept to one address.
+const IDLE_PER_ADDRESS: usize = 64;
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request that got no answer, by whether it can have started.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// No byte of the request left; it comes back unless its body was lost.
+    #[error("no connection to {address}: {cause}")]
+    NotSent {
+        /// The address that was tried.
+        address: SocketAddr,
+        /// What failed.
+        cause: String,
+        /// The request, where it can be sent again.
+        req: Option<Box<Request<ProxyBody>>>,
+    },
+    /// The request or a part of it left, and no answer came.
+    #[error("the connection to {address} failed after the request left: {cause}")]
+    Lost {
+        /// The address that was tried.
+        address: SocketAddr,
+        /// What failed.
+        cause: String,
+    },
+}
+
+type Sender = SendRequest<ProxyBody>;
+
+/// Idle connections by address.
+#[derive(Clone, Debug, Default)]
+pub struct Connections {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+/// An answer and the connection that it came on.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The answer.
+    pub res: Response<Incoming>,
+    /// The connection, to be given back after the body's end.
+    pub lease: ConnectionLease,
+}
+
+/// The right to give a connection back. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct ConnectionLease {
+    address: SocketAddr,
+    sender: Sender,
+    connections: Connections,
+}
+
+impl ConnectionLease {
+    /// Gives the connection back after its answer was read to the end.
+    pub fn give_back(self) {
+        if self.sender.is_closed() {
+            return;
+        }
+        let Ok(mut idle) = self.connections.idle.lock() else {
+            return;
+        };
+        let senders = idle.entry(self.address).or_default();
+        if senders.len() < IDLE_PER_ADDRESS {
+            senders.push(self.sender);
+        }
+    }
+}
+
+impl Connections {
+    /// Returns an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(&address);
+        }
+    }
+
+    /// Sends a request on an idle or a new connection.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] proves that the other side never saw the request.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut req: Request<ProxyBody>,
+    ) -> Result<Exchange, SendError> {
+        while let Some(sender) = self.take_idle(address) {
+            match self.exchange(address, sender, req).await {
+                Err(SendError::NotSent { req: Some(r), .. }) => req = *r,
+                result => return result,
+            }
+        }
+        let sender = match connect(address).await {
+            Ok(sender) => sender,
+            Err(cause) => {
+                return Err(SendError::NotSent {
+                    address,
+                    cause,
+                    req: Some(Box::new(req)),
+                });
+            }
+        };
+        self.exchange(address, sender, req).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().ok()?;
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() && !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut sender: Sender,
+        req: Request<ProxyBody>,
+    ) -> Result<Exchange, SendError> {
+        match sender.try_send_request(req).await {
+            Ok(res) => Ok(Exchange {
+                res,
+                lease: ConnectionLease {
+                    address,
+                    sender,
+                    connections: self.clone(),
+                },
+            }),
+            Err(mut e) => {
+                let unsent = e.take_message();
+                let cause = e.into_error().to_string();
+                match unsent {
+                    Some(req) => Err(SendError::NotSent {
+                        address,
+                        cause,
+                        req: Some(Box::new(req)),
+                    }),
+                    None => Err(SendError::Lost { address, cause }),
+                }
+            }
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, String> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return Err(e.to_string()),
+        Err(_) => return Err("connecting timed out".to_owned()),
+    };
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!(event = "connection-closed", address:% = address, cause:% = e; "");
+        }
+    });
+    Ok(sender)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,13 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod body;
 pub mod config;
+pub mod connection;
 pub mod error;
+pub mod metrics;
+pub mod refusal;
 pub mod store;
+pub mod trace;
 pub mod util;
 pub mod wire;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,176 @@
+//! Prometheus metrics of an entry host.
+
+use std::fmt;
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        EncodeLabelValue,
+        LabelValueEncoder,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{
+            Histogram,
+            exponential_buckets, //
+        },
+    },
+    registry::Registry,
+};
+
+use crate::refusal::{
+    Outcome,
+    Reason, //
+};
+
+/// The smallest latency bucket, in seconds.
+const LATENCY_START_SECONDS: f64 = 0.000_25;
+/// The number of latency buckets; each is twice the one before.
+const LATENCY_BUCKETS: u16 = 16;
+
+/// The label of an answered request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// The route's name, or `none`.
+    pub route: String,
+    /// What is known of the run.
+    pub outcome: OutcomeLabel,
+}
+
+/// The label of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// The refusal's reason.
+    pub reason: ReasonLabel,
+    /// The organisation's name, or `none`.
+    pub organisation: String,
+}
+
+/// The label of a link.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LinkLabels {
+    /// The link's name.
+    pub link: String,
+}
+
+/// An outcome as a label value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct OutcomeLabel(pub Outcome);
+
+/// A reason as a label value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ReasonLabel(pub Reason);
+
+impl EncodeLabelValue for OutcomeLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        EncodeLabelValue::encode(&self.0.as_str(), encoder)
+    }
+}
+
+impl EncodeLabelValue for ReasonLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        EncodeLabelValue::encode(&self.0.as_str(), encoder)
+    }
+}
+
+/// All metrics of one entry host.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Answered requests.
+    pub answers: Family<AnswerLabels, Counter>,
+    /// Refused requests.
+    pub refusals: Family<RefusalLabels, Counter>,
+    /// Seconds from a request's head to its answer's head.
+    pub latency: Histogram,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// Look-ups answered.
+    pub lookups: Counter,
+    /// Retries sent to another upstream or zone.
+    pub retries: Counter,
+    /// Bytes sent over each link by this host.
+    pub link_bytes: Family<LinkLabels, Counter>,
+    /// The configuration generation in force.
+    pub generation: Gauge,
+    /// Bytes of control messages sent to other hosts.
+    pub control_bytes: Counter,
+    /// Calls to the platform's store.
+    pub store_calls: Counter,
+}
+
+impl Metrics {
+    /// Returns the metrics, all at zero.
+    pub fn new() -> Self {
+        let buckets = exponential_buckets(LATENCY_START_SECONDS, 2.0, LATENCY_BUCKETS);
+        let mut m = Self {
+            registry: Registry::with_prefix("cardamomroad"),
+            answers: Family::default(),
+            refusals: Family::default(),
+            latency: Histogram::new(buckets),
+            in_flight: Gauge::default(),
+            lookups: Counter::default(),
+            retries: Counter::default(),
+            link_bytes: Family::default(),
+            generation: Gauge::default(),
+            control_bytes: Counter::default(),
+            store_calls: Counter::default(),
+        };
+        m.register();
+        m
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when formatting fails.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("answers", "Answered requests", self.answers.clone());
+        r.register("refusals", "Refused requests", self.refusals.clone());
+        r.register(
+            "latency_seconds",
+            "Time from a request's head to its answer's head",
+            self.latency.clone(),
+        );
+        r.register("in_flight", "Requests in flight", self.in_flight.clone());
+        r.register("lookups", "Look-ups answered", self.lookups.clone());
+        r.register("retries", "Requests sent again", self.retries.clone());
+        r.register(
+            "link_bytes",
+            "Bytes sent over a link by this host",
+            self.link_bytes.clone(),
+        );
+        r.register(
+            "generation",
+            "Configuration generation in force",
+            self.generation.clone(),
+        );
+        r.register(
+            "control_bytes",
+            "Bytes of control messages sent to other hosts",
+            self.control_bytes.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the platform's store",
+            self.store_calls.clone(),
+        );
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,274 @@
+//! Traces with a span for each hop, in and out as W3C trace context.
+//!
+//! Spans go to a collector over OTLP where one is configured, and as `event=span`
+//! log lines at debug level.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use opentelemetry::{
+    Context, KeyValue,
+    propagation::{
+        Extractor,
+        Injector,
+        TextMapPropagator, //
+    },
+    trace::{
+        SpanKind,
+        Status,
+        TraceContextExt,
+        Tracer,
+        TracerProvider, //
+    },
+};
+use opentelemetry_otlp::{
+    SpanExporter as OtlpExporter,
+    WithExportConfig, //
+};
+use opentelemetry_sdk::{
+    Resource,
+    error::OTelSdkResult,
+    propagation::TraceContextPropagator,
+    trace::{
+        Sampler,
+        SdkTracer,
+        SdkTracerProvider,
+        Span,
+        SpanData,
+        SpanExporter,
+        SpanProcessor, //
+    },
+};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use crate::util::id::HostName;
+
+/// Finished spans that may wait for the exporter; more are dropped.
+const EXPORT_QUEUE: usize = 4096;
+/// Spans that one call to the collector carries at most.
+const EXPORT_BATCH: usize = 512;
+/// How long spans gather before they are exported.
+const EXPORT_PERIOD: Duration = Duration::from_millis(500);
+/// The path of traces at an OTLP collector.
+const OTLP_PATH: &str = "/v1/traces";
+
+/// A failure to set up traces.
+#[derive(Debug, Error)]
+pub enum TraceError {
+    /// The collector's address cannot be used.
+    #[error(
+        "the collector {endpoint:?} cannot be used ({cause}); give an address such as http://127.0.0.1:4318"
+    )]
+    Collector {
+        /// The configured address.
+        endpoint: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// The span of one hop; its end is recorded when it is dropped.
+pub type HopSpan = Context;
+
+/// Starts spans and exports them.
+#[derive(Clone, Debug)]
+pub struct Tracing {
+    provider: SdkTracerProvider,
+    tracer: SdkTracer,
+    propagator: TraceContextPropagator,
+}
+
+impl Tracing {
+    /// Returns the tracing of a host; spans go to `collector` where one is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the collector's address cannot be used.
+    pub fn new(host: &HostName, collector: Option<&str>) -> Result<Self, TraceError> {
+        let resource = Resource::builder()
+            .with_service_name("cardamomroad-entry")
+            .with_attribute(KeyValue::new("host.name", host.to_string()))
+            .build();
+        let mut builder = SdkTracerProvider::builder()
+            .with_sampler(Sampler::ParentBased(Box::new(Sampler::AlwaysOn)))
+            .with_resource(resource.clone());
+        if log::log_enabled!(log::Level::Debug) {
+            builder = builder.with_span_processor(LogProcessor);
+        }
+        if let Some(endpoint) = collector {
+            builder = builder.with_span_processor(ExportProcessor::new(endpoint, &resource)?);
+        }
+        let provider = builder.build();
+        let tracer = provider.tracer("cardamomroad");
+        Ok(Self {
+            provider,
+            tracer,
+            propagator: TraceContextPropagator::new(),
+        })
+    }
+
+    /// Starts the span of a hop, as a child of the context in the request's headers.
+    pub fn receive(&self, name: &'static str, headers: &HeaderMap) -> HopSpan {
+        let parent = self.propagator.extract(&Headers(headers));
+        self.start(name, SpanKind::Server, &parent)
+    }
+
+    /// Starts a span for an outgoing hop and writes its context into the headers.
+    pub fn send(&self, name: &'static str, parent: &HopSpan, headers: &mut HeaderMap) -> HopSpan {
+        let span = self.start(name, SpanKind::Client, parent);
+        self.propagator
+            .inject_context(&span, &mut HeadersMut(headers));
+        span
+    }
+
+    /// Exports what is left.
+    pub fn shutdown(&self) {
+        if let Err(e) = self.provider.shutdown() {
+            log::warn!(event = "trace-shutdown-failed", cause:% = e; "");
+        }
+    }
+
+    fn start(&self, name: &'static str, kind: SpanKind, parent: &Context) -> HopSpan {
+        let span = self
+            .tracer
+            .span_builder(name)
+            .with_kind(kind)
+            .start_with_context(&self.tracer, parent);
+        parent.with_span(span)
+    }
+}
+
+/// Returns the trace id of a hop, as 32 hex digits.
+pub fn trace_id(span: &HopSpan) -> String {
+    span.span().span_context().trace_id().to_string()
+}
+
+/// Adds an attribute to a hop's span.
+pub fn annotate(span: &HopSpan, key: &'static str, value: impl Into<opentelemetry::Value>) {
+    span.span().set_attribute(KeyValue::new(key, value));
+}
+
+/// Marks a hop's span as failed.
+pub fn fail(span: &HopSpan, cause: &'static str) {
+    span.span().set_status(Status::error(cause));
+}
+
+struct Headers<'a>(&'a HeaderMap);
+
+impl Extractor for Headers<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key).and_then(|v| v.to_str().ok())
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(|k| k.as_str()).collect()
+    }
+}
+
+struct HeadersMut<'a>(&'a mut HeaderMap);
+
+impl Injector for HeadersMut<'_> {
+    fn set(&mut self, key: &str, value: String) {
+        let name = hyper::header::HeaderName::from_bytes(key.as_bytes());
+        let value = hyper::header::HeaderValue::from_str(&value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            self.0.insert(name, value);
+        }
+    }
+}
+
+/// Writes each finished span as a log line.
+#[derive(Debug)]
+struct LogProcessor;
+
+impl SpanProcessor for LogProcessor {
+    fn on_start(&self, _span: &mut Span, _cx: &Context) {}
+
+    fn on_end(&self, span: SpanData) {
+        let took = span.end_time.duration_since(span.start_time);
+        let mut attributes = String::new();
+        for kv in &span.attributes {
+            attributes.push_str(&format!(" {}={}", kv.key, kv.value));
+        }
+        log::debug!(
+            event = "span",
+            name:% = span.name,
+            trace:% = span.span_context.trace_id(),
+            span:% = span.span_context.span_id(),
+            parent:% = span.parent_span_id,
+            micros = took.unwrap_or_default().as_micros();
+            "{}", attributes.trim_start()
+        );
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _timeout: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+}
+
+/// Hands finished spans to a task that sends them to the collector.
+#[derive(Debug)]
+struct ExportProcessor {
+    tx: mpsc::Sender<SpanData>,
+}
+
+impl ExportProcessor {
+    fn new(endpoint: &str, resource: &Resource) -> Result<Self, TraceError> {
+        let url = format!("{}{OTLP_PATH}", endpoint.trim_end_matches('/'));
+        let mut exporter = OtlpExporter::builder()
+            .with_http()
+            .with_endpoint(url)
+            .build()
+            .map_err(|e| TraceError::Collector {
+                endpoint: endpoint.to_owned(),
+                cause: e.to_string(),
+            })?;
+        exporter.set_resource(resource);
+        let (tx, rx) = mpsc::channel(EXPORT_QUEUE);
+        tokio::spawn(export(exporter, rx));
+        Ok(Self { tx })
+    }
+}
+
+impl SpanProcessor for ExportProcessor {
+    fn on_start(&self, _span: &mut Span, _cx: &Context) {}
+
+    fn on_end(&self, span: SpanData) {
+        // A full queue drops the span: traces never hold up a request.
+        let _ = self.tx.try_send(span);
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _timeout: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+}
+
+async fn export(exporter: OtlpExporter, mut rx: mpsc::Receiver<SpanData>) {
+    let mut period = tokio::time::interval(EXPORT_PERIOD);
+    loop {
+        period.tick().await;
+        let mut batch = Vec::new();
+        while batch.len() < EXPORT_BATCH {
+            match rx.try_recv() {
+                Ok(span) => batch.push(span),
+                Err(mpsc::error::TryRecvError::Empty) => break,
+                Err(mpsc::error::TryRecvError::Disconnected) => return,
+            }
+        }
+        if batch.is_empty() {
+            continue;
+        }
+        if let Err(e) = exporter.export(batch).await {
+            log::debug!(event = "trace-export-failed", cause:% = e; "");
+        }
+    }
+}
