--- a/src/body.rs
+++ b/src/body.rs
@@ -15,6 +15,7 @@
         Context,
         Poll, //
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -80,9 +81,6 @@
     passed: Arc<AtomicU64>,
 }
 
-/// The value of [`Progress`] after the body's end.
-const ENDED: u64 = u64::MAX;
-
 impl Progress {
     /// Returns the progress of a body that starts now.
     pub fn new(now: Instant) -> Self {
@@ -93,12 +91,10 @@
         }
     }
 
-    /// Returns the last instant at which the body moved, or `None` after its end.
-    pub fn last(&self) -> Option<Instant> {
-        match self.last_ms.load(Ordering::Relaxed) {
-            ENDED => None,
-            ms => Some(self.start + std::time::Duration::from_millis(ms)),
-        }
+    /// Returns the last instant at which the body moved or ended.
+    pub fn last(&self) -> Instant {
+        let ms = self.last_ms.load(Ordering::Relaxed);
+        self.start + Duration::from_millis(ms)
     }
 
     /// Returns the bytes that passed.
@@ -107,14 +103,10 @@
     }
 
     fn moved(&self, bytes: usize) {
-        let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(ENDED - 1);
+        let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.last_ms.store(ms, Ordering::Relaxed);
         self.passed.fetch_add(bytes as u64, Ordering::Relaxed);
     }
-
-    fn ended(&self) {
-        self.last_ms.store(ENDED, Ordering::Relaxed);
-    }
 }
 
 /// A body that is paced, watched and can be cut off.
@@ -124,6 +116,7 @@
     cutoff: Option<Cutoff>,
     at_end: Option<AtEnd>,
     progress: Option<Progress>,
+    keeps_trailers: bool,
     waiting: Option<(Pace, Frame<Bytes>)>,
 }
 
@@ -136,6 +129,7 @@
             cutoff: None,
             at_end: None,
             progress: None,
+            keeps_trailers: true,
             waiting: None,
         }
     }
@@ -164,9 +158,15 @@
         self
     }
 
+    /// Drops the trailers, which could carry what the head must not.
+    pub fn without_trailers(mut self) -> Self {
+        self.keeps_trailers = false;
+        self
+    }
+
     fn finish(&mut self, whole: bool) {
         if let Some(progress) = &self.progress {
-            progress.ended();
+            progress.moved(0);
         }
         if let Some(at_end) = self.at_end.take() {
             at_end(whole);
@@ -232,6 +232,10 @@
                 this.finish(false);
                 return Poll::Ready(Some(Err(e.into())));
             }
+            Poll::Ready(Some(Ok(frame))) if frame.is_trailers() && !this.keeps_trailers => {
+                this.finish(true);
+                return Poll::Ready(None);
+            }
             Poll::Ready(Some(Ok(frame))) => frame,
         };
         let bytes = frame.data_ref().map_or(0, Bytes::len);
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,400 @@
+//! Sends one started request to the places that the host chooses, until one
+//! answers or none is left.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    Response,
+    body::Incoming, //
+};
+use smallvec::SmallVec;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+
+use crate::{
+    body::{
+        PassingBody,
+        ProxyBody, //
+    },
+    connection::{
+        Exchange,
+        SendError, //
+    },
+    gateway::{
+        Gateway,
+        call::{
+            Call,
+            Permit, //
+        },
+        head,
+        upload::{
+            Passage,
+            Upload, //
+        },
+    },
+    host::message::{
+        Choice,
+        Choose,
+        Target,
+        TryEnd,
+        TryFinished, //
+    },
+    post::post,
+    refusal::{
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    trace,
+    util::id::OrganisationName,
+    wire,
+};
+
+/// Bytes that a head takes on a link beside its headers.
+const HEAD_BASE_BYTES: u64 = 64;
+
+/// What an entry host is asked to do with a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Forward {
+    /// Treat it as its home.
+    Home,
+    /// Run it on an upstream of the own zone.
+    Run,
+}
+
+impl Forward {
+    /// Returns the text of the forward header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Home => "home",
+            Self::Run => "run",
+        }
+    }
+}
+
+/// A started request and what it needs to be sent.
+#[derive(Debug)]
+pub struct Forwarding {
+    /// The request.
+    pub call: Call,
+    /// Its body.
+    pub upload: Upload,
+    /// The organisation that it runs for.
+    pub organisation: Option<OrganisationName>,
+    /// The digest that tells repeated requests apart.
+    pub fingerprint: u64,
+    /// Its permit.
+    pub permit: Permit,
+    /// How its body passes.
+    pub passage: Passage,
+}
+
+/// How one try went, as the loop over the tries sees it.
+enum Tried {
+    /// An answer to hand on.
+    Answer(Box<Exchange>),
+    /// It did not start; another place may be tried.
+    NotStarted(Refusal),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+impl Gateway {
+    /// Sends a request until it is answered or refused.
+    pub async fn forward(self: &Arc<Self>, mut f: Forwarding) -> Response<ProxyBody> {
+        let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
+        let mut may_have_run = false;
+        loop {
+            let target = match self.choose(&f, &tried, may_have_run).await {
+                Ok(target) => target,
+                Err(refusal) => return self.refuse(f, refusal, may_have_run),
+            };
+            let sent = Instant::now();
+            let result = self.send_once(&mut f, &target).await;
+            let (end, refusal) = match result {
+                Tried::Answer(exchange) => return self.hand_on(f, target, *exchange, sent),
+                Tried::NotStarted(refusal) => (TryEnd::NotStarted, refusal),
+                Tried::Unknown(reason) => {
+                    may_have_run = true;
+                    let end = if reason == Reason::Deadline {
+                        TryEnd::TimedOut
+                    } else {
+                        TryEnd::Lost
+                    };
+                    (end, Refusal::unknown(reason))
+                }
+            };
+            self.report_try(&f, &target, end, sent);
+            if matches!(end, TryEnd::NotStarted) && !may_have_run {
+                f.permit.came_back();
+            }
+            let again = end == TryEnd::NotStarted || f.call.route.idempotent;
+            if !again || !f.upload.can_be_sent() || f.call.deadline <= Instant::now() {
+                return self.refuse(f, refusal, may_have_run);
+            }
+            self.metrics.retries.inc();
+            tried.push(target);
+        }
+    }
+
+    async fn choose(
+        &self,
+        f: &Forwarding,
+        tried: &SmallVec<[Target; 2]>,
+        is_retry: bool,
+    ) -> Result<Target, Refusal> {
+        loop {
+            let msg = Choose {
+                service: f.call.route.service.clone(),
+                organisation: f.organisation.clone(),
+                id: f.call.id.clone(),
+                local_only: f.call.is_local_only(),
+                tried: tried.clone(),
+                is_retry,
+                fingerprint: f.fingerprint,
+                length: f.upload.length(),
+            };
+            match self.host.send(msg).await {
+                Ok(Choice::Send(target)) => return Ok(target),
+                Ok(Choice::Refused(refusal)) => return Err(refusal),
+                Ok(Choice::Wait(until)) if until >= f.call.deadline => {
+                    return Err(Refusal::not_run(Reason::Deadline));
+                }
+                Ok(Choice::Wait(until)) => sleep_until(until).await,
+                Err(_) => return Err(Refusal::not_run(Reason::Stopping)),
+            }
+        }
+    }
+
+    async fn send_once(self: &Arc<Self>, f: &mut Forwarding, target: &Target) -> Tried {
+        let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
+        let body = f.upload.take(&f.passage, cutoff);
+        let mut req = head::outgoing(&f.call.parts, body);
+        let left = f.call.left(Instant::now());
+        head::set_upstream_headers(req.headers_mut(), &f.call.id, f.organisation.as_ref(), left);
+        let name = match target {
+            Target::Upstream(_) => "upstream",
+            Target::Gateway { .. } => "gateway",
+        };
+        let span = self.tracing.send(name, &f.call.span, req.headers_mut());
+        let address = self.address(&mut req, f, target).await;
+        trace::annotate(&span, "server.address", address.to_string());
+        f.permit.left();
+        let send = self.connections.send(address, req);
+        let result = tokio::select! {
+            biased;
+            result = send => result,
+            () = self.out_of_time(f) => {
+                trace::fail(&span, "deadline");
+                return Tried::Unknown(Reason::Deadline);
+            }
+            () = self.withdrawn(f) => {
+                trace::fail(&span, "key withdrawn");
+                return Tried::Unknown(Reason::KeyUnknown);
+            }
+        };
+        match result {
+            Ok(exchange) => self.judge(exchange, target),
+            Err(SendError::NotSent { req, .. }) => {
+                trace::fail(&span, "not sent");
+                if let Some(req) = req {
+                    f.upload.give_back(req.into_body());
+                }
+                Tried::NotStarted(Refusal::not_run(Reason::Unreachable))
+            }
+            Err(SendError::Lost { cause, .. }) => {
+                trace::fail(&span, "lost");
+                log::debug!(event = "try-lost", id:% = f.call.id, address:%, cause:%; "");
+                Tried::Unknown(Reason::UpstreamLost)
+            }
+        }
+    }
+
+    /// Completes the request for its target and returns the address to send it to.
+    async fn address(
+        &self,
+        req: &mut Request<ProxyBody>,
+        f: &Forwarding,
+        target: &Target,
+    ) -> std::net::SocketAddr {
+        match target {
+            Target::Upstream(address) => {
+                f.passage.link.store(None);
+                *address
+            }
+            Target::Gateway {
+                peers,
+                over_link_to,
+                ..
+            } => {
+                self.set_fleet_headers(req.headers_mut(), Forward::Run, f);
+                f.passage.link.store(over_link_to.clone().map(Arc::new));
+                if let Some(region) = over_link_to {
+                    let bytes = head_bytes(req.headers());
+                    super::upload::pay(self.host.clone(), region.clone(), bytes).await;
+                }
+                *peers
+            }
+        }
+    }
+
+    /// Decides whether an answer ends the request or says that it did not start.
+    fn judge(&self, exchange: Exchange, target: &Target) -> Tried {
+        let headers = exchange.res.headers();
+        match target {
+            Target::Upstream(_) if headers.contains_key(wire::NOT_STARTED) => {
+                Tried::NotStarted(Refusal::not_run(Reason::Overload))
+            }
+            Target::Gateway { .. } => match not_started(headers) {
+                Some(refusal) => Tried::NotStarted(refusal),
+                None => Tried::Answer(Box::new(exchange)),
+            },
+            Target::Upstream(_) => Tried::Answer(Box::new(exchange)),
+        }
+    }
+
+    /// Resolves when the request must not wait for its answer any longer.
+    ///
+    /// A body that still moves prolongs the wait, so that long uploads are not cut.
+    async fn out_of_time(&self, f: &Forwarding) {
+        let patience = f.call.route.deadline;
+        loop {
+            let limit = match f.upload {
+                Upload::Held(_) => f.call.deadline,
+                _ => f.call.deadline.max(f.passage.progress.last() + patience),
+            };
+            if limit <= Instant::now() {
+                return;
+            }
+            sleep_until(limit).await;
+        }
+    }
+
+    async fn withdrawn(&self, f: &Forwarding) {
+        match f.call.key {
+            Some(key) => {
+                self.keys.cutoff(key).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Hands an answer on to the caller or to the entry host that asked.
+    fn hand_on(
+        self: &Arc<Self>,
+        mut f: Forwarding,
+        target: Target,
+        exchange: Exchange,
+        sent: Instant,
+    ) -> Response<ProxyBody> {
+        let Exchange { res, lease } = exchange;
+        let (mut parts, body) = res.into_parts();
+        let outcome = match target {
+            Target::Upstream(_) => Outcome::Ran,
+            Target::Gateway { .. } => outcome_of(&parts.headers),
+        };
+        let reason = head::text(&parts.headers, wire::REASON).and_then(|t| Reason::from_bytes(t.as_bytes()));
+        head::remove_hop_by_hop(&mut parts.headers);
+        head::remove_own(&mut parts.headers);
+        head::set_answer_headers(&mut parts.headers, &f.call.id, &self.name, outcome);
+        if let Some(reason) = reason {
+            head::set(&mut parts.headers, wire::REASON, reason);
+        }
+        f.permit.ended(outcome);
+        self.record_answer(&f.call, outcome, parts.status);
+        trace::annotate(&f.call.span, "http.response.status_code", i64::from(parts.status.as_u16()));
+        let body = self.answer_body(f, target, body, lease, sent);
+        Response::from_parts(parts, body)
+    }
+
+    fn answer_body(
+        self: &Arc<Self>,
+        f: Forwarding,
+        target: Target,
+        body: Incoming,
+        lease: crate::connection::ConnectionLease,
+        sent: Instant,
+    ) -> ProxyBody {
+        let took = sent.elapsed();
+        let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
+        let pacer = self.answer_pacer(&f.call);
+        let gw = self.clone();
+        let at_end = move |whole: bool| {
+            let end = match whole {
+                true => TryEnd::Whole,
+                false => TryEnd::Broken,
+            };
+            gw.report_end(&f, &target, end, took);
+            if whole {
+                lease.give_back();
+            }
+            gw.metrics.in_flight.dec();
+        };
+        PassingBody::new(body)
+            .with_pacer(pacer)
+            .with_cutoff(cutoff)
+            .with_at_end(Box::new(at_end))
+            .boxed_unsync()
+    }
+
+    fn report_try(&self, f: &Forwarding, target: &Target, end: TryEnd, sent: Instant) {
+        self.report_end(f, target, end, sent.elapsed());
+    }
+
+    fn report_end(&self, f: &Forwarding, target: &Target, end: TryEnd, took: Duration) {
+        let msg = TryFinished {
+            service: f.call.route.service.clone(),
+            target: target.clone(),
+            end,
+            fingerprint: f.fingerprint,
+            took,
+        };
+        post(&self.host, msg);
+    }
+
+    fn refuse(&self, mut f: Forwarding, mut refusal: Refusal, may_have_run: bool) -> Response<ProxyBody> {
+        if may_have_run {
+            refusal.outcome = Outcome::Unknown;
+        }
+        f.permit.refused(&refusal);
+        self.metrics.in_flight.dec();
+        self.refusal(&f.call, &refusal)
+    }
+}
+
+/// Returns the bytes that a head takes on a link.
+fn head_bytes(headers: &hyper::HeaderMap) -> usize {
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    fields.sum::<usize>() + HEAD_BASE_BYTES as usize
+}
+
+/// Returns the outcome that an entry host told; an answer without one may have run.
+fn outcome_of(headers: &hyper::HeaderMap) -> Outcome {
+    let text = headers.get(wire::OUTCOME);
+    text.and_then(|v| Outcome::from_bytes(v.as_bytes()))
+        .unwrap_or(Outcome::Unknown)
+}
+
+/// Returns the refusal of an entry host that did not run a request, where
+/// another place may still run it.
+fn not_started(headers: &hyper::HeaderMap) -> Option<Refusal> {
+    if outcome_of(headers) != Outcome::NotRun {
+        return None;
+    }
+    let reason = Reason::from_bytes(headers.get(wire::REASON)?.as_bytes())?;
+    match reason {
+        Reason::Overload
+        | Reason::Stopping
+        | Reason::NotReady
+        | Reason::Unreachable
+        | Reason::Link => Some(Refusal::not_run(reason)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/host/message.rs
@@ -0,0 +1,178 @@
+//! Messages to the actor that owns a host's state.
+
+use std::net::SocketAddr;
+
+use smallvec::SmallVec;
+
+use crate::{
+    refusal::{
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    util::id::{
+        HostName,
+        KeyDigest,
+        ObjectName,
+        OrganisationName,
+        RegionName,
+        RequestId,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// Who sent a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// A caller, with the digest of its key where it presented one.
+    Caller(Option<KeyDigest>),
+    /// Another entry host that checked the key, for the request's home to run.
+    Home(Option<OrganisationName>),
+    /// Another entry host that admitted the request, for this zone to run.
+    Run(Option<OrganisationName>),
+}
+
+/// Asks whether a request may run, and where.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Who sent it.
+    pub sender: Sender,
+    /// The route that it matched.
+    pub route: ObjectName,
+    /// Its id.
+    pub id: RequestId,
+    /// The digest that tells repeated requests apart.
+    pub fingerprint: u64,
+    /// Bytes of its body, where known.
+    pub length: Option<u64>,
+}
+
+/// The answer to [`Start`].
+#[derive(Clone, Debug)]
+pub enum Started {
+    /// It may run; its permit is open until [`Finish`].
+    Run {
+        /// The organisation that it runs for.
+        organisation: Option<OrganisationName>,
+    },
+    /// Another host is its home.
+    Home {
+        /// The organisation whose key came with it.
+        organisation: Option<OrganisationName>,
+        /// The home's name.
+        host: HostName,
+        /// The home's address for other entry hosts.
+        peers: SocketAddr,
+    },
+    /// The organisation's budget may grow until this instant; ask again then.
+    Wait(tokio::time::Instant),
+    /// It must not run.
+    Refused(Refusal),
+}
+
+/// Asks for the next place to send a started request to.
+#[derive(Clone, Debug)]
+pub struct Choose {
+    /// The service.
+    pub service: ServiceName,
+    /// The organisation that it runs for.
+    pub organisation: Option<OrganisationName>,
+    /// The request's id, for the journal.
+    pub id: RequestId,
+    /// Whether only upstreams of the own zone may be chosen.
+    pub local_only: bool,
+    /// The places that were tried before.
+    pub tried: SmallVec<[Target; 2]>,
+    /// Whether an earlier try may have run.
+    pub is_retry: bool,
+    /// The digest that tells repeated requests apart.
+    pub fingerprint: u64,
+    /// Bytes of its body, where known.
+    pub length: Option<u64>,
+}
+
+/// A place to send a request to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// An upstream of the own zone.
+    Upstream(SocketAddr),
+    /// A gateway, in the own or another zone.
+    Gateway {
+        /// Its host.
+        host: HostName,
+        /// Its address for other entry hosts.
+        peers: SocketAddr,
+        /// Its zone.
+        zone: ZoneName,
+        /// Its region, where a billed link lies between.
+        over_link_to: Option<RegionName>,
+    },
+}
+
+/// The answer to [`Choose`].
+#[derive(Clone, Debug)]
+pub enum Choice {
+    /// Send it there.
+    Send(Target),
+    /// Ask again at this instant.
+    Wait(tokio::time::Instant),
+    /// No place is left.
+    Refused(Refusal),
+}
+
+/// How one try ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// The answer came whole.
+    Whole,
+    /// The upstream said that it did not start the request.
+    NotStarted,
+    /// No connection could be opened, or nothing left on it.
+    NotSent,
+    /// The connection failed after the request left.
+    Lost,
+    /// The answer broke off after its head.
+    Broken,
+    /// The deadline passed before the answer's head.
+    TimedOut,
+    /// The caller went away.
+    Abandoned,
+}
+
+/// Tells how one try ended.
+#[derive(Clone, Debug)]
+pub struct TryFinished {
+    /// The service.
+    pub service: ServiceName,
+    /// Where it was sent.
+    pub target: Target,
+    /// How it ended.
+    pub end: TryEnd,
+    /// The digest that tells repeated requests apart.
+    pub fingerprint: u64,
+    /// The time from sending the request to its answer's head.
+    pub took: std::time::Duration,
+}
+
+/// Tells that a started request has ended, and what is known of its run.
+#[derive(Clone, Debug)]
+pub struct Finish {
+    /// The request's id.
+    pub id: RequestId,
+    /// What is known of its run.
+    pub outcome: Outcome,
+    /// The reason, where it was refused.
+    pub reason: Option<Reason>,
+    /// Whether its id had been recorded.
+    pub recorded: bool,
+}
+
+/// Asks for the right to send bytes to another region.
+#[derive(Clone, Debug)]
+pub struct Pay {
+    /// The receiving region.
+    pub to: RegionName,
+    /// The bytes.
+    pub bytes: u64,
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -18,3 +18,15 @@
 pub const SERVED_BY: &str = "x-cardamomroad-served-by";
 /// Carries the caller's key, as an alternative to `authorization: Bearer`.
 pub const KEY: &str = "x-cardamomroad-key";
+/// Shows between entry hosts that the sender belongs to the fleet.
+pub const FLEET: &str = "x-cardamomroad-fleet";
+/// Tells the receiving entry host what to do with a request: `home` or `run`.
+pub const FORWARD: &str = "x-cardamomroad-forward";
+/// Names the region of the sending entry host.
+pub const FROM_REGION: &str = "x-cardamomroad-from-region";
+/// Names the route that the sending entry host matched.
+pub const ROUTE: &str = "x-cardamomroad-route";
+/// The path prefix of control messages between entry hosts.
+pub const CONTROL_PREFIX: &str = "/.cardamomroad/control/";
+/// The prefix of all headers of this system.
+pub const HEADER_PREFIX: &str = "x-cardamomroad-";
