--- a/src/connection.rs
+++ b/src/connection.rs
@@ -25,13 +25,18 @@
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
-    time::timeout, //
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use crate::body::ProxyBody;
 
 /// Idle connections that are kept to one address.
 const IDLE_PER_ADDRESS: usize = 64;
+/// How long a connection may stay idle before it is closed rather than used.
+const IDLE_MAX: Duration = Duration::from_secs(5);
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -60,10 +65,17 @@
 
 type Sender = SendRequest<ProxyBody>;
 
+/// An idle connection, and since when it is idle.
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
 /// Idle connections by address.
 #[derive(Clone, Debug, Default)]
 pub struct Connections {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
 }
 
 /// An answer and the connection that it came on.
@@ -94,7 +106,10 @@
         };
         let senders = idle.entry(self.address).or_default();
         if senders.len() < IDLE_PER_ADDRESS {
-            senders.push(self.sender);
+            senders.push(Idle {
+                sender: self.sender,
+                since: Instant::now(),
+            });
         }
     }
 }
@@ -144,7 +159,12 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().ok()?;
         let senders = idle.get_mut(&address)?;
-        while let Some(sender) = senders.pop() {
+        while let Some(Idle { sender, since }) = senders.pop() {
+            if since.elapsed() > IDLE_MAX {
+                // Those below were idle for longer still.
+                senders.clear();
+                return None;
+            }
             if sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,266 @@
+//! The daemon of an entry host: binds its addresses, starts its actor and
+//! tasks, and stops gracefully.
+
+use std::{
+    io::{
+        self,
+        Write, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use hyper::{
+    Request,
+    body::Incoming, //
+};
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    sync::watch,
+    time::Instant,
+};
+use xtra::Mailbox;
+
+use crate::{
+    agent,
+    connection::Connections,
+    control,
+    gateway::{
+        FleetSecret,
+        Gateway,
+        keys::Keys,
+        lookup, //
+    },
+    host::{
+        Host,
+        HostConfig,
+        message::Leave, //
+    },
+    listener,
+    lookup::TTL,
+    metrics::Metrics,
+    operators,
+    options::EntryOptions,
+    store::http::HttpStore,
+    trace::{
+        TraceError,
+        Tracing, //
+    },
+    util::id::Incarnation,
+    wire,
+};
+
+/// How long running requests are waited for between two looks.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Random bits in an incarnation, below its start time.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
+/// A failure to start or run the daemon.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// An address could not be bound.
+    #[error("cannot bind {address} for {role} ({cause}); stop the process that holds it or choose another")]
+    Bind {
+        /// What the address is for.
+        role: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        cause: io::Error,
+    },
+    /// The fleet secret cannot be sent in a header.
+    #[error("the fleet secret holds bytes that a header cannot carry; use printable ASCII")]
+    FleetSecret,
+    /// Traces could not be set up.
+    #[error(transparent)]
+    Trace(#[from] TraceError),
+    /// Standard output or a signal handler failed.
+    #[error("the process could not be set up: {0}")]
+    Process(#[from] io::Error),
+}
+
+/// The bound addresses of a host.
+struct Bound {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+/// Runs an entry host until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or the process cannot be set up.
+pub async fn run(cfg: EntryOptions) -> Result<(), EntryError> {
+    let bound = Bound {
+        callers: bind("callers", cfg.callers).await?,
+        peers: bind("peers", cfg.peers).await?,
+        operators: bind("operators", cfg.operators).await?,
+    };
+    let gw = start(&cfg, &bound)?;
+    let mut stdout = io::stdout();
+    writeln!(
+        stdout,
+        "ready callers={} peers={} operators={}",
+        bound.callers.local_addr()?,
+        bound.peers.local_addr()?,
+        bound.operators.local_addr()?
+    )?;
+    stdout.flush()?;
+    serve(gw, bound).await
+}
+
+fn start(cfg: &EntryOptions, bound: &Bound) -> Result<Arc<Gateway>, EntryError> {
+    let started = Instant::now();
+    let incarnation = incarnation();
+    let metrics = Arc::new(Metrics::new());
+    let index = Arc::new(ArcSwapOption::empty());
+    let region = Arc::new(ArcSwapOption::empty());
+    let keys = Arc::new(Keys::new());
+    let secret = FleetSecret::new(cfg.fleet_secret.expose()).ok_or(EntryError::FleetSecret)?;
+    let connections = Connections::new();
+    let host = Host::new(HostConfig {
+        name: cfg.name.clone(),
+        zone: cfg.zone.clone(),
+        callers: bound.callers.local_addr()?,
+        peers: bound.peers.local_addr()?,
+        incarnation,
+        started,
+        index: index.clone(),
+        region: region.clone(),
+        keys: keys.clone(),
+        metrics: metrics.clone(),
+    });
+    let host = xtra::spawn_tokio(host, Mailbox::unbounded());
+    let gw = Arc::new(Gateway {
+        name: cfg.name.clone(),
+        incarnation,
+        started,
+        host,
+        index,
+        keys,
+        connections,
+        tracing: Tracing::new(&cfg.name, cfg.collector.as_deref())?,
+        metrics,
+        fleet_secret: Arc::new(secret),
+        region,
+    });
+    let store = HttpStore::new(cfg.store, cfg.name.as_str());
+    agent::spawn(gw.clone(), Arc::new(store), cfg.seeds.clone());
+    log::info!(
+        event = "started",
+        host:% = cfg.name,
+        zone:% = cfg.zone,
+        incarnation:%;
+        ""
+    );
+    Ok(gw)
+}
+
+async fn serve(gw: Arc<Gateway>, bound: Bound) -> Result<(), EntryError> {
+    let (stop, stopped) = watch::channel(false);
+    let callers = tokio::spawn(listener::serve(bound.callers, stopped.clone(), {
+        let gw = gw.clone();
+        move |req, client| serve_caller(gw.clone(), req, client)
+    }));
+    // Other hosts and operators are served until the process ends.
+    let (_peers_stop, peers_stopped) = watch::channel(false);
+    let peers = tokio::spawn(listener::serve(bound.peers, peers_stopped.clone(), {
+        let gw = gw.clone();
+        move |req, _| serve_peer(gw.clone(), req)
+    }));
+    let operators = tokio::spawn(listener::serve(bound.operators, peers_stopped, {
+        let gw = gw.clone();
+        move |req, _| operators::serve(gw.clone(), req)
+    }));
+    wait_for_signal().await?;
+    leave(&gw, &stop).await;
+    if let Err(e) = callers.await {
+        log::error!(event = "listener-failed", cause:% = e; "");
+    }
+    while gw.metrics.in_flight.get() > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    peers.abort();
+    operators.abort();
+    gw.tracing.shutdown();
+    log::info!(event = "stopped", host:% = gw.name; "");
+    Ok(())
+}
+
+/// Leaves the fleet: no look-up names this host any more, and callers that
+/// hold an earlier answer are served until its time to live is over.
+async fn leave(gw: &Gateway, stop: &watch::Sender<bool>) {
+    log::info!(event = "leaving", host:% = gw.name; "");
+    if gw.host.send(Leave).await.is_err() {
+        log::error!(event = "actor-gone", host:% = gw.name; "");
+    }
+    tokio::time::sleep(TTL).await;
+    stop.send_replace(true);
+}
+
+async fn serve_caller(
+    gw: Arc<Gateway>,
+    req: Request<Incoming>,
+    client: SocketAddr,
+) -> hyper::Response<crate::body::ProxyBody> {
+    if req.uri().path() == wire::LOOKUP_PATH {
+        return lookup::serve(&gw, &req, client.ip());
+    }
+    gw.serve_caller(req).await
+}
+
+async fn serve_peer(
+    gw: Arc<Gateway>,
+    req: Request<Incoming>,
+) -> hyper::Response<crate::body::ProxyBody> {
+    if !gw.fleet_secret.is_shown_by(req.headers()) {
+        log::warn!(event = "stranger-refused", path:% = req.uri().path(); "");
+        return operators::plain(
+            hyper::StatusCode::FORBIDDEN,
+            "this address is for entry hosts of the fleet\n",
+        );
+    }
+    if req.uri().path().starts_with(wire::CONTROL_PREFIX) {
+        return control::serve(&gw, req).await;
+    }
+    gw.serve_peer(req).await
+}
+
+async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| EntryError::Bind {
+            role,
+            address,
+            cause,
+        })
+}
+
+/// Returns a number that is larger than that of any earlier process of this host.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let ms = u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(0);
+    let low = rand::random::<u64>() & ((1 << INCARNATION_RANDOM_BITS) - 1);
+    Incarnation((ms << INCARNATION_RANDOM_BITS) | low)
+}
+
+async fn wait_for_signal() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,9 +1,6 @@
 //! One request on its way through a gateway.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use hyper::http::request::Parts;
 use tokio::time::Instant;
@@ -27,12 +24,39 @@
     trace::HopSpan,
     util::id::{
         KeyDigest,
+        ObjectName,
         OrganisationName,
         RegionName,
-        RequestId, //
+        RequestId,
+        ServiceName, //
     },
 };
 
+/// What a request needs to know of its route.
+#[derive(Clone, Debug)]
+pub struct MatchedRoute {
+    /// The route's name.
+    pub name: ObjectName,
+    /// The service that it leads to.
+    pub service: ServiceName,
+    /// Whether a request may safely run more than once.
+    pub idempotent: bool,
+    /// The longest time that a request may take before its answer starts.
+    pub deadline: Duration,
+}
+
+impl MatchedRoute {
+    /// Returns what a request needs of this route.
+    pub fn new(route: &Route) -> Self {
+        Self {
+            name: route.name.clone(),
+            service: route.service.clone(),
+            idempotent: route.idempotent,
+            deadline: route.deadline,
+        }
+    }
+}
+
 /// A request whose head was read and checked.
 #[derive(Debug)]
 pub struct Call {
@@ -41,7 +65,7 @@
     /// Its id.
     pub id: RequestId,
     /// The route that it matched.
-    pub route: Arc<Route>,
+    pub route: MatchedRoute,
     /// Who sent it.
     pub sender: Sender,
     /// The key that it came with.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -117,7 +117,7 @@
                 Err(refusal) => return self.refuse(f, refusal, may_have_run),
             };
             let sent = Instant::now();
-            let result = self.send_once(&mut f, &target).await;
+            let result = self.send_once(&mut f, &target, Forward::Run).await;
             let (end, refusal) = match result {
                 Tried::Answer(exchange) => return self.hand_on(f, target, *exchange, sent),
                 Tried::NotStarted(refusal) => (TryEnd::NotStarted, refusal),
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Sends a request to its home, which alone may run it.
+    pub async fn send_home(self: &Arc<Self>, mut f: Forwarding, home: Target) -> Response<ProxyBody> {
+        let sent = Instant::now();
+        match self.send_once(&mut f, &home, Forward::Home).await {
+            Tried::Answer(exchange) => self.hand_on(f, home, *exchange, sent),
+            Tried::NotStarted(refusal) if refusal.reason != Reason::Unreachable => {
+                self.refuse(f, refusal, false)
+            }
+            // An earlier copy may have reached the home, so that nothing is known.
+            Tried::NotStarted(refusal) => self.refuse(f, refusal, true),
+            Tried::Unknown(reason) => self.refuse(f, Refusal::unknown(reason), true),
+        }
+    }
+
     async fn choose(
         &self,
         f: &Forwarding,
@@ -173,7 +187,12 @@
         }
     }
 
-    async fn send_once(self: &Arc<Self>, f: &mut Forwarding, target: &Target) -> Tried {
+    async fn send_once(
+        self: &Arc<Self>,
+        f: &mut Forwarding,
+        target: &Target,
+        forward: Forward,
+    ) -> Tried {
         let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
         let body = f.upload.take(&f.passage, cutoff);
         let mut req = head::outgoing(&f.call.parts, body);
@@ -184,7 +203,7 @@
             Target::Gateway { .. } => "gateway",
         };
         let span = self.tracing.send(name, &f.call.span, req.headers_mut());
-        let address = self.address(&mut req, f, target).await;
+        let address = self.address(&mut req, f, target, forward).await;
         trace::annotate(&span, "server.address", address.to_string());
         f.permit.left();
         let send = self.connections.send(address, req);
@@ -223,6 +242,7 @@
         req: &mut Request<ProxyBody>,
         f: &Forwarding,
         target: &Target,
+        forward: Forward,
     ) -> std::net::SocketAddr {
         match target {
             Target::Upstream(address) => {
@@ -234,7 +254,7 @@
                 over_link_to,
                 ..
             } => {
-                self.set_fleet_headers(req.headers_mut(), Forward::Run, f);
+                self.set_fleet_headers(req.headers_mut(), forward, f);
                 f.passage.link.store(over_link_to.clone().map(Arc::new));
                 if let Some(region) = over_link_to {
                     let bytes = head_bytes(req.headers());
--- /dev/null
+++ b/src/gateway/receive.rs
@@ -0,0 +1,222 @@
+//! Reads and checks the heads of requests, from callers and from other entry hosts.
+
+use std::{
+    hash::Hasher,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hyper::{
+    Request,
+    Response,
+    body::Incoming,
+    http::request::Parts, //
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    body::ProxyBody,
+    config::{
+        index::Index,
+        object::{
+            Access,
+            Route, //
+        },
+    },
+    credential,
+    gateway::{
+        Gateway,
+        call::{
+            Call,
+            MatchedRoute, //
+        },
+        head,
+        upload::Upload,
+    },
+    host::message::Sender,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    trace::{
+        self,
+        HopSpan, //
+    },
+    util::id::{
+        ObjectName,
+        OrganisationName,
+        RequestId,
+        STAMP_TICK,
+        Stamp, //
+    },
+    wire,
+};
+
+/// The longest time that another entry host may give a request.
+const FORWARDED_DEADLINE_MAX: Duration = Duration::from_secs(600);
+
+impl Gateway {
+    /// Answers a request of a caller.
+    pub async fn serve_caller(self: Arc<Self>, req: Request<Incoming>) -> Response<ProxyBody> {
+        let span = self.tracing.receive("caller", req.headers());
+        let (parts, body) = req.into_parts();
+        match self.read_caller(parts, span) {
+            Ok(call) => self.run_with_body(call, body).await,
+            Err(refusal) => self.refuse_head(&refusal),
+        }
+    }
+
+    /// Answers a request that another entry host sent.
+    pub async fn serve_peer(self: Arc<Self>, req: Request<Incoming>) -> Response<ProxyBody> {
+        let span = self.tracing.receive("peer", req.headers());
+        let (parts, body) = req.into_parts();
+        match self.read_peer(parts, span) {
+            Ok(call) => self.run_with_body(call, body).await,
+            Err(refusal) => self.refuse_head(&refusal),
+        }
+    }
+
+    /// Returns this host's stamp at an instant.
+    pub fn stamp(&self, now: Instant) -> Stamp {
+        let ticks = now.duration_since(self.started).as_millis() / STAMP_TICK.as_millis();
+        Stamp(u64::try_from(ticks).unwrap_or(u64::MAX))
+    }
+
+    async fn run_with_body(self: Arc<Self>, call: Call, body: Incoming) -> Response<ProxyBody> {
+        match timeout_at(call.deadline, Upload::new(body)).await {
+            Ok(Ok(upload)) => self.run(call, upload).await,
+            Ok(Err(e)) => {
+                log::debug!(event = "caller-gone", id:% = call.id, cause:% = e; "");
+                self.refusal(&call, &Refusal::not_run(Reason::Deadline))
+            }
+            Err(_) => self.refusal(&call, &Refusal::not_run(Reason::Deadline)),
+        }
+    }
+
+    fn refuse_head(&self, refusal: &Refusal) -> Response<ProxyBody> {
+        self.count_refusal(refusal, None);
+        log::info!(event = "refused", reason:% = refusal.reason, outcome:% = refusal.outcome; "");
+        head::refusal(refusal, None, &self.name)
+    }
+
+    fn read_caller(&self, mut parts: Parts, span: HopSpan) -> Result<Call, Refusal> {
+        let received = Instant::now();
+        let index = self.index_in_force()?;
+        let route = find_route(&index, &parts)?;
+        let key = credential::take_key(&mut parts).map_err(|_| exposed())?;
+        if route.access == Access::Keyed && key.is_none() {
+            return Err(Refusal::not_run(Reason::KeyMissing));
+        }
+        let id = self.caller_id(&parts, route, received)?;
+        let asked = head::deadline(&parts.headers);
+        let patience = asked.map_or(route.deadline, |asked| asked.min(route.deadline));
+        head::remove_keys(&mut parts.headers);
+        head::remove_hop_by_hop(&mut parts.headers);
+        head::remove_own(&mut parts.headers);
+        parts.headers.remove(hyper::header::EXPECT);
+        trace::annotate(&span, "cardamomroad.request_id", id.to_string());
+        trace::annotate(&span, "cardamomroad.host", self.name.to_string());
+        Ok(Call {
+            parts,
+            id,
+            route: MatchedRoute::new(route),
+            sender: Sender::Caller(key),
+            key,
+            from_region: None,
+            received,
+            deadline: received + patience,
+            span,
+        })
+    }
+
+    fn read_peer(&self, mut parts: Parts, span: HopSpan) -> Result<Call, Refusal> {
+        let received = Instant::now();
+        let index = self.index_in_force()?;
+        let malformed = || Refusal::not_run(Reason::BadRequestId);
+        let headers = &parts.headers;
+        let id: RequestId = parse(head::text(headers, wire::REQUEST_ID)).ok_or_else(malformed)?;
+        let named: ObjectName = parse(head::text(headers, wire::ROUTE)).ok_or_else(malformed)?;
+        let route = index.route_named(&named);
+        let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        let organisation: Option<OrganisationName> = parse(head::text(headers, wire::ORGANISATION));
+        let from_region = parse(head::text(headers, wire::FROM_REGION));
+        let sender = match head::text(headers, wire::FORWARD) {
+            Some("home") => Sender::Home(organisation),
+            Some("run") => Sender::Run(organisation),
+            _ => return Err(malformed()),
+        };
+        let left = head::deadline(headers).unwrap_or(route.deadline);
+        head::remove_own(&mut parts.headers);
+        head::remove_hop_by_hop(&mut parts.headers);
+        trace::annotate(&span, "cardamomroad.request_id", id.to_string());
+        trace::annotate(&span, "cardamomroad.host", self.name.to_string());
+        Ok(Call {
+            parts,
+            id,
+            route: MatchedRoute::new(route),
+            sender,
+            key: None,
+            from_region,
+            received,
+            deadline: received + left.min(FORWARDED_DEADLINE_MAX),
+            span,
+        })
+    }
+
+    fn index_in_force(&self) -> Result<Arc<Index>, Refusal> {
+        self.index
+            .load_full()
+            .ok_or(Refusal::not_run(Reason::NotReady))
+    }
+
+    /// Returns the caller's request id, or a fresh one where a copy may run too.
+    fn caller_id(&self, parts: &Parts, route: &Route, now: Instant) -> Result<RequestId, Refusal> {
+        match parts.headers.get(wire::REQUEST_ID) {
+            Some(value) => parse(value.to_str().ok()).ok_or(Refusal::not_run(Reason::BadRequestId)),
+            None if route.idempotent => Ok(self.fresh_id(now)),
+            None => Err(Refusal::not_run(Reason::BadRequestId)),
+        }
+    }
+
+    fn fresh_id(&self, now: Instant) -> RequestId {
+        let nonce = format!("m{:016x}", rand::random::<u64>());
+        RequestId {
+            host: self.name.clone(),
+            incarnation: self.incarnation,
+            stamp: self.stamp(now),
+            nonce: nonce.parse().unwrap_or_else(|_| unreachable!("hex digits are a name")),
+        }
+    }
+}
+
+impl Call {
+    /// Returns the digest that tells a repeated request apart from others: of its
+    /// method, target and the held part of its body.
+    pub fn fingerprint(&self, body: &[u8]) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.write(self.parts.method.as_str().as_bytes());
+        hasher.write(b" ");
+        let target = self.parts.uri.path_and_query();
+        hasher.write(target.map_or("", |t| t.as_str()).as_bytes());
+        hasher.write(b"\n");
+        hasher.write(body);
+        hasher.finish()
+    }
+}
+
+fn find_route<'a>(index: &'a Index, parts: &Parts) -> Result<&'a Route, Refusal> {
+    let route = index.route(parts.method.as_str(), parts.uri.path());
+    route.ok_or(Refusal::not_run(Reason::NoRoute))
+}
+
+fn parse<T: std::str::FromStr>(text: Option<&str>) -> Option<T> {
+    text.and_then(|t| t.parse().ok())
+}
+
+fn exposed() -> Refusal {
+    Refusal::not_run(Reason::KeyExposed)
+}
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -46,6 +46,8 @@
     pub fingerprint: u64,
     /// Bytes of its body, where known.
     pub length: Option<u64>,
+    /// How long it has waited so far.
+    pub waited: std::time::Duration,
 }
 
 /// The answer to [`Start`].
@@ -60,10 +62,8 @@
     Home {
         /// The organisation whose key came with it.
         organisation: Option<OrganisationName>,
-        /// The home's name.
-        host: HostName,
-        /// The home's address for other entry hosts.
-        peers: SocketAddr,
+        /// The home.
+        home: Target,
     },
     /// The organisation's budget may grow until this instant; ask again then.
     Wait(tokio::time::Instant),
--- /dev/null
+++ b/src/listener.rs
@@ -0,0 +1,115 @@
+//! Accepts connections and serves them until a graceful stop.
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use hyper::{
+    Request,
+    Response,
+    body::Incoming,
+    service::service_fn, //
+};
+use hyper_util::{
+    rt::{
+        TokioExecutor,
+        TokioIo,
+        TokioTimer, //
+    },
+    server::{
+        conn::auto,
+        graceful::GracefulShutdown, //
+    },
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+};
+
+use crate::body::ProxyBody;
+
+/// How long a connection may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// The pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves connections until `stop` turns true, then lets running requests end.
+///
+/// Returns after the last connection has closed.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ProxyBody>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|&stop| stop) => break,
+        };
+        serve_accepted(accepted, &graceful, &handler).await;
+    }
+    // Connections that the kernel accepted before the stop get their answer too.
+    while let Ok(accepted) =
+        tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
+    {
+        serve_accepted(accepted, &graceful, &handler).await;
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn serve_accepted<H, F>(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    graceful: &GracefulShutdown,
+    handler: &H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ProxyBody>> + Send + 'static,
+{
+    match accepted {
+        Ok((stream, client)) => serve_stream(stream, client, graceful, handler.clone()),
+        Err(e) => {
+            log::warn!(event = "accept-failed", cause:% = e; "");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+        }
+    }
+}
+
+fn serve_stream<H, F>(
+    stream: TcpStream,
+    client: SocketAddr,
+    graceful: &GracefulShutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ProxyBody>> + Send + 'static,
+{
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(event = "nodelay-failed", client:%, cause:% = e; "");
+    }
+    let service = service_fn(move |req| {
+        let answer = handler(req, client);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!(event = "connection-failed", client:%, cause:% = e; "");
+        }
+    });
+}
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,108 @@
+//! The operators' address: metrics, status, explanations and readiness.
+
+use std::sync::Arc;
+
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    header::{
+        self,
+        HeaderValue, //
+    },
+};
+use serde::Serialize;
+
+use crate::{
+    body::{
+        ProxyBody,
+        full, //
+    },
+    gateway::Gateway,
+    host::message::{
+        Explain,
+        GetStatus, //
+    },
+};
+
+/// The content type of the Prometheus text format.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// The content type of status and explanations.
+const JSON_TYPE: &str = "application/json";
+
+/// Answers a request of an operator.
+pub async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<ProxyBody> {
+    let query = req.uri().query().unwrap_or_default();
+    match req.uri().path() {
+        "/metrics" => metrics(&gw),
+        "/ready" => ready(&gw),
+        "/status" => match gw.host.send(GetStatus).await {
+            Ok(status) => json(&status),
+            Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the host is stopping\n"),
+        },
+        "/explain" => explain(&gw, query).await,
+        _ => plain(
+            StatusCode::NOT_FOUND,
+            "use /metrics, /ready, /status or /explain\n",
+        ),
+    }
+}
+
+fn metrics(gw: &Gateway) -> Response<ProxyBody> {
+    match gw.metrics.encode() {
+        Ok(text) => typed(StatusCode::OK, METRICS_TYPE, text),
+        Err(_) => plain(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the metrics could not be written\n",
+        ),
+    }
+}
+
+fn ready(gw: &Gateway) -> Response<ProxyBody> {
+    match gw.index.load().as_deref() {
+        Some(index) => {
+            let text = format!("ready generation={}\n", index.generation());
+            plain(StatusCode::OK, &text)
+        }
+        None => plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+    }
+}
+
+async fn explain(gw: &Gateway, query: &str) -> Response<ProxyBody> {
+    let Some(question) = Explain::from_query(query) else {
+        return plain(
+            StatusCode::BAD_REQUEST,
+            "use /explain?request=ID, /explain?refusals or /explain?plan\n",
+        );
+    };
+    match gw.host.send(question).await {
+        Ok(records) => json(&records),
+        Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the host is stopping\n"),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response<ProxyBody> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => typed(StatusCode::OK, JSON_TYPE, bytes),
+        Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
+    }
+}
+
+/// Returns an answer of plain text.
+pub fn plain(status: StatusCode, text: &str) -> Response<ProxyBody> {
+    typed(status, "text/plain; charset=utf-8", text.to_owned())
+}
+
+/// Returns an answer of a content type.
+pub fn typed(
+    status: StatusCode,
+    content_type: &'static str,
+    body: impl Into<bytes::Bytes>,
+) -> Response<ProxyBody> {
+    let mut res = Response::new(full(body));
+    *res.status_mut() = status;
+    let value = HeaderValue::from_static(content_type);
+    res.headers_mut().insert(header::CONTENT_TYPE, value);
+    res
+}
