--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,17 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod blocks;
 pub mod config;
+pub mod drain;
 pub mod error;
+pub mod lookup;
+pub mod plan;
+pub mod planner;
+pub mod pool;
+pub mod retry;
+pub mod route;
+pub mod slots;
 pub mod store;
 pub mod util;
 pub mod wire;
--- /dev/null
+++ b/src/lookup.rs
@@ -0,0 +1,389 @@
+//! Answers to the look-up: which entry hosts a caller should use.
+//!
+//! A [`Table`] is immutable and shared by pointer. It is compiled from the
+//! configuration, the region's plan and the zone membership; the parts that a
+//! change does not touch are shared with the table before it.
+
+use std::{
+    collections::HashMap,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    blocks::{
+        Blocks,
+        ClassId, //
+    },
+    config::object::Set,
+    util::id::{
+        Generation,
+        HostName,
+        Incarnation,
+        OrganisationName,
+        RegionName,
+        Stamp,
+        ZoneName, //
+    },
+};
+
+/// How long callers may keep an answer in steady times.
+pub const TTL: Duration = Duration::from_secs(5);
+/// How long callers may keep an answer that is about to change.
+pub const TTL_MOVING: Duration = Duration::from_secs(2);
+/// The most hosts in one answer.
+pub const HOSTS_MAX: usize = 4;
+/// Zones that one answer draws hosts from.
+const ZONES_MAX: usize = 3;
+/// The weight of a host of the best zone.
+const WEIGHT_BEST: u16 = 100;
+/// The weight of a host of a farther zone, which only serves as a fallback.
+const WEIGHT_FALLBACK: u16 = 1;
+/// The weight of a host that failed for this host's own requests or is nearly full.
+const WEIGHT_DOUBTFUL: u16 = 10;
+
+/// How an entry host looks from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// It takes callers.
+    Live,
+    /// Own evidence speaks against it: missed heartbeats or failed requests.
+    Doubtful,
+    /// It is about to stop, or drains. It is never named.
+    Leaving,
+}
+
+/// One entry host, as membership knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// Its name.
+    pub name: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its address for callers.
+    pub callers: SocketAddr,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Its own clock, from its latest heartbeat.
+    pub stamp: Stamp,
+    /// How it looks.
+    pub standing: Standing,
+    /// The part of its capacity that is free, in thousandths.
+    pub spare: u16,
+}
+
+/// An answer to a look-up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The configuration that it was made by.
+    pub generation: Generation,
+    /// How long the caller may keep it, in milliseconds.
+    pub ttl_ms: u64,
+    /// The entry hosts, best first.
+    pub hosts: SmallVec<[Named; HOSTS_MAX]>,
+}
+
+/// One entry host of an [`Answer`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Named {
+    /// Its name.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its address for callers.
+    pub address: SocketAddr,
+    /// Its weight among the named hosts.
+    pub weight: u16,
+    /// Its present life, for request ids.
+    pub incarnation: Incarnation,
+    /// Its own clock, for request ids.
+    pub stamp: Stamp,
+}
+
+/// The hosts of one zone, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct ZoneHosts {
+    usable: Vec<Host>,
+}
+
+/// The compiled look-up table.
+#[derive(Clone, Debug)]
+pub struct Table {
+    generation: Generation,
+    blocks: Arc<Blocks>,
+    /// For each class all zones, best first.
+    order: Arc<Vec<Arc<[ZoneId]>>>,
+    /// The order for clients of no block: this host's own zone first.
+    fallback: Arc<[ZoneId]>,
+    zones: Arc<Places>,
+    hosts: Vec<Arc<ZoneHosts>>,
+    homes: Arc<Homes>,
+    moving: bool,
+}
+
+/// The hosts that hold shares of an organisation's rate.
+pub type Homes = HashMap<OrganisationName, SmallVec<[HostName; 4]>>;
+
+/// The index of a zone in the configuration.
+type ZoneId = u16;
+
+/// The zones and the distances between them.
+#[derive(Clone, Debug, Default)]
+struct Places {
+    names: Vec<ZoneName>,
+    ids: HashMap<ZoneName, ZoneId>,
+    regions: Vec<RegionName>,
+    delays: HashMap<(RegionName, RegionName), Duration>,
+}
+
+impl Places {
+    fn new(set: &Set) -> Self {
+        let mut places = Self::default();
+        for (i, z) in set.zones.iter().enumerate() {
+            let id = ZoneId::try_from(i).unwrap_or(ZoneId::MAX);
+            places.names.push(z.name.clone());
+            places.ids.insert(z.name.clone(), id);
+            places.regions.push(z.region.clone());
+        }
+        for l in &set.links {
+            places
+                .delays
+                .insert((l.from.clone(), l.to.clone()), l.delay);
+        }
+        places
+    }
+
+    /// Returns all zones, the `near` ones first and the rest by distance from the first.
+    fn order(&self, near: &[ZoneName]) -> Arc<[ZoneId]> {
+        let mut order: Vec<ZoneId> = near
+            .iter()
+            .filter_map(|z| self.ids.get(z).copied())
+            .collect();
+        let home = order.first().copied();
+        let named = order.len();
+        for id in self.ids.values() {
+            if !order[..named].contains(id) {
+                order.push(*id);
+            }
+        }
+        order[named..].sort_by_key(|&id| (self.delay(home, id), id));
+        order.into()
+    }
+
+    fn delay(&self, home: Option<ZoneId>, id: ZoneId) -> Duration {
+        let Some(home) = home else {
+            return Duration::ZERO;
+        };
+        let (from, to) = (
+            &self.regions[usize::from(home)],
+            &self.regions[usize::from(id)],
+        );
+        if from == to {
+            return Duration::ZERO;
+        }
+        let delay = self.delays.get(&(from.clone(), to.clone()));
+        delay.copied().unwrap_or(Duration::MAX)
+    }
+}
+
+impl Table {
+    /// Compiles a table. `own` is the zone of the host that answers.
+    pub fn new(generation: Generation, set: &Set, own: &ZoneName, hosts: &[Host]) -> Self {
+        let blocks = Arc::new(Blocks::new(&set.blocks));
+        Self::with_blocks(generation, set, own, hosts, blocks)
+    }
+
+    /// Compiles a table around blocks that are compiled already, so that a
+    /// changed configuration pays only for the blocks it changes.
+    pub fn with_blocks(
+        generation: Generation,
+        set: &Set,
+        own: &ZoneName,
+        hosts: &[Host],
+        blocks: Arc<Blocks>,
+    ) -> Self {
+        let places = Places::new(set);
+        let order = (0..blocks.classes())
+            .map(|i| ClassId(u32::try_from(i).unwrap_or(u32::MAX)))
+            .map(|id| places.order(blocks.near(id)))
+            .collect();
+        let fallback = places.order(std::slice::from_ref(own));
+        let empty = Arc::new(ZoneHosts::default());
+        let mut table = Self {
+            generation,
+            blocks,
+            order: Arc::new(order),
+            fallback,
+            hosts: vec![empty; places.names.len()],
+            zones: Arc::new(places),
+            homes: Arc::default(),
+            moving: false,
+        };
+        table = table.with_hosts(hosts);
+        table
+    }
+
+    /// Returns the table with other hosts; zones whose hosts are the same are shared.
+    pub fn with_hosts(&self, hosts: &[Host]) -> Self {
+        let mut by_zone = vec![ZoneHosts::default(); self.zones.names.len()];
+        for host in hosts {
+            let Some(&id) = self.zones.ids.get(&host.zone) else {
+                continue;
+            };
+            if host.standing != Standing::Leaving {
+                by_zone[usize::from(id)].usable.push(host.clone());
+            }
+        }
+        let mut next = self.clone();
+        for (old, mut new) in next.hosts.iter_mut().zip(by_zone) {
+            new.usable.sort_by(|a, b| a.name.cmp(&b.name));
+            if **old != new {
+                *old = Arc::new(new);
+            }
+        }
+        next
+    }
+
+    /// Returns the table with the homes of organisations, which answers prefer.
+    pub fn with_homes(&self, homes: Arc<Homes>) -> Self {
+        Self {
+            homes,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the table with a shorter time to live while hosts or zones are
+    /// about to leave, so that fewer caches overstay.
+    pub fn with_moving(&self, moving: bool) -> Self {
+        Self {
+            moving,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the compiled blocks, for the next table.
+    pub fn blocks(&self) -> &Arc<Blocks> {
+        &self.blocks
+    }
+
+    /// Returns the class of a client.
+    pub fn class_of(&self, client: IpAddr) -> Option<ClassId> {
+        self.blocks.class_of(client)
+    }
+
+    /// Answers a look-up.
+    ///
+    /// The best zone that has hosts takes the load; one host each of the next
+    /// zones stands behind it as a fallback. The client's address spreads
+    /// callers over the hosts of a zone and keeps one caller with its host.
+    pub fn answer(&self, client: IpAddr, organisation: Option<&OrganisationName>) -> Answer {
+        let order = match self.blocks.class_of(client) {
+            Some(class) => &self.order[class.0 as usize],
+            None => &self.fallback,
+        };
+        let homes = organisation.and_then(|o| self.homes.get(o));
+        let homes = homes.map_or(&[][..], SmallVec::as_slice);
+        let mut hosts = SmallVec::new();
+        let mut zones = 0;
+        for &zone in order.iter() {
+            if zones == ZONES_MAX || hosts.len() == HOSTS_MAX {
+                break;
+            }
+            let first = zones == 0;
+            let room = if first { HOSTS_MAX - 2 } else { 1 };
+            let found = self.best_of(zone, client, homes, room);
+            zones += usize::from(!found.is_empty());
+            for host in found {
+                hosts.push(named(host, first));
+            }
+        }
+        let ttl = if self.moving { TTL_MOVING } else { TTL };
+        Answer {
+            generation: self.generation,
+            ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+            hosts,
+        }
+    }
+
+    /// Returns up to `room` hosts of a zone, the best for this caller first.
+    fn best_of(
+        &self,
+        zone: ZoneId,
+        client: IpAddr,
+        homes: &[HostName],
+        room: usize,
+    ) -> SmallVec<[&Host; HOSTS_MAX]> {
+        let mut best: SmallVec<[(Preference, &Host); HOSTS_MAX]> = SmallVec::new();
+        for host in &self.hosts[usize::from(zone)].usable {
+            let preference = Preference::new(host, client, homes);
+            let at = best.partition_point(|(p, _)| *p >= preference);
+            if at == room {
+                continue;
+            }
+            best.truncate(room - 1);
+            best.insert(at, (preference, host));
+        }
+        best.into_iter().map(|(_, host)| host).collect()
+    }
+}
+
+/// How much a host is preferred for a caller; a larger one is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Preference {
+    live: bool,
+    spare: bool,
+    home: bool,
+    rank: u64,
+}
+
+impl Preference {
+    fn new(host: &Host, client: IpAddr, homes: &[HostName]) -> Self {
+        Self {
+            live: host.standing == Standing::Live,
+            spare: host.spare >= SPARE_MIN,
+            home: homes.contains(&host.name),
+            rank: rank(host, client),
+        }
+    }
+}
+
+/// The thousandths of a host's capacity below which others are preferred.
+const SPARE_MIN: u16 = 100;
+
+/// Ranks a host for a client by rendezvous hashing.
+fn rank(host: &Host, client: IpAddr) -> u64 {
+    let seed = match client {
+        IpAddr::V4(a) => u64::from(a.to_bits()),
+        IpAddr::V6(a) => (a.to_bits() >> 64) as u64 ^ a.to_bits() as u64,
+    };
+    xxh3_64_with_seed(host.name.as_str().as_bytes(), seed)
+}
+
+fn named(host: &Host, first: bool) -> Named {
+    let doubtful = host.standing == Standing::Doubtful || host.spare < SPARE_MIN;
+    let weight = match (first, doubtful) {
+        (true, false) => WEIGHT_BEST,
+        (true, true) => WEIGHT_DOUBTFUL,
+        (false, _) => WEIGHT_FALLBACK,
+    };
+    Named {
+        host: host.name.clone(),
+        zone: host.zone.clone(),
+        address: host.callers,
+        weight,
+        incarnation: host.incarnation,
+        stamp: host.stamp,
+    }
+}
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,385 @@
+//! The upstreams of one service in one zone, as one gateway sees them.
+//!
+//! The gateway's own counts of running requests and their outcomes decide;
+//! what an upstream reports about itself only lowers its weight. The slots of
+//! each upstream are divided among the zone's gateways ([`crate::slots`]), so
+//! that the gateways together never exceed them.
+
+pub mod upstream;
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use rand::{
+    Rng,
+    RngExt, //
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    config::object,
+    pool::upstream::{
+        Outcome,
+        Reported,
+        State,
+        Upstream, //
+    },
+    retry::{
+        DrainMeter,
+        RETRY_AFTER_MIN, //
+    },
+    slots,
+    util::id::HostName, //
+};
+
+/// The age after which a peer's report of spare slots is no longer used.
+const PEER_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+/// The longest time between two calls of [`Pool::tick`] after which the shares
+/// still hold. A process that was paused for longer asks again first.
+pub const PAUSE_MAX: Duration = Duration::from_secs(3);
+
+/// The gateways that divide the upstreams' slots, from the zone's ledger.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    /// The ledger's revision; a lower one never replaces a higher one.
+    pub revision: u64,
+    /// The member hosts.
+    pub hosts: Vec<HostName>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// To an upstream of this gateway. [`Pool::started`] takes the slot.
+    Upstream {
+        /// Its index in the pool.
+        index: usize,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// To another gateway of the zone that has a spare slot. It must not pass
+    /// the request on again.
+    Pass {
+        /// The gateway.
+        host: HostName,
+    },
+    /// Nowhere: no slot is free.
+    Busy {
+        /// When the caller should come back, from the measured rate at which
+        /// the pool finishes requests.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request goes where it goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The upstream had the most room for its share.
+    MostRoom,
+    /// The upstream failed before and gets one request to show that it works.
+    Probe,
+    /// This gateway's slots are taken; a peer reported spare ones.
+    PeerHasRoom,
+    /// All slots of this gateway are taken and no peer reported spare ones.
+    AllTaken,
+    /// All upstreams are suspect, draining, backing off or gone.
+    NoneUsable,
+    /// This process was paused and has not heard since that its shares still hold.
+    SharesUnconfirmed,
+}
+
+/// A decision of [`Pool::pick`], with what it was decided from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// Where the request goes.
+    pub pick: Pick,
+    /// Why.
+    pub reason: Reason,
+    /// Slots that were free for this gateway.
+    pub free: u32,
+    /// Upstreams that could take work at all.
+    pub usable: u32,
+}
+
+/// Spare slots that another gateway of the zone reported.
+#[derive(Clone, Debug)]
+struct Peer {
+    host: HostName,
+    free: u32,
+    heard: Instant,
+}
+
+/// The upstreams of one service in one zone, as one gateway sees them.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    me: HostName,
+    members: Members,
+    /// Members whose shares are in force for growing; see [`Pool::settle`].
+    settled: Members,
+    slots: u32,
+    connections: u32,
+    warm_up: Duration,
+    upstreams: Vec<Upstream>,
+    peers: Vec<Peer>,
+    meter: DrainMeter,
+    ticked: Instant,
+    confirmed: bool,
+}
+
+impl Pool {
+    /// Creates the pool of one gateway.
+    ///
+    /// The shares of `members` are in force at once, which is right where no
+    /// other division was before; [`Pool::set_members`] changes them later.
+    pub fn new(now: Instant, me: HostName, cfg: &object::Pool, members: Members) -> Self {
+        let mut pool = Self {
+            me,
+            settled: members.clone(),
+            members,
+            slots: cfg.slots,
+            connections: cfg.connections,
+            warm_up: cfg.warm_up,
+            upstreams: Vec::new(),
+            peers: Vec::new(),
+            meter: DrainMeter::new(now),
+            ticked: now,
+            confirmed: true,
+        };
+        pool.configure(now, cfg);
+        pool
+    }
+
+    /// Takes over a changed configuration object.
+    ///
+    /// Upstreams that it no longer names get no new work from now on and are
+    /// forgotten when their last request has finished. New ones start cold.
+    pub fn configure(&mut self, now: Instant, cfg: &object::Pool) {
+        self.slots = cfg.slots;
+        self.connections = cfg.connections;
+        self.warm_up = cfg.warm_up;
+        for u in &mut self.upstreams {
+            if !cfg.upstreams.contains(&u.address()) {
+                u.remove(now);
+            }
+        }
+        for &address in &cfg.upstreams {
+            let known = self.upstreams.iter_mut().find(|u| u.address() == address);
+            match known {
+                Some(u) => u.restore(now),
+                None => self.upstreams.push(Upstream::new(now, address)),
+            }
+        }
+        self.divide();
+    }
+
+    /// Takes a newer member list. Smaller shares are in force at once, larger
+    /// ones after [`Pool::settle`].
+    pub fn set_members(&mut self, members: Members) {
+        if members.revision < self.members.revision {
+            return;
+        }
+        self.confirmed = true;
+        self.members = members;
+        self.divide();
+    }
+
+    /// Puts larger shares of a revision in force. To be called when every
+    /// member of the previous revision has either reported [`Pool::is_shrunk`]
+    /// for this revision or is proven gone.
+    pub fn settle(&mut self, revision: u64) {
+        if revision != self.members.revision {
+            return;
+        }
+        self.settled = self.members.clone();
+        self.divide();
+    }
+
+    /// Returns whether no upstream runs more of this gateway's requests than
+    /// the shares of `revision` allow.
+    pub fn is_shrunk(&self, revision: u64) -> bool {
+        self.members.revision >= revision && self.upstreams.iter().all(|u| u.running() <= u.share())
+    }
+
+    /// Notes that the process runs; a gap above [`PAUSE_MAX`] stops picks until
+    /// [`Pool::set_members`] confirms the shares.
+    pub fn tick(&mut self, now: Instant) {
+        self.confirmed &= now.saturating_duration_since(self.ticked) <= PAUSE_MAX;
+        self.ticked = now;
+        for u in &mut self.upstreams {
+            u.tick(now, self.warm_up);
+        }
+        self.upstreams
+            .retain(|u| u.state() != State::Gone || u.running() > 0);
+    }
+
+    /// Takes a peer's report of its spare slots in this pool.
+    pub fn set_peer_free(&mut self, now: Instant, host: &HostName, free: u32) {
+        self.peers.retain(|p| p.host != *host);
+        self.peers.push(Peer {
+            host: host.clone(),
+            free,
+            heard: now,
+        });
+    }
+
+    /// Decides where a request goes. `passed` says that another gateway of the
+    /// zone passed it here, so that it must not be passed on.
+    pub fn pick<R: Rng>(&mut self, now: Instant, passed: bool, rng: &mut R) -> Decision {
+        self.tick(now);
+        if !self.confirmed {
+            return self.busy(now, Reason::SharesUnconfirmed, 0, 0);
+        }
+        if let Some(index) = self.upstreams.iter().position(|u| u.wants_probe(now)) {
+            return self.decided(now, index, Reason::Probe);
+        }
+        if let Some(index) = self.most_room(now, rng) {
+            return self.decided(now, index, Reason::MostRoom);
+        }
+        if !passed && let Some(host) = self.peer_with_room(now) {
+            let usable = self.usable(now);
+            return Decision {
+                pick: Pick::Pass { host },
+                reason: Reason::PeerHasRoom,
+                free: 0,
+                usable,
+            };
+        }
+        let usable = self.usable(now);
+        let reason = match usable {
+            0 => Reason::NoneUsable,
+            _ => Reason::AllTaken,
+        };
+        self.busy(now, reason, 0, usable)
+    }
+
+    /// Takes a slot of an upstream for a request that is about to be sent.
+    pub fn started(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(u) = self.find(address) {
+            u.started(now);
+        }
+    }
+
+    /// Gives the slot back and learns from the outcome.
+    pub fn finished(&mut self, now: Instant, address: SocketAddr, outcome: Outcome) {
+        if outcome == Outcome::Answered {
+            self.meter.finished(now);
+        }
+        if let Some(u) = self.find(address) {
+            u.finished(now, outcome);
+        }
+    }
+
+    /// Takes what an upstream says about itself. It can only lower its weight.
+    pub fn report(&mut self, now: Instant, address: SocketAddr, reported: Reported) {
+        if let Some(u) = self.find(address) {
+            u.report(now, reported);
+        }
+    }
+
+    /// Starts or ends an operator's drain of one upstream.
+    pub fn set_drained(&mut self, now: Instant, address: SocketAddr, drained: bool) {
+        if let Some(u) = self.find(address) {
+            u.set_drained(now, drained);
+        }
+    }
+
+    /// Returns the slots that are free for this gateway now.
+    pub fn free_slots(&self, now: Instant) -> u32 {
+        self.upstreams.iter().map(|u| u.free(now)).sum()
+    }
+
+    /// Returns the slots that this gateway may use now, taken ones included.
+    pub fn capacity(&self, now: Instant) -> u32 {
+        self.upstreams.iter().map(|u| u.limit(now)).sum()
+    }
+
+    /// Returns this gateway's running requests.
+    pub fn running(&self) -> u32 {
+        self.upstreams.iter().map(Upstream::running).sum()
+    }
+
+    /// Returns the upstreams, for `explain` and status.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    fn find(&mut self, address: SocketAddr) -> Option<&mut Upstream> {
+        self.upstreams.iter_mut().find(|u| u.address() == address)
+    }
+
+    fn divide(&mut self) {
+        let whole = self.slots.min(self.connections);
+        for u in &mut self.upstreams {
+            let next = slots::share(&self.members.hosts, &self.me, u.address(), whole);
+            let held = slots::share(&self.settled.hosts, &self.me, u.address(), whole);
+            u.set_share(next.min(held));
+        }
+    }
+
+    fn usable(&self, now: Instant) -> u32 {
+        let usable = self.upstreams.iter().filter(|u| u.limit(now) > 0).count();
+        u32::try_from(usable).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the upstream that would be the least loaded for its weight;
+    /// chance decides between equals.
+    fn most_room<R: Rng>(&self, now: Instant, rng: &mut R) -> Option<usize> {
+        let mut best: SmallVec<[usize; 8]> = SmallVec::new();
+        let mut least = f64::INFINITY;
+        for (i, u) in self.upstreams.iter().enumerate() {
+            if u.free(now) == 0 {
+                continue;
+            }
+            let load = u.load_with_one_more(now);
+            if load < least {
+                least = load;
+                best.clear();
+            }
+            if load <= least {
+                best.push(i);
+            }
+        }
+        if best.is_empty() {
+            return None;
+        }
+        Some(best[rng.random_range(0..best.len())])
+    }
+
+    /// Returns the peer with the most spare slots, and counts one of them as taken.
+    fn peer_with_room(&mut self, now: Instant) -> Option<HostName> {
+        let young = |p: &&mut Peer| {
+            p.free > 0 && now.saturating_duration_since(p.heard) <= PEER_REPORT_MAX_AGE
+        };
+        let peer = self.peers.iter_mut().filter(young).max_by_key(|p| p.free)?;
+        peer.free -= 1;
+        Some(peer.host.clone())
+    }
+
+    fn decided(&self, now: Instant, index: usize, reason: Reason) -> Decision {
+        Decision {
+            pick: Pick::Upstream {
+                index,
+                address: self.upstreams[index].address(),
+            },
+            reason,
+            free: self.free_slots(now),
+            usable: self.usable(now),
+        }
+    }
+
+    fn busy(&self, now: Instant, reason: Reason, free: u32, usable: u32) -> Decision {
+        let retry_after = match reason {
+            Reason::SharesUnconfirmed => RETRY_AFTER_MIN,
+            _ => self.meter.retry_after(now, 0),
+        };
+        Decision {
+            pick: Pick::Busy { retry_after },
+            reason,
+            free,
+            usable,
+        }
+    }
+}
--- /dev/null
+++ b/src/pool/upstream.rs
@@ -0,0 +1,338 @@
+//! One upstream, as one gateway sees it.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+
+/// Consecutive failures after which an upstream is suspect.
+const FAILURES_MAX: u32 = 3;
+/// The first back-off after a shed answer or a failed probe.
+const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+/// The longest back-off.
+const BACKOFF_MAX: Duration = Duration::from_secs(5);
+/// The part of its share that a cold upstream gets at once.
+const COLD_START: f64 = 0.25;
+/// The age after which a report no longer lowers a weight.
+const REPORT_MAX_AGE: Duration = Duration::from_secs(10);
+/// The lowest factor to which a report can bring a weight.
+const REPORT_FACTOR_MIN: f64 = 0.25;
+/// Answers in a row that widen a window that shed answers had narrowed.
+const WIDEN_AFTER: u32 = 8;
+
+/// How a request at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered.
+    Answered,
+    /// It refused before the start, because it has no room.
+    Shed,
+    /// It refused before the start, because it drains.
+    Draining,
+    /// The connection was refused, so nothing started.
+    Refused,
+    /// It failed after the request had left.
+    Failed,
+    /// The deadline passed before an answer.
+    TimedOut,
+    /// The caller gave up.
+    Cancelled,
+}
+
+/// What an upstream says about itself. It may lag or mislead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reported {
+    /// The state it claims.
+    pub state: ReportedState,
+    /// The requests that it says run, and its slots.
+    pub load: Option<ReportedLoad>,
+    /// When the report was asked for.
+    pub measured: Instant,
+}
+
+/// The state that an upstream claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedState {
+    /// It takes work.
+    Ready,
+    /// It takes no new work.
+    Draining,
+    /// It is not warm yet.
+    Cold,
+}
+
+/// The load that an upstream claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests running.
+    pub in_flight: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+}
+
+/// The states of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// New or returned: its limit grows over the pool's warm-up.
+    Cold,
+    /// Takes its full share.
+    Ready,
+    /// Failed: gets single probes.
+    Suspect,
+    /// Gets no new work; running requests finish.
+    Draining,
+    /// Removed from the configuration.
+    Gone,
+}
+
+/// One upstream, as one gateway sees it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    address: SocketAddr,
+    state: State,
+    since: Instant,
+    share: u32,
+    window: u32,
+    running: u32,
+    failures: u32,
+    answers: u32,
+    backoff: Duration,
+    quiet_until: Instant,
+    drained: bool,
+    warmth: f64,
+    reported: Option<Reported>,
+}
+
+impl Upstream {
+    /// Creates a cold upstream without a share.
+    pub fn new(now: Instant, address: SocketAddr) -> Self {
+        Self {
+            address,
+            state: State::Cold,
+            since: now,
+            share: 0,
+            window: u32::MAX,
+            running: 0,
+            failures: 0,
+            answers: 0,
+            backoff: BACKOFF_FIRST,
+            quiet_until: now,
+            drained: false,
+            warmth: COLD_START,
+            reported: None,
+        }
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns its state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns how long it has been in its state.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Returns this gateway's running requests there.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns this gateway's share of its slots.
+    pub fn share(&self) -> u32 {
+        self.share
+    }
+
+    /// Returns the requests that may run now, running ones included.
+    pub fn limit(&self, now: Instant) -> u32 {
+        if now < self.quiet_until {
+            return 0;
+        }
+        match self.state {
+            State::Ready => self.share.min(self.window),
+            State::Cold => self.cold_share().min(self.window),
+            State::Suspect | State::Draining | State::Gone => 0,
+        }
+    }
+
+    /// Returns the slots that are free now.
+    pub fn free(&self, now: Instant) -> u32 {
+        self.limit(now).saturating_sub(self.running)
+    }
+
+    /// Returns whether it is suspect, idle and due for a probe.
+    pub fn wants_probe(&self, now: Instant) -> bool {
+        self.state == State::Suspect
+            && self.running == 0
+            && self.share > 0
+            && now >= self.quiet_until
+    }
+
+    /// Returns the load that one more request would bring, over its weight.
+    pub fn load_with_one_more(&self, now: Instant) -> f64 {
+        let limit = f64::from(self.limit(now).max(1));
+        f64::from(self.running + 1) / (limit * self.report_factor(now))
+    }
+
+    pub(super) fn set_share(&mut self, share: u32) {
+        self.share = share;
+    }
+
+    pub(super) fn tick(&mut self, now: Instant, warm_up: Duration) {
+        if self.state != State::Cold {
+            return;
+        }
+        let part = match warm_up.is_zero() {
+            true => 1.0,
+            false => self.age(now).as_secs_f64() / warm_up.as_secs_f64(),
+        };
+        self.warmth = COLD_START + (1.0 - COLD_START) * part;
+        if self.warmth >= 1.0 {
+            self.enter(now, State::Ready);
+        }
+    }
+
+    pub(super) fn started(&mut self, _now: Instant) {
+        self.running += 1;
+    }
+
+    pub(super) fn finished(&mut self, now: Instant, outcome: Outcome) {
+        self.running = self.running.saturating_sub(1);
+        match outcome {
+            Outcome::Answered => self.answered(now),
+            Outcome::Shed => self.shed(now),
+            Outcome::Draining => self.leave(now),
+            Outcome::Refused => self.suspect(now),
+            Outcome::Failed | Outcome::TimedOut => self.failed(now),
+            Outcome::Cancelled => {}
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Instant, reported: Reported) {
+        let newer = self
+            .reported
+            .is_none_or(|old| old.measured <= reported.measured);
+        if !newer {
+            return;
+        }
+        self.reported = Some(reported);
+        match (self.state, reported.state) {
+            (State::Cold | State::Ready | State::Suspect, ReportedState::Draining) => {
+                self.leave(now);
+            }
+            (State::Draining, ReportedState::Ready | ReportedState::Cold)
+                if !self.drained && reported.measured > self.since =>
+            {
+                self.enter(now, State::Cold);
+            }
+            (State::Ready, ReportedState::Cold) => self.enter(now, State::Cold),
+            _ => {}
+        }
+    }
+
+    pub(super) fn set_drained(&mut self, now: Instant, drained: bool) {
+        if self.drained == drained || self.state == State::Gone {
+            return;
+        }
+        self.drained = drained;
+        match drained {
+            true => self.leave(now),
+            false => self.enter(now, State::Cold),
+        }
+    }
+
+    pub(super) fn remove(&mut self, now: Instant) {
+        self.enter(now, State::Gone);
+    }
+
+    pub(super) fn restore(&mut self, now: Instant) {
+        if self.state == State::Gone {
+            self.enter(now, State::Cold);
+        }
+    }
+
+    fn enter(&mut self, now: Instant, state: State) {
+        if self.state == state {
+            return;
+        }
+        self.state = state;
+        self.since = now;
+        if state == State::Cold {
+            self.warmth = COLD_START;
+        }
+    }
+
+    fn leave(&mut self, now: Instant) {
+        if self.state != State::Gone {
+            self.enter(now, State::Draining);
+        }
+    }
+
+    fn answered(&mut self, now: Instant) {
+        self.failures = 0;
+        self.backoff = BACKOFF_FIRST;
+        self.answers += 1;
+        if self.answers >= WIDEN_AFTER {
+            self.answers = 0;
+            self.window = self.window.saturating_add(1);
+        }
+        if self.state == State::Suspect {
+            self.enter(now, State::Cold);
+        }
+    }
+
+    /// Takes a shed answer: the upstream has less room than the share says.
+    fn shed(&mut self, now: Instant) {
+        self.window = self.running.max(1).min(self.window);
+        self.answers = 0;
+        self.back_off(now);
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures >= FAILURES_MAX || self.state == State::Suspect {
+            self.suspect(now);
+        }
+    }
+
+    fn suspect(&mut self, now: Instant) {
+        match self.state {
+            State::Cold | State::Ready => self.enter(now, State::Suspect),
+            State::Suspect => {}
+            State::Draining | State::Gone => return,
+        }
+        self.back_off(now);
+    }
+
+    fn back_off(&mut self, now: Instant) {
+        self.quiet_until = self.quiet_until.max(now + self.backoff);
+        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+    }
+
+    fn cold_share(&self) -> u32 {
+        let warm = (f64::from(self.share) * self.warmth) as u32;
+        warm.max(1).min(self.share)
+    }
+
+    /// Returns the factor to which a young report lowers the weight.
+    fn report_factor(&self, now: Instant) -> f64 {
+        let Some(reported) = self.reported else {
+            return 1.0;
+        };
+        if now.saturating_duration_since(reported.measured) > REPORT_MAX_AGE {
+            return 1.0;
+        }
+        let Some(load) = reported.load else {
+            return 1.0;
+        };
+        let used = f64::from(load.in_flight) / f64::from(load.slots.max(1));
+        (1.0 - used).clamp(REPORT_FACTOR_MIN, 1.0)
+    }
+}
--- /dev/null
+++ b/src/slots.rs
@@ -0,0 +1,43 @@
+//! Division of an upstream's slots and connections among a zone's gateways.
+//!
+//! The division is a pure function of the member list, so that gateways with
+//! the same list need no talk to agree: the shares of one upstream always add
+//! up to its whole. Where there are more gateways than slots, rendezvous
+//! hashing picks the gateways that get one, which spreads each upstream over a
+//! subset of gateways and each gateway over a subset of upstreams.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::util::id::HostName;
+
+/// Returns `me`'s share of the `whole` slots of one upstream, in slots.
+///
+/// A host that is not in `members` has none. The order of `members` is irrelevant.
+pub fn share(members: &[HostName], me: &HostName, upstream: SocketAddr, whole: u32) -> u32 {
+    if !members.contains(me) {
+        return 0;
+    }
+    let n = u32::try_from(members.len()).unwrap_or(u32::MAX);
+    let (each, rest) = (whole / n, whole % n);
+    let mine = rank_key(me, upstream);
+    let before = members
+        .iter()
+        .filter(|m| rank_key(m, upstream) < mine)
+        .count();
+    each + u32::from(before < rest as usize)
+}
+
+/// Ranks a host for an upstream; the name breaks ties between equal hashes.
+fn rank_key(host: &HostName, upstream: SocketAddr) -> (u64, &str) {
+    let mut h = Xxh3::new();
+    h.update(host.as_str().as_bytes());
+    h.update(&[0]);
+    match upstream {
+        SocketAddr::V4(a) => h.update(&a.ip().octets()),
+        SocketAddr::V6(a) => h.update(&a.ip().octets()),
+    }
+    h.update(&upstream.port().to_be_bytes());
+    (h.digest(), host.as_str())
+}
