Add state charts kept in files

Charts for upstream, host, drain and lease stand in src/charts as TOML and are interpreted by src/chart.rs. States and events are closed enums, so that an unknown name does not parse; an unreachable state, an unused event, two targets for one state and event, and a wrong final state are refused. Guards were left out: the decisions that raise events already hold the condition, and a second place for it would let the two differ.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod chart;
 pub mod config;
 pub mod error;
 pub mod store;
