--- a/src/drain.rs
+++ b/src/drain.rs
@@ -1,53 +1,47 @@
-//! Planned drains: how much traffic a draining target still gets, and whether
-//! the deadline can be kept.
+//! Planned drains: where one stands, and how much time is left to move its traffic.
+//!
+//! The planner moves the traffic, in steps that links and targets allow; this
+//! module follows the drain's state chart and tells the planner when new work
+//! should have ended.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::plan::WEIGHT_WHOLE;
+use crate::chart::drain::{
+    DrainEvent as Event,
+    DrainState as State,
+    chart, //
+};
 
-/// The part of the drain's time that is kept for requests that still run when
+/// The part of a drain's time that is kept for requests that still run when
 /// new work has ended.
-const FINISH_RESERVE: f64 = 0.25;
-
-/// Where a drain stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// New work is being moved away in steps.
-    Shifting,
-    /// No new work arrives; running requests finish.
-    Finishing,
-    /// The target is empty.
-    Done,
-}
+const FINISH_PART: f64 = 0.25;
 
 /// A drain in progress.
 #[derive(Clone, Debug)]
 pub struct Progress {
     began: Instant,
     within: Duration,
-    phase: Phase,
-    keep: u16,
+    state: State,
 }
 
-/// What a drain step was decided from.
+/// What was measured at the target of a drain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Seen {
-    /// The weight that the targets of the moved traffic can take now, out of
-    /// [`WEIGHT_WHOLE`], by link headroom, warm-up and capacity.
-    pub room: u16,
-    /// Requests that still run at the target.
+    /// The largest weight that any plan still gives the target.
+    pub weight: u16,
+    /// Requests that still run there.
     pub running: u32,
 }
 
-/// A decision about a drain.
+/// Where a drain stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Step {
-    /// The weight that the target keeps, out of [`WEIGHT_WHOLE`].
-    pub keep: u16,
-    /// Where the drain stands.
-    pub phase: Phase,
+pub struct Report {
+    /// Its state.
+    pub state: State,
+    /// The time left until new work should have ended.
+    pub shift_left: Duration,
     /// By how much the deadline has passed.
     pub late: Duration,
 }
@@ -58,28 +52,48 @@
         Self {
             began: now,
             within,
-            phase: Phase::Shifting,
-            keep: WEIGHT_WHOLE,
+            state: chart().initial(),
         }
     }
 
-    /// Takes the next step: as much as there is room for, and never more.
-    pub fn step(&mut self, now: Instant, seen: Seen) -> Step {
-        self.keep = self.keep.saturating_sub(seen.room);
-        self.phase = match (self.keep, seen.running) {
-            (0, 0) => Phase::Done,
-            (0, _) => Phase::Finishing,
-            _ => Phase::Shifting,
-        };
-        Step {
-            keep: self.keep,
-            phase: self.phase,
-            late: now.saturating_duration_since(self.began + self.within),
+    /// Follows the chart by what was measured.
+    pub fn observe(&mut self, now: Instant, seen: Seen) -> Report {
+        self.take(Event::Started);
+        if seen.weight == 0 {
+            self.take(Event::Shifted);
+        }
+        if seen.weight > 0 && self.state != State::Overdue {
+            self.take(Event::TrafficReturned);
+        }
+        if seen.weight == 0 && seen.running == 0 {
+            self.take(Event::Emptied);
         }
+        let late = now.saturating_duration_since(self.began + self.within);
+        if !late.is_zero() {
+            self.take(Event::DeadlinePassed);
+        }
+        Report {
+            state: self.state,
+            shift_left: self.shift_left(now),
+            late: match self.state {
+                State::Overdue => late,
+                _ => Duration::ZERO,
+            },
+        }
+    }
+
+    /// Takes the drain back.
+    pub fn cancel(&mut self) {
+        self.take(Event::Cancelled);
+    }
+
+    /// Returns the time left until new work should have ended.
+    pub fn shift_left(&self, now: Instant) -> Duration {
+        let by = self.began + self.within.mul_f64(1.0 - FINISH_PART);
+        by.saturating_duration_since(now)
     }
 
-    /// Returns when new work has to have ended for the deadline to be kept.
-    pub fn shift_by(&self) -> Instant {
-        self.began + self.within.mul_f64(1.0 - FINISH_RESERVE)
+    fn take(&mut self, event: Event) {
+        chart().step(&mut self.state, event);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
 pub mod blocks;
+pub mod chart;
 pub mod config;
 pub mod drain;
 pub mod error;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -20,11 +20,11 @@
 use tokio::time::Instant;
 
 use crate::{
+    chart::upstream::UpstreamState,
     config::object,
     pool::upstream::{
         Outcome,
         Reported,
-        State,
         Upstream, //
     },
     retry::{
@@ -212,7 +212,7 @@
             u.tick(now, self.warm_up);
         }
         self.upstreams
-            .retain(|u| u.state() != State::Gone || u.running() > 0);
+            .retain(|u| u.state() != UpstreamState::Gone || u.running() > 0);
     }
 
     /// Takes a peer's report of its spare slots in this pool.
--- a/src/pool/upstream.rs
+++ b/src/pool/upstream.rs
@@ -7,6 +7,12 @@
 
 use tokio::time::Instant;
 
+use crate::chart::upstream::{
+    UpstreamEvent as Event,
+    UpstreamState as State,
+    chart, //
+};
+
 /// Consecutive failures after which an upstream is suspect.
 const FAILURES_MAX: u32 = 3;
 /// The first back-off after a shed answer or a failed probe.
@@ -72,21 +78,6 @@
     pub slots: u32,
 }
 
-/// The states of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// New or returned: its limit grows over the pool's warm-up.
-    Cold,
-    /// Takes its full share.
-    Ready,
-    /// Failed: gets single probes.
-    Suspect,
-    /// Gets no new work; running requests finish.
-    Draining,
-    /// Removed from the configuration.
-    Gone,
-}
-
 /// One upstream, as one gateway sees it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -110,7 +101,7 @@
     pub fn new(now: Instant, address: SocketAddr) -> Self {
         Self {
             address,
-            state: State::Cold,
+            state: chart().initial(),
             since: now,
             share: 0,
             window: u32::MAX,
@@ -195,7 +186,7 @@
         };
         self.warmth = COLD_START + (1.0 - COLD_START) * part;
         if self.warmth >= 1.0 {
-            self.enter(now, State::Ready);
+            self.take(now, Event::Warmed);
         }
     }
 
@@ -208,7 +199,9 @@
         match outcome {
             Outcome::Answered => self.answered(now),
             Outcome::Shed => self.shed(now),
-            Outcome::Draining => self.leave(now),
+            Outcome::Draining => {
+                self.take(now, Event::DrainStarted);
+            }
             Outcome::Refused => self.suspect(now),
             Outcome::Failed | Outcome::TimedOut => self.failed(now),
             Outcome::Cancelled => {}
@@ -223,56 +216,48 @@
             return;
         }
         self.reported = Some(reported);
-        match (self.state, reported.state) {
-            (State::Cold | State::Ready | State::Suspect, ReportedState::Draining) => {
-                self.leave(now);
-            }
-            (State::Draining, ReportedState::Ready | ReportedState::Cold)
-                if !self.drained && reported.measured > self.since =>
-            {
-                self.enter(now, State::Cold);
-            }
-            (State::Ready, ReportedState::Cold) => self.enter(now, State::Cold),
-            _ => {}
-        }
+        let event = match (self.state, reported.state) {
+            (_, ReportedState::Draining) => Event::DrainStarted,
+            (State::Draining, _) if self.drained || reported.measured <= self.since => return,
+            (State::Draining, _) => Event::DrainCancelled,
+            (State::Ready, ReportedState::Cold) => Event::Restarted,
+            _ => return,
+        };
+        self.take(now, event);
     }
 
     pub(super) fn set_drained(&mut self, now: Instant, drained: bool) {
-        if self.drained == drained || self.state == State::Gone {
+        if self.drained == drained {
             return;
         }
         self.drained = drained;
         match drained {
-            true => self.leave(now),
-            false => self.enter(now, State::Cold),
-        }
+            true => self.take(now, Event::DrainStarted),
+            false => self.take(now, Event::DrainCancelled),
+        };
     }
 
     pub(super) fn remove(&mut self, now: Instant) {
-        self.enter(now, State::Gone);
+        self.take(now, Event::Removed);
     }
 
     pub(super) fn restore(&mut self, now: Instant) {
-        if self.state == State::Gone {
-            self.enter(now, State::Cold);
+        self.take(now, Event::Added);
+        if self.drained {
+            self.take(now, Event::DrainStarted);
         }
     }
 
-    fn enter(&mut self, now: Instant, state: State) {
-        if self.state == state {
-            return;
+    /// Takes an event of the chart; returns whether the state took it.
+    fn take(&mut self, now: Instant, event: Event) -> bool {
+        if !chart().step(&mut self.state, event) {
+            return false;
         }
-        self.state = state;
         self.since = now;
-        if state == State::Cold {
+        if self.state == State::Cold {
             self.warmth = COLD_START;
         }
-    }
-
-    fn leave(&mut self, now: Instant) {
-        if self.state != State::Gone {
-            self.enter(now, State::Draining);
-        }
+        true
     }
 
     fn answered(&mut self, now: Instant) {
@@ -283,9 +268,7 @@
             self.answers = 0;
             self.window = self.window.saturating_add(1);
         }
-        if self.state == State::Suspect {
-            self.enter(now, State::Cold);
-        }
+        self.take(now, Event::Answered);
     }
 
     /// Takes a shed answer: the upstream has less room than the share says.
@@ -303,12 +286,10 @@
     }
 
     fn suspect(&mut self, now: Instant) {
-        match self.state {
-            State::Cold | State::Ready => self.enter(now, State::Suspect),
-            State::Suspect => {}
-            State::Draining | State::Gone => return,
+        self.take(now, Event::Failed);
+        if self.state == State::Suspect {
+            self.back_off(now);
         }
-        self.back_off(now);
     }
 
     fn back_off(&mut self, now: Instant) {
