--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,12 +5,22 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod blocks;
 pub mod body;
+pub mod chart;
 pub mod config;
 pub mod connection;
+pub mod drain;
 pub mod error;
+pub mod lookup;
 pub mod metrics;
+pub mod plan;
+pub mod planner;
+pub mod pool;
 pub mod refusal;
+pub mod retry;
+pub mod route;
+pub mod slots;
 pub mod store;
 pub mod trace;
 pub mod util;
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,123 @@
+//! Proofs of the choice of the serving zone.
+
+use std::time::Duration;
+
+use cardamomroad::{
+    route::{
+        Against,
+        Candidate,
+        Decision,
+        Reason,
+        Request,
+        Target,
+        VIEW_MAX_AGE,
+        choose, //
+    },
+    util::units::ByteSize, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+const ONE_MB: ByteSize = ByteSize(1_000_000);
+
+fn candidate(zone: &str, free: u32) -> Candidate {
+    let region = zone.split('-').next().unwrap();
+    let far = region != "bac";
+    Candidate {
+        zone: zone.parse().unwrap(),
+        region: region.parse().unwrap(),
+        weight: if zone == "bac-a" { 1000 } else { 0 },
+        free,
+        age: Duration::from_secs(1),
+        spilled: 0,
+        senders: 2,
+        delay: Duration::from_millis(if far { 35 } else { 1 }),
+        headroom: far.then_some(ByteSize(10_000_000)),
+        drained: false,
+        reachable: true,
+    }
+}
+
+fn zones(free: [u32; 3]) -> Vec<Candidate> {
+    let names = ["bac-a", "bac-b", "nam-a"];
+    let pairs = names.iter().zip(free);
+    pairs.map(|(z, f)| candidate(z, f)).collect()
+}
+
+fn choose_from(zones: &[Candidate], hops: u8) -> Decision {
+    let req = Request {
+        hops,
+        bytes: ONE_MB,
+    };
+    choose(0, zones, req, &mut StdRng::seed_from_u64(5))
+}
+
+#[test]
+fn own_zone_then_own_region_then_another_region() {
+    assert_eq!(choose_from(&zones([1, 9, 9]), 0).reason, Reason::OwnZone);
+    let spill = choose_from(&zones([0, 9, 9]), 0);
+    assert_eq!(spill.reason, Reason::SpillRegion);
+    assert_eq!(spill.to, Target::Zone("bac-b".parse().unwrap()));
+    let far = choose_from(&zones([0, 0, 9]), 0);
+    assert_eq!(far.reason, Reason::SpillLink);
+    assert_eq!(choose_from(&zones([0, 0, 0]), 0).reason, Reason::NoRoom);
+}
+
+#[test]
+fn a_forwarded_request_never_leaves_its_zone_again() {
+    let second = choose_from(&zones([0, 9, 9]), 1);
+    assert_eq!((second.to, second.reason), (Target::Own, Reason::HopLimit));
+}
+
+#[test]
+fn spill_is_bounded_by_this_gateways_part_of_the_free_slots() {
+    let mut all = zones([0, 8, 0]);
+    all[1].spilled = 3;
+    assert_eq!(choose_from(&all, 0).reason, Reason::SpillRegion);
+    all[1].spilled = 4;
+    assert_eq!(choose_from(&all, 0).reason, Reason::NoRoom);
+}
+
+#[test]
+fn drained_cut_off_stale_and_costly_zones_are_passed_over() {
+    let changes: [(fn(&mut Candidate), Against); 4] = [
+        (|c| c.drained = true, Against::Drained),
+        (|c| c.reachable = false, Against::Unreachable),
+        (
+            |c| c.age = VIEW_MAX_AGE + Duration::from_millis(1),
+            Against::Stale,
+        ),
+        (|c| c.headroom = Some(ByteSize(10)), Against::Link),
+    ];
+    for (change, against) in changes {
+        let mut all = zones([0, 0, 9]);
+        change(&mut all[2]);
+        let decision = choose_from(&all, 0);
+        assert_eq!(decision.to, Target::Nowhere);
+        assert_eq!(decision.considered[2].against, Some(against));
+        let link = against == Against::Link;
+        assert_eq!(decision.reason == Reason::NoLink, link);
+    }
+}
+
+#[test]
+fn the_plan_moves_its_part_and_no_more() {
+    let mut all = zones([9, 9, 9]);
+    all[0].weight = 700;
+    all[2].weight = 300;
+    let req = Request {
+        hops: 0,
+        bytes: ONE_MB,
+    };
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut moved = 0;
+    for _ in 0..10_000 {
+        let decision = choose(0, &all, req, &mut rng);
+        moved += u32::from(decision.reason == Reason::Planned);
+    }
+    assert!((2800..3200).contains(&moved), "{moved} of 10000 moved");
+    all[2].drained = true;
+    assert_eq!(choose_from(&all, 0).reason, Reason::OwnZone);
+}
