Outline the state modules' interfaces

Types, signatures and documentation of membership, lease, adoption, once, credential and quarantine, so that the daemon can be wired against them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,15 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod adoption;
 pub mod chart;
 pub mod config;
+pub mod credential;
 pub mod error;
+pub mod lease;
+pub mod membership;
+pub mod once;
+pub mod quarantine;
 pub mod store;
 pub mod util;
 pub mod wire;
