--- /dev/null
+++ b/src/account.rs
@@ -0,0 +1,447 @@
+//! One host's account of one divisible quantity: own share, loans, bucket and demand.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    bucket::{
+        Bucket,
+        Quota, //
+    },
+    demand::Demand,
+    loan::{
+        Asked,
+        Borrowed,
+        Lent,
+        LoanReply,
+        LoanRequest,
+        LoanReturn, //
+    },
+    share::Resource,
+    util::id::HostName, //
+};
+
+/// How long a request may be held back while a loan or a refill is on its way.
+pub const PARK_MAX: Duration = Duration::from_millis(400);
+/// The most requests of one resource that a host holds back at once.
+pub const PARKED_MAX: usize = 64;
+/// How long a request to a lender counts as on its way.
+const ASK_PATIENCE: Duration = Duration::from_millis(500);
+/// How long after an answer a lender is not asked for more.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// The age at which a line is renewed.
+const RENEW_AFTER: Duration = Duration::from_millis(1500);
+/// A host that lends keeps, in burst, its own demand of this long.
+const KEEP_SPAN_MILLIS: u64 = 250;
+/// Demand is met with this many quarters of itself.
+const NEED_QUARTERS: u64 = 5;
+/// Demand is met with this many quarters of itself while it is short.
+const SHORT_NEED_QUARTERS: u64 = 8;
+/// How long after a failed debit the demand counts as short.
+const SHORT_SPAN: Duration = Duration::from_millis(500);
+
+/// A host that may lend, with its own share.
+#[derive(Clone, Debug)]
+pub(crate) struct Lender {
+    pub(crate) host: HostName,
+    pub(crate) share: Quota,
+    pub(crate) answered_at: Option<Instant>,
+}
+
+/// What a host holds of one quantity, for `explain`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Its own share, zero while it is withheld.
+    pub principal: Quota,
+    /// What it lent out.
+    pub lent: Quota,
+    /// What it borrowed.
+    pub borrowed: Quota,
+    /// Units in the bucket.
+    pub tokens: u64,
+    /// Units a second asked for lately.
+    pub demand: u64,
+    /// Requests held back now.
+    pub parked: usize,
+    /// Debits granted since the process started.
+    pub granted: u64,
+    /// Debits refused since the process started.
+    pub refused: u64,
+}
+
+/// What a host holds and owes of one quantity.
+#[derive(Debug)]
+pub(crate) struct Account {
+    resource: Resource,
+    grain: u64,
+    share: Quota,
+    spendable_from: Option<Instant>,
+    bucket: Bucket,
+    lent: Lent,
+    borrowed: Borrowed,
+    demand: Demand,
+    reserved: u64,
+    short_at: Option<Instant>,
+    parked: SmallVec<[(Instant, u64); 8]>,
+    lenders: Option<Vec<Lender>>,
+    granted: u64,
+    refused: u64,
+}
+
+impl Account {
+    /// Returns an empty account whose own share is withheld until an instant.
+    pub(crate) fn new(resource: Resource, spendable_from: Instant, now: Instant) -> Self {
+        let grain = resource.grain();
+        Self {
+            resource,
+            grain,
+            share: Quota::default(),
+            spendable_from: Some(spendable_from),
+            bucket: Bucket::new(Quota::default(), now),
+            lent: Lent::default(),
+            borrowed: Borrowed::default(),
+            demand: Demand::new(now),
+            reserved: 0,
+            short_at: None,
+            parked: SmallVec::new(),
+            lenders: None,
+            granted: 0,
+            refused: 0,
+        }
+    }
+
+    /// Replaces the own share; the lenders are worked out again when they are needed.
+    pub(crate) fn set_share(&mut self, now: Instant, share: Quota) {
+        self.settle(now);
+        self.share = share;
+        self.lenders = None;
+        self.apply_quota(now);
+    }
+
+    /// Withholds the own share until [`Self::release`].
+    pub(crate) fn withhold(&mut self, now: Instant) {
+        self.settle(now);
+        self.spendable_from = None;
+        self.apply_quota(now);
+    }
+
+    /// Makes the own share spendable from an instant on.
+    pub(crate) fn release(&mut self, now: Instant, spendable_from: Instant) {
+        self.settle(now);
+        self.spendable_from = Some(spendable_from);
+        self.apply_quota(now);
+    }
+
+    /// Applies every lapse up to an instant at the time it was due, so that a
+    /// pause across a lapse spends nothing that lapsed.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        while let Some(due) = self.next_due().filter(|due| *due <= now) {
+            self.bucket.advance(due);
+            self.lent.settle(due);
+            self.borrowed.settle(due);
+            if self.spendable_from.is_some_and(|from| from <= due) {
+                self.spendable_from = Some(due);
+            }
+            self.apply_quota(due);
+        }
+        self.bucket.advance(now);
+    }
+
+    fn next_due(&self) -> Option<Instant> {
+        let start = self.spendable_from.filter(|from| *from > self.bucket.at());
+        let due = [self.lent.next_home(), self.borrowed.next_lapse(), start];
+        due.into_iter().flatten().min()
+    }
+
+    fn principal_at(&self, at: Instant) -> Quota {
+        match self.spendable_from {
+            Some(from) if from <= at => self.share,
+            _ => Quota::default(),
+        }
+    }
+
+    fn apply_quota(&mut self, at: Instant) {
+        let own = self.principal_at(at).minus(self.lent.withheld());
+        self.bucket.set_quota(at, own.plus(self.borrowed.quota()));
+    }
+
+    /// Reports whether more is lent out than the own share holds.
+    pub(crate) fn is_overlent(&self) -> bool {
+        let withheld = self.lent.withheld();
+        !withheld.minus(self.share).is_zero()
+    }
+
+    /// Reports whether nothing is lent out.
+    pub(crate) fn is_home(&self) -> bool {
+        self.lent.lines() == 0
+    }
+
+    /// Reports whether the account needs a look at each tick.
+    pub(crate) fn is_active(&mut self, now: Instant) -> bool {
+        let lines = self.borrowed.lines().next().is_some();
+        lines || !self.parked.is_empty() || self.demand.rate(now).max(self.reserved) > 0
+    }
+
+    pub(crate) fn record_demand(&mut self, now: Instant, amount: u64) {
+        self.demand.record(now, amount);
+    }
+
+    /// Takes an amount, leaving at least `floor` in the bucket.
+    pub(crate) fn take(&mut self, now: Instant, amount: u64, floor: u64) -> bool {
+        self.settle(now);
+        let enough = self.bucket.level(now) >= amount.saturating_add(floor);
+        let taken = enough && self.bucket.debit(now, amount);
+        self.granted += u64::from(taken);
+        if !taken {
+            self.mark_short(now);
+        }
+        taken
+    }
+
+    /// Notes that a debit found too little.
+    pub(crate) fn mark_short(&mut self, now: Instant) {
+        self.short_at = Some(now);
+    }
+
+    /// Sets the units a second that the host keeps for work in flight.
+    pub(crate) fn set_reserved(&mut self, reserved: u64) {
+        self.reserved = reserved;
+    }
+
+    /// Returns the units in the bucket.
+    pub(crate) fn level(&mut self, now: Instant) -> u64 {
+        self.settle(now);
+        self.bucket.level(now)
+    }
+
+    /// Returns the units a second that were asked for lately.
+    pub(crate) fn demand_rate(&mut self, now: Instant) -> u64 {
+        self.demand.rate(now)
+    }
+
+    /// Returns how long a shortage takes to refill, none where it never will.
+    pub(crate) fn refill_time(&mut self, now: Instant, amount: u64) -> Option<Duration> {
+        let level = self.bucket.level(now);
+        let missing = u128::from(amount.saturating_sub(level));
+        let rate = u128::from(self.bucket.quota().rate);
+        if missing == 0 {
+            return Some(Duration::ZERO);
+        }
+        if rate == 0 {
+            return None;
+        }
+        let nanos = (missing * 1_000_000_000).div_ceil(rate);
+        Some(Duration::from_nanos(
+            u64::try_from(nanos).unwrap_or(u64::MAX),
+        ))
+    }
+
+    pub(crate) fn quota(&self) -> Quota {
+        self.bucket.quota()
+    }
+
+    pub(crate) fn count_refusal(&mut self) {
+        self.refused += 1;
+    }
+
+    /// Holds a request back until an instant; false where too many are held back.
+    pub(crate) fn park(&mut self, now: Instant, until: Instant, amount: u64) -> bool {
+        self.parked.retain(|(u, _)| *u > now);
+        if self.parked.len() >= PARKED_MAX {
+            return false;
+        }
+        self.parked.push((until, amount));
+        true
+    }
+
+    pub(crate) fn unpark(&mut self, until: Instant) {
+        if let Some(i) = self.parked.iter().position(|(u, _)| *u == until) {
+            self.parked.remove(i);
+        }
+    }
+
+    /// Returns the units that the requests held back before an instant's ask for.
+    pub(crate) fn parked_before(&mut self, now: Instant, until: Instant) -> u64 {
+        self.parked.retain(|(u, _)| *u > now);
+        let earlier = self.parked.iter().filter(|(u, _)| *u < until);
+        earlier.map(|(_, amount)| amount).sum()
+    }
+
+    pub(crate) fn needs_lenders(&self) -> bool {
+        self.lenders.is_none()
+    }
+
+    pub(crate) fn set_lenders(&mut self, lenders: Vec<Lender>) {
+        self.lenders = Some(lenders);
+    }
+
+    /// Reports whether a lender may still help: it was asked just now, or can be asked.
+    pub(crate) fn may_borrow(&self, now: Instant) -> bool {
+        let lenders = self.lenders.as_deref().unwrap_or_default();
+        let open = |l: &Lender| {
+            self.borrowed.is_pending(now, &l.host, ASK_PATIENCE) || !rested(now, l.answered_at)
+        };
+        lenders.iter().any(open)
+    }
+
+    /// Returns what the host itself needs of the quantity.
+    fn need(&mut self, now: Instant) -> Quota {
+        let demand = self.demand.rate(now).max(self.reserved);
+        if demand == 0 {
+            return Quota::default();
+        }
+        let short = |at: Instant| now.saturating_duration_since(at) < SHORT_SPAN;
+        let quarters = match self.short_at.is_some_and(short) {
+            true => SHORT_NEED_QUARTERS,
+            false => NEED_QUARTERS,
+        };
+        let parked: u64 = self.parked.iter().map(|(_, amount)| amount).sum();
+        let burst = self.demand.peak(now).max(parked);
+        Quota::new(
+            demand.saturating_mul(quarters) / 4,
+            burst.saturating_add(self.grain),
+        )
+    }
+
+    /// Returns what the host keeps back when another one asks.
+    fn keep(&mut self, now: Instant) -> Quota {
+        let demand = self.demand.rate(now).max(self.reserved);
+        let span = demand.saturating_mul(KEEP_SPAN_MILLIS) / 1000;
+        let rate = demand.saturating_mul(NEED_QUARTERS) / 4;
+        Quota::new(rate, span.max(self.grain))
+    }
+
+    /// Returns the requests to send now, nearest lenders first, at most `most`.
+    pub(crate) fn requests(&mut self, now: Instant, most: usize) -> Vec<(HostName, Quota)> {
+        self.settle(now);
+        let own = self.principal_at(now).minus(self.lent.withheld());
+        let mut missing = self.need(now).minus(own);
+        let mut requests = Vec::new();
+        for lender in self.lenders.as_deref().unwrap_or_default() {
+            if requests.len() >= most {
+                break;
+            }
+            let line = self.borrowed.line(&lender.host);
+            let held = line.map_or(Quota::default(), |l| l.quota);
+            let pending = self.borrowed.is_pending(now, &lender.host, ASK_PATIENCE);
+            let wanted = missing.min(lender.share);
+            if pending || rested(now, lender.answered_at) {
+                missing = missing.minus(held);
+                continue;
+            }
+            missing = missing.minus(wanted);
+            let old =
+                line.is_some_and(|l| now.saturating_duration_since(l.asked_at) >= RENEW_AFTER);
+            let more = !wanted.minus(held).is_zero();
+            if wanted.is_zero() || !(old || more) {
+                continue;
+            }
+            requests.push((lender.host.clone(), wanted));
+        }
+        requests
+    }
+
+    /// Records a request at the instant before it is sent.
+    pub(crate) fn ask(&mut self, now: Instant, lender: &HostName) -> crate::loan::Sequence {
+        self.borrowed.ask(now, lender)
+    }
+
+    /// Answers a request: lends what the own demand does not need.
+    pub(crate) fn lend(
+        &mut self,
+        now: Instant,
+        lender: &HostName,
+        req: &LoanRequest,
+    ) -> Option<LoanReply> {
+        self.settle(now);
+        let withheld = match self.lent.ask(req) {
+            Asked::New { withheld } => withheld,
+            Asked::Repeated(reply) => return Some(reply),
+            Asked::Outdated => return None,
+        };
+        let keep = self.keep(now);
+        let others = self.lent.withheld().minus(withheld);
+        let spare = self.principal_at(now).minus(others).minus(keep);
+        let granted = req.wanted.min(spare);
+        let tokens = self.move_tokens(now, withheld, granted, keep.burst);
+        let reply = LoanReply {
+            resource: self.resource.clone(),
+            lender: lender.clone(),
+            borrower: req.borrower.clone(),
+            incarnation: req.incarnation,
+            sequence: req.sequence,
+            granted,
+            tokens,
+        };
+        self.lent.grant(now, &reply);
+        self.apply_quota(now);
+        Some(reply)
+    }
+
+    /// Takes the tokens out of the bucket that go with a line's growth in burst.
+    fn move_tokens(&mut self, now: Instant, withheld: Quota, granted: Quota, keep: u64) -> u64 {
+        let growth = granted.burst.saturating_sub(withheld.burst);
+        let level = self.bucket.level(now);
+        let left = self.bucket.quota().burst.saturating_sub(growth);
+        let tokens = level.saturating_sub(keep.min(left)).min(growth);
+        if self.bucket.debit(now, tokens) {
+            return tokens;
+        }
+        0
+    }
+
+    /// Takes an answer in; a late, repeated or unknown one changes nothing.
+    pub(crate) fn take_reply(&mut self, now: Instant, reply: &LoanReply) {
+        self.settle(now);
+        let Some(tokens) = self.borrowed.take_reply(now, reply) else {
+            return;
+        };
+        for lender in self.lenders.as_deref_mut().unwrap_or_default() {
+            if lender.host == reply.lender {
+                lender.answered_at = Some(now);
+            }
+        }
+        self.apply_quota(now);
+        self.bucket.deposit(now, tokens);
+    }
+
+    /// Takes back what a borrower gave up.
+    pub(crate) fn take_back(&mut self, now: Instant, returned: &LoanReturn) {
+        self.settle(now);
+        self.lent.take_back(now, returned);
+        self.apply_quota(now);
+    }
+
+    /// Gives every borrowed line back.
+    pub(crate) fn give_back(&mut self, now: Instant) -> Vec<(HostName, crate::loan::Sequence)> {
+        self.settle(now);
+        let lenders: Vec<HostName> = self.borrowed.lines().map(|(h, _)| h.clone()).collect();
+        let mut returns = Vec::with_capacity(lenders.len());
+        for lender in lenders {
+            let sequence = self.borrowed.give_back(&lender);
+            returns.push((lender, sequence));
+        }
+        self.apply_quota(now);
+        returns
+    }
+
+    pub(crate) fn holding(&mut self, now: Instant) -> Holding {
+        self.settle(now);
+        Holding {
+            principal: self.principal_at(now),
+            lent: self.lent.withheld(),
+            borrowed: self.borrowed.quota(),
+            tokens: self.bucket.level(now),
+            demand: self.demand.rate(now),
+            parked: self.parked.len(),
+            granted: self.granted,
+            refused: self.refused,
+        }
+    }
+}
+
+fn rested(now: Instant, answered_at: Option<Instant>) -> bool {
+    answered_at.is_some_and(|at| now.saturating_duration_since(at) < ASK_AGAIN)
+}
--- /dev/null
+++ b/src/budget.rs
@@ -0,0 +1,582 @@
+//! What one host may spend of every divisible quantity.
+//!
+//! [`Budgets`] does no I/O: the host's actor passes in the instant, the
+//! holdings that it adopts, and the messages of other hosts, and sends what
+//! comes out. See `docs/design/budgets.md`.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use smallvec::SmallVec;
+use thiserror::Error;
+use tokio::time::Instant;
+
+pub use crate::account::{
+    Holding,
+    PARK_MAX, //
+};
+use crate::{
+    account::{
+        Account,
+        Lender, //
+    },
+    bucket::Quota,
+    ledger::{
+        Ledger,
+        Member,
+        Revision, //
+    },
+    loan::{
+        LoanReply,
+        LoanRequest,
+        LoanReturn,
+        RESTART_WITHHOLD, //
+    },
+    share::{
+        self,
+        MILLI_REQUESTS,
+        Resource,
+        Whole, //
+    },
+    util::id::{
+        HostName,
+        Incarnation,
+        OrganisationName, //
+    },
+};
+
+/// The longest gap in a host's own calls after which it still spends its own
+/// share without asking whether the share is still its own.
+pub const PAUSE_MAX: Duration = Duration::from_secs(10);
+/// The most loan requests that a host sends in [`ASK_PERIOD`].
+pub const ASKS_MAX: usize = 32;
+/// The period of [`ASKS_MAX`].
+pub const ASK_PERIOD: Duration = Duration::from_millis(500);
+/// How often a held-back request looks again.
+pub(crate) const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// The shortest time that paced work waits.
+const PACE_MIN: Duration = Duration::from_millis(1);
+/// The longest time that paced work waits before it looks again.
+const PACE_MAX: Duration = Duration::from_millis(100);
+/// The shortest time that a refused caller is told to wait.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
+/// What a host's own shares are worked out from.
+#[derive(Clone, Debug)]
+pub struct Holdings {
+    /// The quantities of the adopted configuration, ordered by name.
+    pub wholes: Vec<Whole>,
+    /// The host itself.
+    pub member: Member,
+    /// Its zone's ledger.
+    pub ledger: Ledger,
+    /// The other zones' ledgers as far as they are known, nearest first; they name lenders only.
+    pub others: Vec<Ledger>,
+}
+
+/// Holdings that may not be adopted.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum AdoptError {
+    /// The ledger is older than the one that is held.
+    #[error("ledger revision {offered:?} is older than the held {held:?}; read it again")]
+    Older {
+        /// The revision that is held.
+        held: Revision,
+        /// The revision that was offered.
+        offered: Revision,
+    },
+    /// The ledger was asked for before the host lost sight of its own standing.
+    #[error("the ledger was asked for before a pause of this process; ask again")]
+    AskedBeforePause,
+}
+
+/// Whether a request tries for the first time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Attempt {
+    /// It was not held back before.
+    First,
+    /// It was held back, and its first try was at this instant.
+    Again {
+        /// The instant of the first try.
+        since: Instant,
+    },
+}
+
+/// Why a debit was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The shares and loans that this host holds are used up.
+    Rate,
+    /// The host holds no share, and nobody lends it one.
+    NoShare,
+    /// The host was paused and has not yet heard that its share is still its own.
+    Unvalidated,
+    /// The configuration knows no such quantity.
+    Unknown,
+    /// The host gave its shares back and stops.
+    Stopping,
+}
+
+/// The answer to a debit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Debit {
+    /// The amount was taken. Send at once: a start later than the debit is not accounted for.
+    Granted,
+    /// Hold the request back and try again with [`Attempt::Again`] at this
+    /// instant, or when a loan reply came in.
+    Wait {
+        /// When to try again.
+        until: Instant,
+    },
+    /// The request does not run.
+    Refused {
+        /// When to come back.
+        retry_after: Duration,
+        /// Why.
+        reason: Refusal,
+    },
+}
+
+/// The messages that a tick sends, each with the host that it goes to.
+pub type Requests = SmallVec<[(HostName, LoanRequest); 4]>;
+/// The lines that a stop gives back, each with the host that it goes to.
+pub type Returns = SmallVec<[(HostName, LoanReturn); 4]>;
+
+/// One host's budgets.
+#[derive(Debug)]
+pub struct Budgets {
+    host: HostName,
+    incarnation: Incarnation,
+    spendable_from: Instant,
+    seen_at: Instant,
+    unvalidated_since: Option<Instant>,
+    stopping: bool,
+    holdings: Option<Arc<Holdings>>,
+    accounts: BTreeMap<Resource, Account>,
+    active: BTreeSet<Resource>,
+    asks: usize,
+    asks_since: Instant,
+}
+
+impl Budgets {
+    /// Returns the empty budgets of a new process, which has to hold its listening port already.
+    ///
+    /// Its own shares are withheld for [`RESTART_WITHHOLD`]: an earlier
+    /// process may have lent them out.
+    pub fn new(host: HostName, incarnation: Incarnation, now: Instant) -> Self {
+        Self {
+            host,
+            incarnation,
+            spendable_from: now + RESTART_WITHHOLD,
+            seen_at: now,
+            unvalidated_since: Some(now),
+            stopping: false,
+            holdings: None,
+            accounts: BTreeMap::new(),
+            active: BTreeSet::new(),
+            asks: 0,
+            asks_since: now,
+        }
+    }
+
+    /// Adopts a configuration's quantities and the zone's ledger.
+    ///
+    /// `asked_at` is when this process asked for the ledger. The answer has to
+    /// come from a host of the zone that counts by it, from the relay, or from
+    /// a store read that a conditional write confirmed; a bare store read may be stale.
+    pub fn adopt(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        holdings: Arc<Holdings>,
+    ) -> Result<(), AdoptError> {
+        self.observe(now);
+        let offered = holdings.ledger.revision;
+        let held = self.revision();
+        if offered < held {
+            return Err(AdoptError::Older { held, offered });
+        }
+        if self.unvalidated_since.is_some_and(|since| asked_at < since) {
+            return Err(AdoptError::AskedBeforePause);
+        }
+        self.unvalidated_since = None;
+        self.share_out(now, &holdings);
+        self.holdings = Some(holdings);
+        Ok(())
+    }
+
+    fn share_out(&mut self, now: Instant, holdings: &Holdings) {
+        for (resource, account) in &mut self.accounts {
+            if find(&holdings.wholes, resource).is_none() {
+                account.set_share(now, Quota::default());
+            }
+        }
+        for whole in &holdings.wholes {
+            let share = share::principal(whole, &holdings.ledger, &holdings.member);
+            if share.is_zero() && !self.accounts.contains_key(&whole.resource) {
+                continue;
+            }
+            let spendable_from = self.spendable_from;
+            let account = self.open(now, &whole.resource);
+            account.set_share(now, share);
+            account.release(now, spendable_from);
+        }
+    }
+
+    fn open(&mut self, now: Instant, resource: &Resource) -> &mut Account {
+        let spendable_from = self.spendable_from;
+        let entry = self.accounts.entry(resource.clone());
+        entry.or_insert_with(|| Account::new(resource.clone(), spendable_from, now))
+    }
+
+    /// Returns the ledger revision that is held.
+    pub fn revision(&self) -> Revision {
+        let held = self.holdings.as_ref();
+        held.map_or(Revision::default(), |h| h.ledger.revision)
+    }
+
+    /// Returns the ledger revision to acknowledge in heartbeats, none while
+    /// more is lent out than the held shares allow.
+    pub fn acknowledged(&mut self, now: Instant) -> Option<Revision> {
+        self.observe(now);
+        if now < self.spendable_from || self.unvalidated_since.is_some() {
+            return None;
+        }
+        for account in self.accounts.values_mut() {
+            account.settle(now);
+            if account.is_overlent() {
+                return None;
+            }
+        }
+        Some(self.revision())
+    }
+
+    /// Reports whether the ledger has to be asked for before own shares are spent again.
+    pub fn needs_validation(&self) -> bool {
+        self.unvalidated_since.is_some()
+    }
+
+    /// Notices a gap in this process's own calls and withholds the own shares after a long one.
+    fn observe(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.seen_at);
+        self.seen_at = self.seen_at.max(now);
+        if gap < PAUSE_MAX || self.unvalidated_since.is_some() {
+            return;
+        }
+        self.unvalidated_since = Some(now);
+        for account in self.accounts.values_mut() {
+            account.withhold(now);
+        }
+    }
+
+    /// Notices gaps; call it several times a second.
+    pub fn on_tick(&mut self, now: Instant) {
+        self.observe(now);
+    }
+
+    /// Debits one request of an organisation, to be started at once.
+    pub fn debit(&mut self, now: Instant, name: &OrganisationName, attempt: Attempt) -> Debit {
+        let resource = Resource::Organisation(name.clone());
+        self.debit_amount(now, &resource, MILLI_REQUESTS, 0, attempt)
+    }
+
+    /// Debits an amount of any quantity, leaving at least `floor` units for others on this host.
+    pub fn debit_amount(
+        &mut self,
+        now: Instant,
+        resource: &Resource,
+        amount: u64,
+        floor: u64,
+        attempt: Attempt,
+    ) -> Debit {
+        self.observe(now);
+        let reason = self.standing(resource);
+        if reason == Refusal::Unknown || reason == Refusal::Stopping {
+            return refused(RETRY_AFTER_MIN, reason);
+        }
+        let account = self.use_account(now, resource);
+        if attempt == Attempt::First {
+            account.record_demand(now, amount);
+        }
+        decide(account, now, amount, floor, attempt, reason)
+    }
+
+    /// Takes an amount for work that already runs, leaving at least `floor`
+    /// units for others; otherwise returns when to try again. It never refuses.
+    pub fn pace(
+        &mut self,
+        now: Instant,
+        resource: &Resource,
+        amount: u64,
+        floor: u64,
+        attempt: Attempt,
+    ) -> Option<Instant> {
+        self.observe(now);
+        let account = self.use_account(now, resource);
+        if attempt == Attempt::First {
+            account.record_demand(now, amount);
+        }
+        if account.take(now, amount, floor) {
+            return None;
+        }
+        let refill = account.refill_time(now, amount.saturating_add(floor));
+        let wait = refill.unwrap_or(PACE_MAX);
+        Some(now + wait.clamp(PACE_MIN, PACE_MAX))
+    }
+
+    /// Sets the units a second of a quantity that this host keeps, and borrows, for work in flight.
+    pub fn set_reserved(&mut self, now: Instant, resource: &Resource, reserved: u64) {
+        self.observe(now);
+        self.use_account(now, resource).set_reserved(reserved);
+    }
+
+    /// Returns an account that is in use from now on.
+    pub(crate) fn use_account(&mut self, now: Instant, resource: &Resource) -> &mut Account {
+        let lenders = self.lenders_if_needed(resource);
+        self.active.insert(resource.clone());
+        let account = self.open(now, resource);
+        if let Some(lenders) = lenders {
+            account.set_lenders(lenders);
+        }
+        account
+    }
+
+    /// Returns the reason that a refusal of this quantity would have now.
+    fn standing(&self, resource: &Resource) -> Refusal {
+        let Some(holdings) = &self.holdings else {
+            return Refusal::Unvalidated;
+        };
+        if self.stopping {
+            return Refusal::Stopping;
+        }
+        if find(&holdings.wholes, resource).is_none() {
+            return Refusal::Unknown;
+        }
+        if self.unvalidated_since.is_some() {
+            return Refusal::Unvalidated;
+        }
+        Refusal::Rate
+    }
+
+    fn lenders_if_needed(&self, resource: &Resource) -> Option<Vec<Lender>> {
+        let account = self.accounts.get(resource);
+        if account.is_some_and(|a| !a.needs_lenders()) {
+            return None;
+        }
+        let holdings = self.holdings.as_ref()?;
+        let whole = find(&holdings.wholes, resource)?;
+        Some(lenders(whole, holdings, &self.host))
+    }
+
+    /// Returns the loan requests to send now, renewals among them. Call it at
+    /// each tick and after a debit that waits; at most [`ASKS_MAX`] go out in
+    /// [`ASK_PERIOD`].
+    pub fn loan_requests(&mut self, now: Instant) -> Requests {
+        self.observe(now);
+        let mut requests = Requests::new();
+        if self.stopping {
+            return requests;
+        }
+        if now.saturating_duration_since(self.asks_since) >= ASK_PERIOD {
+            self.asks = 0;
+            self.asks_since = now;
+        }
+        let active: Vec<Resource> = self.active.iter().cloned().collect();
+        for resource in active {
+            self.ask_for(now, resource, &mut requests);
+        }
+        requests
+    }
+
+    fn ask_for(&mut self, now: Instant, resource: Resource, requests: &mut Requests) {
+        let lenders = self.lenders_if_needed(&resource);
+        let Some(account) = self.accounts.get_mut(&resource) else {
+            return;
+        };
+        if let Some(lenders) = lenders {
+            account.set_lenders(lenders);
+        }
+        if !account.is_active(now) {
+            self.active.remove(&resource);
+            return;
+        }
+        for (lender, wanted) in account.requests(now, ASKS_MAX - self.asks) {
+            self.asks += 1;
+            let sequence = account.ask(now, &lender);
+            let req = LoanRequest {
+                resource: resource.clone(),
+                borrower: self.host.clone(),
+                incarnation: self.incarnation,
+                sequence,
+                wanted,
+            };
+            requests.push((lender, req));
+        }
+    }
+
+    /// Answers another host's request; none where the request is older than one answered before.
+    pub fn on_loan_request(&mut self, now: Instant, req: &LoanRequest) -> Option<LoanReply> {
+        self.observe(now);
+        if self.stopping || self.unvalidated_since.is_some() {
+            return None;
+        }
+        let host = self.host.clone();
+        self.accounts.get_mut(&req.resource)?.lend(now, &host, req)
+    }
+
+    /// Takes the answer to an own request in.
+    pub fn on_loan_reply(&mut self, now: Instant, reply: &LoanReply) {
+        self.observe(now);
+        if reply.borrower != self.host || reply.incarnation != self.incarnation {
+            return;
+        }
+        if let Some(account) = self.accounts.get_mut(&reply.resource) {
+            account.take_reply(now, reply);
+        }
+    }
+
+    /// Takes back what a borrower gives up.
+    pub fn on_loan_return(&mut self, now: Instant, returned: &LoanReturn) {
+        self.observe(now);
+        if let Some(account) = self.accounts.get_mut(&returned.resource) {
+            account.take_back(now, returned);
+        }
+    }
+
+    /// Gives everything back for a graceful stop; no debit is granted from here on.
+    pub fn return_all(&mut self, now: Instant) -> Returns {
+        self.observe(now);
+        self.stopping = true;
+        let mut returns = Returns::new();
+        for (resource, account) in &mut self.accounts {
+            for (lender, sequence) in account.give_back(now) {
+                let returned = LoanReturn {
+                    resource: resource.clone(),
+                    borrower: self.host.clone(),
+                    incarnation: self.incarnation,
+                    sequence,
+                };
+                returns.push((lender, returned));
+            }
+        }
+        returns
+    }
+
+    /// Reports whether the stopping host holds nothing and lent out nothing, so
+    /// that its last heartbeat may say that it released its shares.
+    pub fn is_released(&mut self, now: Instant) -> bool {
+        self.observe(now);
+        if !self.stopping || now < self.spendable_from {
+            return false;
+        }
+        for account in self.accounts.values_mut() {
+            account.settle(now);
+            if !account.is_home() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the quota that may be spent of a quantity at an instant, loans included.
+    pub fn quota(&mut self, now: Instant, resource: &Resource) -> Quota {
+        self.observe(now);
+        let Some(account) = self.accounts.get_mut(resource) else {
+            return Quota::default();
+        };
+        account.settle(now);
+        account.quota()
+    }
+
+    /// Returns what the host holds of each quantity.
+    pub fn explain(&mut self, now: Instant) -> Vec<(Resource, Holding)> {
+        self.observe(now);
+        let mut holdings = Vec::with_capacity(self.accounts.len());
+        for (resource, account) in &mut self.accounts {
+            holdings.push((resource.clone(), account.holding(now)));
+        }
+        holdings
+    }
+}
+
+fn decide(
+    account: &mut Account,
+    now: Instant,
+    amount: u64,
+    floor: u64,
+    attempt: Attempt,
+    reason: Refusal,
+) -> Debit {
+    let since = match attempt {
+        Attempt::First => now,
+        Attempt::Again { since } => since,
+    };
+    let park_until = since + PARK_MAX;
+    if account.take(now, amount, floor) {
+        account.unpark(park_until);
+        return Debit::Granted;
+    }
+    let ahead = account.parked_before(now, park_until);
+    let refill = account.refill_time(now, amount.saturating_add(floor).saturating_add(ahead));
+    let left = park_until.saturating_duration_since(now);
+    let wait = match refill {
+        Some(t) if t <= left => Some(t.max(LOOK_AGAIN)),
+        _ if account.may_borrow(now) => Some(LOOK_AGAIN),
+        _ => None,
+    };
+    if let Some(wait) = wait
+        && !left.is_zero()
+        && (attempt != Attempt::First || account.park(now, park_until, amount))
+    {
+        return Debit::Wait {
+            until: (now + wait).min(park_until),
+        };
+    }
+    account.unpark(park_until);
+    account.count_refusal();
+    let reason = match (reason, account.quota().rate) {
+        (Refusal::Rate, 0) => Refusal::NoShare,
+        _ => reason,
+    };
+    refused(refill.unwrap_or_default().max(RETRY_AFTER_MIN), reason)
+}
+
+fn refused(retry_after: Duration, reason: Refusal) -> Debit {
+    Debit::Refused {
+        retry_after,
+        reason,
+    }
+}
+
+fn find<'a>(wholes: &'a [Whole], resource: &Resource) -> Option<&'a Whole> {
+    let found = wholes.binary_search_by(|w| w.resource.cmp(resource));
+    found.ok().map(|i| &wholes[i])
+}
+
+/// Returns the hosts that hold shares, those of the own zone first.
+fn lenders(whole: &Whole, holdings: &Holdings, host: &HostName) -> Vec<Lender> {
+    let mut lenders = Vec::new();
+    for ledger in std::iter::once(&holdings.ledger).chain(&holdings.others) {
+        let Some(last) = ledger.members.last() else {
+            continue;
+        };
+        for member in share::homes(&whole.resource, &last.hosts) {
+            let share = share::principal(whole, ledger, member);
+            if member.name == *host || share.is_zero() {
+                continue;
+            }
+            lenders.push(Lender {
+                host: member.name.clone(),
+                share,
+                answered_at: None,
+            });
+        }
+    }
+    lenders
+}
--- /dev/null
+++ b/src/fairness.rs
@@ -0,0 +1,216 @@
+//! Weighted max-min division between organisations, in whole units.
+//!
+//! [`divide`] gives every claim the most that can be had without taking from a
+//! claim that has less for its weight. [`Slots`] applies it request by request.
+
+use std::collections::BTreeMap;
+
+use crate::util::id::OrganisationName;
+
+/// One claim on a capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The most units that the claim can use.
+    pub demand: u64,
+    /// Its weight; zero counts as one.
+    pub weight: u32,
+}
+
+impl Claim {
+    /// Returns a claim.
+    pub const fn new(demand: u64, weight: u32) -> Self {
+        Self { demand, weight }
+    }
+
+    fn weight(&self) -> u128 {
+        u128::from(self.weight.max(1))
+    }
+}
+
+/// Divides a capacity between claims by weighted max-min.
+///
+/// The parts sum to the smaller of the capacity and the whole demand, and no
+/// part exceeds its demand. Fractions are rounded down, and the units left over
+/// go one each to the claims with the largest fractions, earlier ones first.
+pub fn divide(capacity: u64, claims: &[Claim]) -> Vec<u64> {
+    let mut parts = vec![0; claims.len()];
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    // A claim is filled in order of its demand for each unit of weight.
+    order.sort_by(|&a, &b| {
+        let left = u128::from(claims[a].demand) * claims[b].weight();
+        let right = u128::from(claims[b].demand) * claims[a].weight();
+        left.cmp(&right).then(a.cmp(&b))
+    });
+    let mut left = u128::from(capacity);
+    let mut weights: u128 = claims.iter().map(Claim::weight).sum();
+    for (filled, &i) in order.iter().enumerate() {
+        let claim = &claims[i];
+        if u128::from(claim.demand) * weights > left * claim.weight() {
+            share_rest(left, weights, &order[filled..], claims, &mut parts);
+            return parts;
+        }
+        parts[i] = claim.demand;
+        left -= u128::from(claim.demand);
+        weights -= claim.weight();
+    }
+    parts
+}
+
+/// Divides what is left between claims that all want more than their part.
+fn share_rest(left: u128, weights: u128, open: &[usize], claims: &[Claim], parts: &mut [u64]) {
+    let mut rest = left;
+    let mut fractions: Vec<(u128, usize)> = Vec::with_capacity(open.len());
+    for &i in open {
+        let scaled = left * claims[i].weight();
+        let part = scaled / weights;
+        // The part is below the claim's demand, which fits.
+        parts[i] = u64::try_from(part).unwrap_or(claims[i].demand);
+        rest -= part;
+        fractions.push((scaled % weights, i));
+    }
+    fractions.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+    for &(_, i) in fractions
+        .iter()
+        .take(usize::try_from(rest).unwrap_or(usize::MAX))
+    {
+        parts[i] += 1;
+    }
+}
+
+/// What one organisation does at a pool of slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Use {
+    in_flight: u64,
+    waiting: u64,
+    weight: u32,
+}
+
+/// The slots of one pool, given to organisations by weighted max-min.
+#[derive(Clone, Debug, Default)]
+pub struct Slots {
+    capacity: u64,
+    in_flight: u64,
+    waiting: u64,
+    uses: BTreeMap<OrganisationName, Use>,
+}
+
+impl Slots {
+    /// Returns a pool with this many slots.
+    pub fn new(capacity: u64) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the number of slots; requests in flight stay.
+    pub fn set_capacity(&mut self, capacity: u64) {
+        self.capacity = capacity;
+    }
+
+    /// Records that a request waits for a slot.
+    pub fn wait(&mut self, name: &OrganisationName, weight: u32) {
+        let entry = self.uses.entry(name.clone()).or_default();
+        entry.weight = weight;
+        entry.waiting += 1;
+        self.waiting += 1;
+    }
+
+    /// Records that a waiting request gave up.
+    pub fn give_up(&mut self, name: &OrganisationName) {
+        let Some(entry) = self.uses.get_mut(name).filter(|u| u.waiting > 0) else {
+            return;
+        };
+        entry.waiting -= 1;
+        self.waiting -= 1;
+        self.forget_idle(name);
+    }
+
+    /// Starts a waiting request of an organisation if a slot is free and no
+    /// other waiting organisation is further below its part. Costs one pass
+    /// over the organisations that wait or run.
+    pub fn start(&mut self, name: &OrganisationName) -> bool {
+        if self.in_flight >= self.capacity || !self.may_start(name) {
+            return false;
+        }
+        let Some(entry) = self.uses.get_mut(name).filter(|u| u.waiting > 0) else {
+            return false;
+        };
+        entry.waiting -= 1;
+        entry.in_flight += 1;
+        self.waiting -= 1;
+        self.in_flight += 1;
+        true
+    }
+
+    /// Returns the organisation whose waiting request may start next.
+    pub fn next(&self) -> Option<&OrganisationName> {
+        if self.in_flight >= self.capacity {
+            return None;
+        }
+        let waiting = self.uses.iter().filter(|(_, u)| u.waiting > 0);
+        let least = waiting.min_by(|a, b| compare(a.1, b.1));
+        least.map(|(name, _)| name)
+    }
+
+    /// Records that a request ended.
+    pub fn finish(&mut self, name: &OrganisationName) {
+        let Some(entry) = self.uses.get_mut(name).filter(|u| u.in_flight > 0) else {
+            return;
+        };
+        entry.in_flight -= 1;
+        self.in_flight -= 1;
+        self.forget_idle(name);
+    }
+
+    /// Returns the requests in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight
+    }
+
+    /// Returns the waiting requests.
+    pub fn waiting(&self) -> u64 {
+        self.waiting
+    }
+
+    /// Returns each organisation's part of the slots at its present demand.
+    pub fn parts(&self) -> Vec<(OrganisationName, u64)> {
+        let demand = |u: &Use| Claim::new(u.in_flight + u.waiting, u.weight);
+        let claims: Vec<Claim> = self.uses.values().map(demand).collect();
+        let parts = divide(self.capacity, &claims);
+        self.uses.keys().cloned().zip(parts).collect()
+    }
+
+    fn may_start(&self, name: &OrganisationName) -> bool {
+        let Some(own) = self.uses.get(name) else {
+            return false;
+        };
+        for (other, entry) in &self.uses {
+            if other == name || entry.waiting == 0 {
+                continue;
+            }
+            if compare(entry, own).is_lt() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn forget_idle(&mut self, name: &OrganisationName) {
+        if self
+            .uses
+            .get(name)
+            .is_some_and(|u| u.in_flight + u.waiting == 0)
+        {
+            self.uses.remove(name);
+        }
+    }
+}
+
+/// Compares the slots for each unit of weight that two organisations would
+/// have after one more start.
+fn compare(a: &Use, b: &Use) -> std::cmp::Ordering {
+    let left = u128::from(a.in_flight + 1) * u128::from(b.weight.max(1));
+    let right = u128::from(b.in_flight + 1) * u128::from(a.weight.max(1));
+    left.cmp(&right)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,17 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+mod account;
+pub mod bucket;
+pub mod budget;
 pub mod config;
+pub mod demand;
 pub mod error;
+pub mod fairness;
+pub mod ledger;
+pub mod link;
+pub mod loan;
+pub mod share;
 pub mod store;
 pub mod util;
 pub mod wire;
--- /dev/null
+++ b/src/loan.rs
@@ -0,0 +1,334 @@
+//! Short loans of a quantity from host to host.
+//!
+//! Between one borrower and one lender runs at most one line for each resource.
+//! The lender withholds what it lent until the loan and [`DRIFT_MARGIN`] have
+//! passed since it answered; the borrower counts the lapse from before it
+//! asked. A lost, late, repeated or reordered message loses tokens and never
+//! doubles them.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    bucket::Quota,
+    share::Resource,
+    util::id::{
+        HostName,
+        Incarnation, //
+    },
+};
+
+/// How long a loan runs, counted by the borrower from before it asked.
+pub const LOAN_DURATION: Duration = Duration::from_secs(4);
+/// How much longer the lender withholds what it lent, for clocks that drift.
+pub const DRIFT_MARGIN: Duration = Duration::from_millis(200);
+/// How long a new process withholds its own share, for what an earlier one lent out.
+pub const RESTART_WITHHOLD: Duration = LOAN_DURATION.saturating_add(DRIFT_MARGIN);
+
+/// The number of a request or a return on one line; the borrower counts up.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Sequence(pub u64);
+
+impl Sequence {
+    /// Counts up and returns the new number.
+    pub fn bump(&mut self) -> Self {
+        self.0 += 1;
+        *self
+    }
+}
+
+/// Asks a host to lend, or to renew a line with the amounts needed from now on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanRequest {
+    /// What is asked for.
+    pub resource: Resource,
+    /// Who asks.
+    pub borrower: HostName,
+    /// The asking process.
+    pub incarnation: Incarnation,
+    /// The number of the request on its line.
+    pub sequence: Sequence,
+    /// The whole line wanted, not the difference.
+    pub wanted: Quota,
+}
+
+/// Answers a [`LoanRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReply {
+    /// What is lent.
+    pub resource: Resource,
+    /// Who lends.
+    pub lender: HostName,
+    /// Who asked.
+    pub borrower: HostName,
+    /// The process that asked.
+    pub incarnation: Incarnation,
+    /// The number of the request that this answers.
+    pub sequence: Sequence,
+    /// The whole line from now on.
+    pub granted: Quota,
+    /// Units that move now, in the resource's unit; at most the line's growth in burst.
+    pub tokens: u64,
+}
+
+/// Gives a line back before it lapses.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReturn {
+    /// What is given back.
+    pub resource: Resource,
+    /// Who gives it back.
+    pub borrower: HostName,
+    /// The process that gives it back.
+    pub incarnation: Incarnation,
+    /// A number above those of all requests that the line had.
+    pub sequence: Sequence,
+}
+
+/// One answer that may still be in force at the borrower.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    quota: Quota,
+    home_at: Instant,
+}
+
+/// The lender's side of one line.
+#[derive(Clone, Debug, Default)]
+struct LentLine {
+    sequence: Sequence,
+    grants: SmallVec<[Grant; 4]>,
+    last_reply: Option<LoanReply>,
+}
+
+impl LentLine {
+    /// Returns the most that the borrower may hold: it holds one answer at a time.
+    fn withheld(&self) -> Quota {
+        let mut most = Quota::default();
+        for grant in &self.grants {
+            most = most.max(grant.quota);
+        }
+        most
+    }
+
+    fn push(&mut self, grant: Grant) {
+        let covered = |g: &Grant| g.quota.max(grant.quota) == grant.quota;
+        self.grants.retain(|g| !covered(g));
+        self.grants.push(grant);
+    }
+}
+
+/// What a host lent out of one resource.
+#[derive(Clone, Debug, Default)]
+pub struct Lent {
+    lines: BTreeMap<(HostName, Incarnation), LentLine>,
+}
+
+/// What a lender does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// It is new; the line withholds this much so far.
+    New {
+        /// The most that the borrower may already hold.
+        withheld: Quota,
+    },
+    /// It is the last request again; the same answer goes out.
+    Repeated(LoanReply),
+    /// It is older than the last one and gets no answer.
+    Outdated,
+}
+
+impl Lent {
+    /// Returns everything that is withheld.
+    pub fn withheld(&self) -> Quota {
+        let mut sum = Quota::default();
+        for line in self.lines.values() {
+            sum = sum.plus(line.withheld());
+        }
+        sum
+    }
+
+    /// Returns how many lines run.
+    pub fn lines(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Classifies a request.
+    pub fn ask(&self, req: &LoanRequest) -> Asked {
+        let Some(line) = self.lines.get(&(req.borrower.clone(), req.incarnation)) else {
+            return Asked::New {
+                withheld: Quota::default(),
+            };
+        };
+        if req.sequence > line.sequence {
+            return Asked::New {
+                withheld: line.withheld(),
+            };
+        }
+        match &line.last_reply {
+            Some(reply) if reply.sequence == req.sequence => Asked::Repeated(reply.clone()),
+            _ => Asked::Outdated,
+        }
+    }
+
+    /// Records an answer; its amounts are withheld until the loan and the margin have passed.
+    pub fn grant(&mut self, now: Instant, reply: &LoanReply) {
+        let key = (reply.borrower.clone(), reply.incarnation);
+        let line = self.lines.entry(key).or_default();
+        line.sequence = reply.sequence;
+        line.last_reply = Some(reply.clone());
+        line.push(Grant {
+            quota: reply.granted,
+            home_at: now + LOAN_DURATION + DRIFT_MARGIN,
+        });
+    }
+
+    /// Takes a line back that the borrower gave up. Older messages of the line die with it.
+    pub fn take_back(&mut self, now: Instant, returned: &LoanReturn) {
+        let key = (returned.borrower.clone(), returned.incarnation);
+        let Some(line) = self.lines.get_mut(&key) else {
+            return;
+        };
+        if returned.sequence <= line.sequence {
+            return;
+        }
+        line.sequence = returned.sequence;
+        line.last_reply = None;
+        line.grants.clear();
+        line.grants.push(Grant {
+            quota: Quota::default(),
+            home_at: now + LOAN_DURATION + DRIFT_MARGIN,
+        });
+    }
+
+    /// Returns when the next answer comes home.
+    pub fn next_home(&self) -> Option<Instant> {
+        let grants = self.lines.values().flat_map(|l| &l.grants);
+        grants.map(|g| g.home_at).min()
+    }
+
+    /// Forgets the answers that came home by an instant.
+    pub fn settle(&mut self, now: Instant) {
+        for line in self.lines.values_mut() {
+            line.grants.retain(|g| g.home_at > now);
+        }
+        self.lines.retain(|_, line| !line.grants.is_empty());
+    }
+}
+
+/// The borrower's side of one line.
+#[derive(Clone, Copy, Debug)]
+pub struct BorrowedLine {
+    /// What the line carries.
+    pub quota: Quota,
+    /// Nothing of it is spent from here on.
+    pub lapse_at: Instant,
+    /// When the request that brought it was sent.
+    pub asked_at: Instant,
+}
+
+/// A request on its way.
+#[derive(Clone, Copy, Debug)]
+pub struct Pending {
+    sequence: Sequence,
+    asked_at: Instant,
+}
+
+/// What a host borrowed of one resource.
+#[derive(Clone, Debug, Default)]
+pub struct Borrowed {
+    lines: BTreeMap<HostName, BorrowedLine>,
+    pending: BTreeMap<HostName, Pending>,
+    sequence: Sequence,
+}
+
+impl Borrowed {
+    /// Returns everything that is borrowed.
+    pub fn quota(&self) -> Quota {
+        let mut sum = Quota::default();
+        for line in self.lines.values() {
+            sum = sum.plus(line.quota);
+        }
+        sum
+    }
+
+    /// Returns the lines by lender.
+    pub fn lines(&self) -> impl Iterator<Item = (&HostName, &BorrowedLine)> {
+        self.lines.iter()
+    }
+
+    /// Returns the line from one lender.
+    pub fn line(&self, lender: &HostName) -> Option<&BorrowedLine> {
+        self.lines.get(lender)
+    }
+
+    /// Reports whether a request to a lender has been on its way for less than `patience`.
+    pub fn is_pending(&self, now: Instant, lender: &HostName, patience: Duration) -> bool {
+        let pending = self.pending.get(lender);
+        pending.is_some_and(|p| now.saturating_duration_since(p.asked_at) < patience)
+    }
+
+    /// Records a request at the instant before it is sent and returns its number.
+    pub fn ask(&mut self, now: Instant, lender: &HostName) -> Sequence {
+        let sequence = self.sequence.bump();
+        let pending = Pending {
+            sequence,
+            asked_at: now,
+        };
+        self.pending.insert(lender.clone(), pending);
+        sequence
+    }
+
+    /// Takes an answer in and returns the tokens that it brings; only the
+    /// answer to the last request counts, and only before it lapses.
+    pub fn take_reply(&mut self, now: Instant, reply: &LoanReply) -> Option<u64> {
+        let pending = self.pending.get(&reply.lender)?;
+        if pending.sequence != reply.sequence {
+            return None;
+        }
+        let asked_at = pending.asked_at;
+        self.pending.remove(&reply.lender);
+        let lapse_at = asked_at + LOAN_DURATION;
+        if lapse_at <= now {
+            return None;
+        }
+        if reply.granted.is_zero() {
+            self.lines.remove(&reply.lender);
+            return Some(0);
+        }
+        let line = BorrowedLine {
+            quota: reply.granted,
+            lapse_at,
+            asked_at,
+        };
+        self.lines.insert(reply.lender.clone(), line);
+        Some(reply.tokens)
+    }
+
+    /// Drops the line from a lender and returns the number that its return carries.
+    pub fn give_back(&mut self, lender: &HostName) -> Sequence {
+        self.lines.remove(lender);
+        self.pending.remove(lender);
+        self.sequence.bump()
+    }
+
+    /// Returns when the next line lapses.
+    pub fn next_lapse(&self) -> Option<Instant> {
+        self.lines.values().map(|l| l.lapse_at).min()
+    }
+
+    /// Drops the lines that lapsed by an instant.
+    pub fn settle(&mut self, now: Instant) {
+        self.lines.retain(|_, line| line.lapse_at > now);
+    }
+}
--- /dev/null
+++ b/src/share.rs
@@ -0,0 +1,172 @@
+//! Which part of a divisible quantity is a host's own.
+//!
+//! A pure function of the quantity and the zone's ledger: the zone's portion
+//! first, then a few home hosts in the zone by rendezvous hashing. It needs no
+//! contact with anyone.
+
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    bucket::Quota,
+    config::object::{
+        Set,
+        Zone, //
+    },
+    ledger::{
+        Ledger,
+        Member, //
+    },
+    util::id::{
+        ObjectName,
+        OrganisationName,
+        RegionName,
+        ZoneName, //
+    },
+};
+
+/// The most hosts of a zone that hold a part of one quantity.
+pub const HOMES_MAX: usize = 4;
+/// Thousandths of a request in a request.
+pub const MILLI_REQUESTS: u64 = 1000;
+
+/// The name of a divisible quantity.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Resource {
+    /// An organisation's requests, in thousandths.
+    Organisation(OrganisationName),
+    /// A link's bytes in one direction.
+    Link(ObjectName),
+}
+
+impl Resource {
+    /// Returns the smallest amount that is worth keeping or lending: one request, or one chunk.
+    pub(crate) fn grain(&self) -> u64 {
+        match self {
+            Self::Organisation(_) => MILLI_REQUESTS,
+            Self::Link(_) => crate::link::CHUNK_BYTES,
+        }
+    }
+
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Organisation(name) => name.as_str(),
+            Self::Link(name) => name.as_str(),
+        }
+    }
+}
+
+impl fmt::Display for Resource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Organisation(name) => write!(f, "organisation/{name}"),
+            Self::Link(name) => write!(f, "link/{name}"),
+        }
+    }
+}
+
+/// A quantity as configured, for the whole fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Whole {
+    /// The quantity's name.
+    pub resource: Resource,
+    /// The whole rate and burst.
+    pub quota: Quota,
+    /// The region whose zones divide it; none where all zones do.
+    pub region: Option<RegionName>,
+}
+
+/// Returns the divisible quantities of a configuration set, ordered by name.
+pub fn wholes(set: &Set) -> Vec<Whole> {
+    let mut wholes = Vec::with_capacity(set.organisations.len() + set.links.len());
+    for organisation in &set.organisations {
+        let burst = u64::from(organisation.burst) * MILLI_REQUESTS;
+        wholes.push(Whole {
+            resource: Resource::Organisation(organisation.name.clone()),
+            quota: Quota::new(organisation.rate.0, burst),
+            region: None,
+        });
+    }
+    for link in &set.links {
+        wholes.push(Whole {
+            resource: Resource::Link(link.name.clone()),
+            quota: crate::link::quota(link.cap),
+            region: Some(link.from.clone()),
+        });
+    }
+    wholes.sort_by(|a, b| a.resource.cmp(&b.resource));
+    wholes
+}
+
+/// Returns part `index` of a total in `parts` parts. The parts sum to the
+/// total, and a smaller total makes no part larger.
+pub fn part(total: u64, parts: usize, index: usize) -> u64 {
+    if index >= parts {
+        return 0;
+    }
+    let (parts, index) = (parts as u64, index as u64);
+    total / parts + u64::from(index < total % parts)
+}
+
+fn quota_part(quota: Quota, parts: usize, index: usize) -> Quota {
+    Quota::new(
+        part(quota.rate, parts, index),
+        part(quota.burst, parts, index),
+    )
+}
+
+/// Returns a host's own share: the least over all lists that the ledger still holds.
+pub fn principal(whole: &Whole, ledger: &Ledger, host: &Member) -> Quota {
+    let portion = portion(whole, ledger);
+    let mut least = portion;
+    for members in &ledger.members {
+        let homes = homes(&whole.resource, &members.hosts);
+        let index = homes.iter().position(|m| *m == host);
+        let share = index.map_or(Quota::default(), |i| quota_part(portion, homes.len(), i));
+        least = least.min(share);
+    }
+    least
+}
+
+/// Returns the zone's portion: the least over all zone lists that the ledger still holds.
+pub fn portion(whole: &Whole, ledger: &Ledger) -> Quota {
+    let mut least = whole.quota;
+    for zones in &ledger.zones {
+        least = least.min(zone_portion(whole, &zones.zones, &ledger.zone));
+    }
+    least
+}
+
+fn zone_portion(whole: &Whole, zones: &[Zone], zone: &ZoneName) -> Quota {
+    let counts = |z: &&Zone| whole.region.as_ref().is_none_or(|r| *r == z.region);
+    let names: SmallVec<[&ZoneName; 8]> = zones.iter().filter(counts).map(|z| &z.name).collect();
+    let index = names.iter().position(|n| *n == zone);
+    index.map_or(Quota::default(), |i| {
+        quota_part(whole.quota, names.len(), i)
+    })
+}
+
+/// Returns the hosts that hold a zone's portion of a quantity, by rendezvous hashing.
+pub fn homes<'a>(resource: &Resource, members: &'a [Member]) -> SmallVec<[&'a Member; HOMES_MAX]> {
+    let mut ranked: Vec<(u64, &Member)> = Vec::with_capacity(members.len());
+    for member in members {
+        ranked.push((score(resource, member), member));
+    }
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+    ranked.iter().take(HOMES_MAX).map(|(_, m)| *m).collect()
+}
+
+fn score(resource: &Resource, member: &Member) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(resource.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(member.name.as_str().as_bytes());
+    hash.digest()
+}
