--- a/src/control.rs
+++ b/src/control.rs
@@ -72,17 +72,23 @@
 /// The largest control message, in bytes.
 const MESSAGE_MAX_BYTES: usize = 64 << 20;
 
-/// Slots that a host has free for a service.
+/// A host's load of one service, as it tells the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FreeSlots {
+pub struct ServiceLoad {
     /// The service.
     pub service: ServiceName,
     /// The host's free slots of the pool in its zone.
     pub free: u32,
-    /// The host's slots of that pool, taken ones included.
-    pub capacity: u32,
-    /// Requests a second that enter at the host, in thousandths.
-    pub demand_milli: u64,
+    /// The host's usable slots of that pool, taken ones included.
+    pub usable: u32,
+    /// Slots taken by requests of other regions.
+    pub foreign: u32,
+    /// Requests in flight that entered at the host, wherever they are served.
+    pub entered: u32,
+    /// Bytes a second of those requests, towards the upstreams.
+    pub bytes_in: u64,
+    /// Bytes a second of those requests, back to the callers.
+    pub bytes_out: u64,
 }
 
 /// A heartbeat, with what the sender has to offer.
@@ -90,8 +96,8 @@
 pub struct Beat {
     /// The membership's part.
     pub heartbeat: Heartbeat,
-    /// The sender's free slots.
-    pub free: SmallVec<[FreeSlots; 4]>,
+    /// The sender's load of each service.
+    pub loads: SmallVec<[ServiceLoad; 4]>,
     /// The sum of the revisions of all ledgers that the sender knows.
     pub ledgers: u64,
     /// The sum of the terms and numbers of all plans that the sender knows.
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,196 @@
+//! The actor that owns all state of an entry host.
+//!
+//! It answers each message without waiting for anything. What it wants done by
+//! I/O goes out as an [`Errand`]; the result comes back as a message.
+
+pub mod choose;
+pub mod configuration;
+pub mod errand;
+pub mod loads;
+pub mod message;
+pub mod news;
+pub mod start;
+pub mod status;
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use arc_swap::ArcSwapOption;
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use tokio::{
+    sync::mpsc::UnboundedSender,
+    time::Instant, //
+};
+
+use crate::{
+    adoption::Adoption,
+    budget::Budgets,
+    config::{
+        diff::Delta,
+        index::Index, //
+    },
+    credential::{
+        Credentials,
+        Quorum,
+        WhenStale, //
+    },
+    explain::Journal,
+    gateway::{
+        IndexInForce,
+        keys::Keys, //
+    },
+    host::{
+        errand::Errand,
+        loads::Loads, //
+    },
+    ledger::Ledger,
+    link::Links,
+    lookup::Table,
+    membership::{
+        Contact,
+        Membership, //
+    },
+    metrics::Metrics,
+    once::{
+        Once,
+        Permit, //
+    },
+    plan::Plan,
+    pool::Pool,
+    quarantine::{
+        Quarantine,
+        Suspect, //
+    },
+    retry,
+    util::id::{
+        HostName,
+        Incarnation,
+        OrganisationName,
+        RegionName,
+        RequestId,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// What a host's actor is made from.
+#[derive(Debug)]
+pub struct HostConfig {
+    /// The host's name.
+    pub name: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other entry hosts reach it.
+    pub peers: SocketAddr,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// When this incarnation started.
+    pub started: Instant,
+    /// What keyed routes do when news of keys is too old.
+    pub when_stale: WhenStale,
+    /// Where the configuration in force is published.
+    pub index: IndexInForce,
+    /// Where the look-up table in force is published.
+    pub table: Arc<ArcSwapOption<Table>>,
+    /// Where the host's region is published.
+    pub region: Arc<ArcSwapOption<RegionName>>,
+    /// Where the keys that stand are published.
+    pub keys: Arc<Keys>,
+    /// The host's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Takes what the actor wants done by I/O.
+    pub errands: UnboundedSender<Errand>,
+    /// Seeds the actor's random choices.
+    pub seed: u64,
+}
+
+/// A request that this host has started.
+#[derive(Debug)]
+struct Running {
+    once: Option<Permit>,
+    organisation: Option<OrganisationName>,
+    service: ServiceName,
+    alone: Option<Suspect>,
+}
+
+/// The state of an entry host.
+#[derive(Debug, xtra::Actor)]
+pub struct Host {
+    cfg: HostConfig,
+    index: Option<Arc<Index>>,
+    region: Option<RegionName>,
+    membership: Membership,
+    credentials: Credentials,
+    keys_revision: u64,
+    adoption: Adoption,
+    deltas: Vec<Delta>,
+    once: Once,
+    quarantine: Quarantine,
+    budgets: Budgets,
+    links: Links,
+    retries: retry::Budget,
+    pools: HashMap<ServiceName, Pool>,
+    loads: Loads,
+    ledger: Option<Ledger>,
+    others: BTreeMap<ZoneName, Ledger>,
+    plans: BTreeMap<RegionName, Plan>,
+    running: HashMap<RequestId, Running>,
+    journal: Journal,
+    leaving: bool,
+    ticks: u64,
+    rng: StdRng,
+}
+
+impl Host {
+    /// Returns the state of a process that has just bound its addresses.
+    pub fn new(cfg: HostConfig) -> Self {
+        let now = cfg.started;
+        let contact = Contact {
+            zone: cfg.zone.clone(),
+            callers: cfg.callers,
+            peers: cfg.peers,
+        };
+        let (name, incarnation) = (cfg.name.clone(), cfg.incarnation);
+        Self {
+            index: None,
+            region: None,
+            membership: Membership::new(name.clone(), contact, incarnation, now),
+            credentials: Credentials::new(cfg.zone.clone(), Quorum::default(), cfg.when_stale),
+            keys_revision: u64::MAX,
+            adoption: Adoption::new(now),
+            deltas: Vec::new(),
+            once: Once::new(name.clone(), incarnation, now),
+            quarantine: Quarantine::new(&name, incarnation),
+            budgets: Budgets::new(name, incarnation, now),
+            links: Links::new(),
+            retries: retry::Budget::new(),
+            pools: HashMap::new(),
+            loads: Loads::new(),
+            ledger: None,
+            others: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            running: HashMap::new(),
+            journal: Journal::new(),
+            leaving: false,
+            ticks: 0,
+            rng: StdRng::seed_from_u64(cfg.seed),
+            cfg,
+        }
+    }
+
+    fn send(&self, errand: Errand) {
+        // The receiver ends only with the process.
+        let _ = self.cfg.errands.send(errand);
+    }
+}
--- /dev/null
+++ b/src/host/choose.rs
@@ -0,0 +1,504 @@
+//! Where a started request goes: an upstream, or another gateway.
+
+use smallvec::SmallVec;
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+
+use crate::{
+    budget::Attempt,
+    explain::{
+        self,
+        Basis,
+        Decision,
+        Measurement,
+        Subject, //
+    },
+    host::{
+        Host,
+        message::{
+            Choice,
+            Choose,
+            Pay,
+            Target,
+            TryEnd,
+            TryFinished, //
+        },
+    },
+    link::{
+        Admit,
+        Payer, //
+    },
+    membership::PeerState,
+    plan::WEIGHT_WHOLE,
+    pool::{
+        self,
+        Pick,
+        upstream::Outcome, //
+    },
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    retry,
+    route::{
+        self,
+        Candidate, //
+    },
+    util::{
+        id::{
+            HostName,
+            RegionName,
+            ServiceName,
+            ZoneName, //
+        },
+        units::ByteSize,
+    },
+};
+
+/// The bytes that a request of unknown length is expected to bring onto a link.
+const LENGTH_UNKNOWN_BYTES: u64 = 64 * 1024;
+/// The bytes that an answer is expected to bring onto a link.
+const ANSWER_BYTES: u64 = 16 * 1024;
+/// The one-way delay between zones of one region.
+const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
+
+impl Handler<Choose> for Host {
+    type Return = Choice;
+
+    async fn handle(&mut self, msg: Choose, _cx: &mut Context<Self>) -> Choice {
+        let now = Instant::now();
+        self.choose(now, &msg)
+    }
+}
+
+impl Handler<TryFinished> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: TryFinished, _cx: &mut Context<Self>) {
+        self.try_finished(Instant::now(), &msg);
+    }
+}
+
+impl Handler<Pay> for Host {
+    type Return = Option<Instant>;
+
+    async fn handle(&mut self, msg: Pay, _cx: &mut Context<Self>) -> Option<Instant> {
+        self.pay(Instant::now(), &msg)
+    }
+}
+
+impl Host {
+    fn choose(&mut self, now: Instant, msg: &Choose) -> Choice {
+        if msg.is_retry && !self.retries.spend() {
+            return Choice::Refused(Refusal::not_run(Reason::Overload));
+        }
+        if !msg.is_retry && msg.tried.is_empty() {
+            self.retries.earn();
+        }
+        let choice = match msg.local_only {
+            true => self.choose_upstream(now, msg, true, explain::Choice::OwnZone, Basis::new()),
+            false => self.choose_zone(now, msg),
+        };
+        if let Choice::Refused(refusal) = &choice {
+            let decision = Decision::Refused {
+                reason: refusal.reason,
+                outcome: refusal.outcome,
+                organisation: msg.organisation.clone(),
+                service: Some(msg.service.clone()),
+            };
+            self.record(now, Some(&msg.id), decision, Basis::new());
+        }
+        choice
+    }
+
+    fn choose_zone(&mut self, now: Instant, msg: &Choose) -> Choice {
+        let candidates = self.candidates(now, msg);
+        let own = candidates.iter().position(|c| c.zone == self.cfg.zone);
+        let Some(own) = own else {
+            return Choice::Refused(Refusal::not_run(Reason::NotReady));
+        };
+        let request = route::Request {
+            hops: 0,
+            bytes: ByteSize(msg.length.unwrap_or(LENGTH_UNKNOWN_BYTES)),
+        };
+        let decision = route::choose(own, &candidates, request, &mut self.rng);
+        let basis = basis(&decision);
+        let why = match decision.reason {
+            route::Reason::Planned => explain::Choice::Planned,
+            route::Reason::SpillRegion => explain::Choice::SpillZone,
+            route::Reason::SpillLink => explain::Choice::SpillRegion,
+            _ if !msg.tried.is_empty() => explain::Choice::Retry,
+            _ => explain::Choice::OwnZone,
+        };
+        match decision.to {
+            route::Target::Own => self.choose_upstream(now, msg, false, why, basis),
+            route::Target::Zone(zone) => self.choose_gateway(now, msg, &zone, why, basis),
+            route::Target::Nowhere => {
+                let reason = match decision.reason {
+                    route::Reason::NoLink => Reason::Link,
+                    _ => Reason::Overload,
+                };
+                let after = self.retry_after(now, &msg.service);
+                Choice::Refused(Refusal::not_run(reason).with_retry_after(after))
+            }
+        }
+    }
+
+    fn choose_upstream(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        passed: bool,
+        why: explain::Choice,
+        basis: Basis,
+    ) -> Choice {
+        let Some(pool) = self.pools.get_mut(&msg.service) else {
+            return Choice::Refused(Refusal::not_run(Reason::Overload));
+        };
+        let decision = pool.pick(now, passed, &mut self.rng);
+        match decision.pick {
+            Pick::Upstream { address, .. } => {
+                pool.started(now, address);
+                let target = explain::Target::Upstream(address);
+                self.record_route(now, msg, target, why, basis);
+                Choice::Send(Target::Upstream(address))
+            }
+            Pick::Pass { host } => self.pass(now, msg, host),
+            Pick::Busy { retry_after } => {
+                let refusal = Refusal::not_run(Reason::Overload);
+                Choice::Refused(refusal.with_retry_after(retry_after))
+            }
+        }
+    }
+
+    /// Passes a request to a gateway of the own zone that has free slots.
+    fn pass(&mut self, now: Instant, msg: &Choose, host: HostName) -> Choice {
+        let zone = self.cfg.zone.clone();
+        match self.gateway(host, zone) {
+            Some(target) if !msg.tried.contains(&target) => {
+                self.record_gateway(now, msg, &target, explain::Choice::OwnZone, Basis::new());
+                Choice::Send(target)
+            }
+            _ => Choice::Refused(Refusal::not_run(Reason::Overload)),
+        }
+    }
+
+    fn choose_gateway(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        zone: &ZoneName,
+        why: explain::Choice,
+        basis: Basis,
+    ) -> Choice {
+        let Some(host) = self.roomiest(now, &msg.service, zone) else {
+            return Choice::Refused(Refusal::not_run(Reason::Unreachable));
+        };
+        let Some(target) = self.gateway(host.clone(), zone.clone()) else {
+            return Choice::Refused(Refusal::not_run(Reason::Unreachable));
+        };
+        if let Some(refused) = self.admit_to_link(now, msg, &target) {
+            return refused;
+        }
+        self.loads.use_slot(&host, &msg.service);
+        self.loads.spilled(&msg.service, zone);
+        self.record_gateway(now, msg, &target, why, basis);
+        Choice::Send(target)
+    }
+
+    /// Holds the expected bytes of a request on the link that it would cross.
+    fn admit_to_link(&mut self, now: Instant, msg: &Choose, target: &Target) -> Option<Choice> {
+        let Target::Gateway {
+            over_link_to: Some(region),
+            ..
+        } = target
+        else {
+            return None;
+        };
+        let link = self.link_to(region)?;
+        let estimate = ByteSize(msg.length.unwrap_or(LENGTH_UNKNOWN_BYTES));
+        let attempt = match msg.first_try {
+            None => Attempt::First,
+            Some(since) => Attempt::Again { since },
+        };
+        let admit = self
+            .links
+            .admit(now, &mut self.budgets, &link, estimate, attempt);
+        match admit {
+            Admit::Go => None,
+            Admit::Wait { until } => {
+                self.ask_for_loans(now);
+                Some(Choice::Wait(until))
+            }
+            Admit::Refused { retry_after } => {
+                let refusal = Refusal::not_run(Reason::Link);
+                Some(Choice::Refused(refusal.with_retry_after(retry_after)))
+            }
+        }
+    }
+
+    fn pay(&mut self, now: Instant, msg: &Pay) -> Option<Instant> {
+        let link = self.link_to(&msg.to)?;
+        let attempt = match msg.first_try {
+            None => Attempt::First,
+            Some(since) => Attempt::Again { since },
+        };
+        let pay = self.links.pay(
+            now,
+            &mut self.budgets,
+            &link,
+            Payer::Shared,
+            ByteSize(msg.bytes),
+            attempt,
+        );
+        match pay {
+            crate::link::Pay::Go => {
+                self.count_link_bytes(&link, msg.bytes);
+                None
+            }
+            crate::link::Pay::Wait { until } => {
+                self.ask_for_loans(now);
+                Some(until)
+            }
+        }
+    }
+
+    fn try_finished(&mut self, now: Instant, msg: &TryFinished) {
+        match &msg.target {
+            Target::Upstream(address) => self.upstream_finished(now, msg, *address),
+            Target::Gateway { zone, .. } => self.loads.spill_ended(&msg.service, zone),
+        }
+    }
+
+    fn upstream_finished(
+        &mut self,
+        now: Instant,
+        msg: &TryFinished,
+        address: std::net::SocketAddr,
+    ) {
+        let outcome = match msg.end {
+            TryEnd::Whole => Outcome::Answered,
+            TryEnd::NotStarted if msg.draining => Outcome::Draining,
+            TryEnd::NotStarted => Outcome::Shed,
+            TryEnd::NotSent => Outcome::Refused,
+            TryEnd::Lost | TryEnd::Broken => Outcome::Failed,
+            TryEnd::TimedOut => Outcome::TimedOut,
+            TryEnd::Abandoned => Outcome::Cancelled,
+        };
+        if let Some(pool) = self.pools.get_mut(&msg.service) {
+            pool.finished(now, address, outcome);
+        }
+        match msg.end {
+            TryEnd::Whole => self.quarantine.on_answer(now, msg.suspect),
+            TryEnd::Lost | TryEnd::Broken => {
+                self.quarantine.on_death(now, address, &[msg.suspect]);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the zones that could serve a service.
+    fn candidates(&self, now: Instant, msg: &Choose) -> Vec<Candidate> {
+        let Some(index) = &self.index else {
+            return Vec::new();
+        };
+        let steer = self.plan_of_region();
+        let steer = steer.and_then(|plan| plan.steer(&self.cfg.zone, &msg.service));
+        let mut candidates = Vec::new();
+        for pool in index.pools(&msg.service) {
+            let is_own = pool.zone == self.cfg.zone;
+            let weight = match steer {
+                Some(steer) => {
+                    let found = steer.weights.iter().find(|w| w.zone == pool.zone);
+                    found.map_or(0, |w| w.weight)
+                }
+                None if is_own => WEIGHT_WHOLE,
+                None => 0,
+            };
+            if let Some(c) = self.candidate(now, msg, &pool.zone, weight) {
+                candidates.push(c);
+            }
+        }
+        if !candidates.iter().any(|c| c.zone == self.cfg.zone) {
+            candidates.extend(self.empty_own_zone());
+        }
+        candidates
+    }
+
+    fn candidate(
+        &self,
+        now: Instant,
+        msg: &Choose,
+        zone: &ZoneName,
+        weight: u16,
+    ) -> Option<Candidate> {
+        let index = self.index.as_ref()?;
+        let region = index.region_of(zone)?.clone();
+        let own_region = self.region.as_ref()?;
+        let (delay, headroom) = match index.link(own_region, &region) {
+            Some(link) => {
+                let left = self.headroom.get(&link.name).copied();
+                (link.delay, Some(left.unwrap_or_default()))
+            }
+            None => (ZONE_DELAY, None),
+        };
+        let (free, age, reachable) = self.free_in(now, &msg.service, zone);
+        let tried = |t: &Target| matches!(t, Target::Gateway { zone: z, .. } if z == zone);
+        Some(Candidate {
+            zone: zone.clone(),
+            region,
+            weight,
+            free,
+            age,
+            spilled: self.loads.spilled_to(&msg.service, zone),
+            senders: self.zone_size(),
+            delay,
+            headroom,
+            drained: self.is_drained(zone, &msg.service),
+            reachable: reachable && !msg.tried.iter().any(tried),
+        })
+    }
+
+    /// Returns the own zone as a candidate that has no upstreams of the service.
+    fn empty_own_zone(&self) -> Option<Candidate> {
+        Some(Candidate {
+            zone: self.cfg.zone.clone(),
+            region: self.region.clone()?,
+            weight: 0,
+            free: 0,
+            age: std::time::Duration::ZERO,
+            spilled: 0,
+            senders: 1,
+            delay: std::time::Duration::ZERO,
+            headroom: None,
+            drained: false,
+            reachable: true,
+        })
+    }
+
+    /// Returns a zone's free slots, their age, and whether a gateway there can be reached.
+    fn free_in(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        zone: &ZoneName,
+    ) -> (u32, std::time::Duration, bool) {
+        if *zone == self.cfg.zone {
+            let own = self.pools.get(service).map_or(0, |p| p.free_slots(now));
+            return (own + self.free_of_peers(service), std::time::Duration::ZERO, true);
+        }
+        let mut free = 0;
+        let mut age = std::time::Duration::MAX;
+        for (host, report) in self.loads.of_zone(zone) {
+            if !self.is_routable(now, host) {
+                continue;
+            }
+            age = age.min(now.saturating_duration_since(report.heard));
+            let loads = report.loads.iter().filter(|l| l.service == *service);
+            free += loads.map(|l| l.free).sum::<u32>();
+        }
+        (free, age, age != std::time::Duration::MAX)
+    }
+
+    fn free_of_peers(&self, service: &ServiceName) -> u32 {
+        let reports = self.loads.of_zone(&self.cfg.zone);
+        let loads = reports.flat_map(|(_, r)| r.loads.iter().filter(|l| l.service == *service));
+        loads.map(|l| l.free).sum()
+    }
+
+    /// Returns the reachable gateway of a zone that reported the most free slots.
+    fn roomiest(&self, now: Instant, service: &ServiceName, zone: &ZoneName) -> Option<HostName> {
+        let free = |loads: &SmallVec<[crate::control::ServiceLoad; 4]>| -> u32 {
+            let loads = loads.iter().filter(|l| l.service == *service);
+            loads.map(|l| l.free).sum()
+        };
+        let reports = self.loads.of_zone(zone);
+        let usable = reports.filter(|(host, _)| self.is_routable(now, host));
+        let best = usable.max_by_key(|(host, r)| (free(&r.loads), *host));
+        best.map(|(host, _)| host.clone())
+    }
+
+    fn is_routable(&self, now: Instant, host: &HostName) -> bool {
+        match self.membership.state(now, host) {
+            Some(PeerState::Live | PeerState::Suspect) => true,
+            Some(PeerState::Leaving | PeerState::Unreachable | PeerState::Gone) | None => false,
+        }
+    }
+
+    fn gateway(&self, host: HostName, zone: ZoneName) -> Option<Target> {
+        let peer = self.membership.peer(&host)?;
+        Some(Target::Gateway {
+            peers: peer.contact.peers,
+            over_link_to: self.billed_region(&zone),
+            host,
+            zone,
+        })
+    }
+
+    /// Returns the region of a zone where a billed link leads there.
+    pub(super) fn billed_region(&self, zone: &ZoneName) -> Option<RegionName> {
+        let region = self.index.as_ref()?.region_of(zone)?;
+        match self.region.as_ref() == Some(region) {
+            true => None,
+            false => Some(region.clone()),
+        }
+    }
+
+    fn retry_after(&self, now: Instant, service: &ServiceName) -> std::time::Duration {
+        let pool = self.pools.get(service);
+        pool.map_or(retry::RETRY_AFTER_MIN, |p| p.retry_after(now))
+    }
+
+    fn record_route(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        target: explain::Target,
+        choice: explain::Choice,
+        basis: Basis,
+    ) {
+        let decision = Decision::Routed {
+            service: msg.service.clone(),
+            organisation: msg.organisation.clone(),
+            route: msg.route.clone(),
+            target,
+            choice,
+        };
+        self.record(now, Some(&msg.id), decision, basis);
+    }
+
+    fn record_gateway(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        target: &Target,
+        choice: explain::Choice,
+        basis: Basis,
+    ) {
+        if let Target::Gateway { host, zone, .. } = target {
+            let target = explain::Target::Host(host.clone(), zone.clone());
+            self.record_route(now, msg, target, choice, basis);
+        }
+    }
+}
+
+/// Returns the measurements that a route was chosen from.
+fn basis(decision: &route::Decision) -> Basis {
+    let mut basis = Basis::new();
+    for c in &decision.considered {
+        basis.push(Measurement {
+            subject: Subject::FreeSlots(c.zone.clone()),
+            value: i64::from(c.free),
+            age: c.age,
+        });
+    }
+    basis
+}
+
+/// Returns the bytes that an answer is expected to bring onto a link.
+pub const fn expected_answer() -> ByteSize {
+    ByteSize(ANSWER_BYTES)
+}
--- /dev/null
+++ b/src/host/loads.rs
@@ -0,0 +1,136 @@
+//! The load of this host and what others report of theirs.
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    control::ServiceLoad,
+    util::id::{
+        HostName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// What one host last reported.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Its zone.
+    pub zone: ZoneName,
+    /// When its report came.
+    pub heard: Instant,
+    /// Its load of each service.
+    pub loads: SmallVec<[ServiceLoad; 4]>,
+}
+
+/// What this host counts of one service.
+#[derive(Clone, Debug, Default)]
+struct Counted {
+    entered: u32,
+    foreign: u32,
+    spilled: HashMap<ZoneName, u32>,
+}
+
+/// The loads of all known hosts.
+#[derive(Debug, Default)]
+pub struct Loads {
+    reports: HashMap<HostName, Report>,
+    own: HashMap<ServiceName, Counted>,
+}
+
+impl Loads {
+    /// Returns no loads.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a host's report.
+    pub fn report(&mut self, host: &HostName, report: Report) {
+        self.reports.insert(host.clone(), report);
+    }
+
+    /// Forgets the hosts that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&HostName) -> bool) {
+        self.reports.retain(|host, _| keep(host));
+    }
+
+    /// Returns the reports of a zone's hosts.
+    pub fn of_zone<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = (&'a HostName, &'a Report)> {
+        self.reports.iter().filter(move |(_, r)| r.zone == *zone)
+    }
+
+    /// Returns a host's report.
+    pub fn of_host(&self, host: &HostName) -> Option<&Report> {
+        self.reports.get(host)
+    }
+
+    /// Takes slots off a host's report that this host is going to use, until
+    /// the next report.
+    pub fn use_slot(&mut self, host: &HostName, service: &ServiceName) {
+        let Some(report) = self.reports.get_mut(host) else {
+            return;
+        };
+        for load in report.loads.iter_mut().filter(|l| l.service == *service) {
+            load.free = load.free.saturating_sub(1);
+        }
+    }
+
+    /// Counts a request that entered at this host.
+    pub fn entered(&mut self, service: &ServiceName) {
+        self.own.entry(service.clone()).or_default().entered += 1;
+    }
+
+    /// Counts the end of a request that entered at this host.
+    pub fn ended(&mut self, service: &ServiceName) {
+        if let Some(own) = self.own.get_mut(service) {
+            own.entered = own.entered.saturating_sub(1);
+        }
+    }
+
+    /// Returns the requests that entered at this host and have not ended.
+    pub fn in_flight(&self, service: &ServiceName) -> u32 {
+        self.own.get(service).map_or(0, |own| own.entered)
+    }
+
+    /// Counts a request of another region that an upstream of this host runs.
+    pub fn foreign_started(&mut self, service: &ServiceName) {
+        self.own.entry(service.clone()).or_default().foreign += 1;
+    }
+
+    /// Counts the end of a request of another region.
+    pub fn foreign_ended(&mut self, service: &ServiceName) {
+        if let Some(own) = self.own.get_mut(service) {
+            own.foreign = own.foreign.saturating_sub(1);
+        }
+    }
+
+    /// Returns the requests of other regions that upstreams of this host run.
+    pub fn foreign(&self, service: &ServiceName) -> u32 {
+        self.own.get(service).map_or(0, |own| own.foreign)
+    }
+
+    /// Counts a request that this host sent to a zone.
+    pub fn spilled(&mut self, service: &ServiceName, zone: &ZoneName) {
+        let own = self.own.entry(service.clone()).or_default();
+        *own.spilled.entry(zone.clone()).or_default() += 1;
+    }
+
+    /// Counts the end of a request that this host sent to a zone.
+    pub fn spill_ended(&mut self, service: &ServiceName, zone: &ZoneName) {
+        let own = self.own.entry(service.clone()).or_default();
+        let n = own.spilled.entry(zone.clone()).or_default();
+        *n = n.saturating_sub(1);
+    }
+
+    /// Returns the requests that this host sent to a zone and that still run.
+    pub fn spilled_to(&self, service: &ServiceName, zone: &ZoneName) -> u32 {
+        let own = self.own.get(service);
+        own.and_then(|own| own.spilled.get(zone).copied())
+            .unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/host/start.rs
@@ -0,0 +1,320 @@
+//! Whether a request may run: keys, organisation, at most once, quarantine, budget.
+
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+
+use crate::{
+    budget::{
+        Attempt,
+        Debit, //
+    },
+    config::object::{
+        Access,
+        Route, //
+    },
+    credential::Standing,
+    explain::Decision,
+    host::{
+        Host,
+        Running,
+        message::{
+            Finish,
+            Sender,
+            Start,
+            Started,
+            Target, //
+        },
+    },
+    membership::PeerState,
+    once::{
+        self,
+        Begin,
+        Permit,
+        RequestFingerprint, //
+    },
+    quarantine::{
+        Admission,
+        Suspect, //
+    },
+    refusal::{
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    util::id::{
+        OrganisationName,
+        RequestId, //
+    },
+};
+
+impl Handler<Start> for Host {
+    type Return = Started;
+
+    async fn handle(&mut self, msg: Start, _cx: &mut Context<Self>) -> Started {
+        let now = Instant::now();
+        let started = self.start(now, &msg);
+        let refusal = match &started {
+            Err(refusal) => Some(*refusal),
+            Ok(Started::Refused(refusal)) => Some(*refusal),
+            Ok(_) => None,
+        };
+        if let Some(refusal) = refusal {
+            self.record_refusal(now, &msg, refusal);
+        }
+        started.unwrap_or_else(Started::Refused)
+    }
+}
+
+impl Handler<Finish> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Finish, _cx: &mut Context<Self>) {
+        self.finish(&msg);
+    }
+}
+
+impl Host {
+    fn start(&mut self, now: Instant, msg: &Start) -> Result<Started, Refusal> {
+        let Some(index) = self.index.clone() else {
+            return Err(Refusal::not_run(Reason::NotReady));
+        };
+        let route = index.route_named(&msg.route);
+        let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        let organisation = self.organisation(now, route, &msg.sender)?;
+        if self.is_away(msg, route) {
+            return self.lead_home(now, organisation, &msg.id);
+        }
+        self.admit_suspect(now, msg.suspect)?;
+        if let Sender::Run(_) = msg.sender {
+            self.remember(msg, route, organisation.clone(), None);
+            return Ok(Started::Run { organisation });
+        }
+        let permit = match route.idempotent {
+            true => None,
+            false => Some(self.begin(now, &organisation, msg)?),
+        };
+        match self.debit(now, organisation.as_ref(), msg) {
+            Ok(None) => {
+                self.remember(msg, route, organisation.clone(), permit);
+                Ok(Started::Run { organisation })
+            }
+            Ok(Some(until)) => {
+                self.give_up(permit);
+                Ok(Started::Wait(until))
+            }
+            Err(refusal) => {
+                self.give_up(permit);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Returns the organisation that a request runs for; none on routes open to all.
+    fn organisation(
+        &self,
+        now: Instant,
+        route: &Route,
+        sender: &Sender,
+    ) -> Result<Option<OrganisationName>, Refusal> {
+        if route.access == Access::Open {
+            return Ok(None);
+        }
+        let organisation = match sender {
+            Sender::Caller(None) => return Err(Refusal::not_run(Reason::KeyMissing)),
+            Sender::Caller(Some(digest)) => match self.credentials.check_digest(now, digest) {
+                Standing::Organisation(organisation) => organisation,
+                Standing::Unknown | Standing::Withdrawn => {
+                    return Err(Refusal::not_run(Reason::KeyUnknown));
+                }
+                Standing::Stale => return Err(Refusal::not_run(Reason::KeyStale)),
+            },
+            Sender::Home(organisation) | Sender::Run(organisation) => organisation
+                .clone()
+                .ok_or(Refusal::not_run(Reason::KeyMissing))?,
+        };
+        let allowed = route.organisations.is_empty() || route.organisations.contains(&organisation);
+        match allowed {
+            true => Ok(Some(organisation)),
+            false => Err(Refusal::not_run(Reason::OrganisationDenied)),
+        }
+    }
+
+    /// Returns whether only another process may run a request.
+    fn is_away(&self, msg: &Start, route: &Route) -> bool {
+        let here = msg.id.host == self.cfg.name && msg.id.incarnation == self.cfg.incarnation;
+        !route.idempotent && !here && !matches!(msg.sender, Sender::Run(_))
+    }
+
+    /// Leads a request to the only process that may run it.
+    fn lead_home(
+        &self,
+        now: Instant,
+        organisation: Option<OrganisationName>,
+        id: &RequestId,
+    ) -> Result<Started, Refusal> {
+        // An id that names this host names another process of it, which has ended.
+        if id.host == self.cfg.name {
+            return Err(Refusal::unknown(Reason::IncarnationGone));
+        }
+        let Some(peer) = self.membership.peer(&id.host) else {
+            return Err(Refusal::unknown(Reason::Unreachable));
+        };
+        let gone = self.membership.is_gone(now, &id.host, id.incarnation);
+        if gone || peer.incarnation > id.incarnation {
+            return Err(Refusal::unknown(Reason::IncarnationGone));
+        }
+        if self.membership.state(now, &id.host) == Some(PeerState::Unreachable) {
+            return Err(Refusal::unknown(Reason::Unreachable));
+        }
+        let contact = peer.contact.clone();
+        Ok(Started::Home {
+            organisation,
+            home: Target::Gateway {
+                host: id.host.clone(),
+                peers: contact.peers,
+                over_link_to: self.billed_region(&contact.zone),
+                zone: contact.zone,
+            },
+        })
+    }
+
+    /// Refuses a request that is like those that killed upstreams.
+    fn admit_suspect(&mut self, now: Instant, suspect: Suspect) -> Result<(), Refusal> {
+        match self.quarantine.admit(now, suspect) {
+            Admission::Run | Admission::Alone => Ok(()),
+            Admission::Busy => Err(Refusal::not_run(Reason::Overload)),
+            Admission::Refused => Err(Refusal::not_run(Reason::Quarantined)),
+        }
+    }
+
+    /// Records a request that may run only once.
+    fn begin(
+        &mut self,
+        now: Instant,
+        organisation: &Option<OrganisationName>,
+        msg: &Start,
+    ) -> Result<Permit, Refusal> {
+        let fingerprint = RequestFingerprint::with_body(organisation.as_ref(), msg.fingerprint);
+        match self.once.begin(now, &msg.id, fingerprint) {
+            Begin::Run(permit) => Ok(permit),
+            Begin::InProgress => Err(Refusal::unknown(Reason::InProgress)),
+            Begin::Ended(once::Outcome::Ran { .. }) => Err(Refusal {
+                reason: Reason::AlreadyRan,
+                outcome: Outcome::Ran,
+                retry_after: None,
+            }),
+            Begin::Ended(once::Outcome::Unknown) => Err(Refusal::unknown(Reason::AlreadyRan)),
+            Begin::Ended(once::Outcome::NotRun) | Begin::Full => {
+                Err(Refusal::not_run(Reason::Overload))
+            }
+            Begin::OtherRequest | Begin::Ahead => Err(Refusal::not_run(Reason::BadRequestId)),
+            Begin::Expired => Err(Refusal::unknown(Reason::IdExpired)),
+            Begin::WrongIncarnation { .. } => Err(Refusal::unknown(Reason::IncarnationGone)),
+        }
+    }
+
+    fn give_up(&mut self, permit: Option<Permit>) {
+        if let Some(permit) = permit {
+            self.once.finish(permit, once::Outcome::NotRun);
+        }
+    }
+
+    /// Takes one request from the organisation's budget, or returns when to try again.
+    fn debit(
+        &mut self,
+        now: Instant,
+        organisation: Option<&OrganisationName>,
+        msg: &Start,
+    ) -> Result<Option<Instant>, Refusal> {
+        let Some(organisation) = organisation else {
+            return Ok(None);
+        };
+        let attempt = match msg.first_try {
+            None => Attempt::First,
+            Some(since) => Attempt::Again { since },
+        };
+        match self.budgets.debit(now, organisation, attempt) {
+            Debit::Granted => Ok(None),
+            Debit::Wait { until } => {
+                self.ask_for_loans(now);
+                Ok(Some(until))
+            }
+            Debit::Refused { retry_after, .. } => {
+                self.ask_for_loans(now);
+                Err(Refusal::not_run(Reason::Rate).with_retry_after(retry_after))
+            }
+        }
+    }
+
+    fn remember(
+        &mut self,
+        msg: &Start,
+        route: &Route,
+        organisation: Option<OrganisationName>,
+        once: Option<Permit>,
+    ) {
+        let entered = !matches!(msg.sender, Sender::Run(_));
+        match entered {
+            true => self.loads.entered(&route.service),
+            false if msg.foreign => self.loads.foreign_started(&route.service),
+            false => {}
+        }
+        let running = Running {
+            once,
+            organisation,
+            service: route.service.clone(),
+            suspect: msg.suspect,
+            entered,
+            foreign: msg.foreign && !entered,
+        };
+        self.running.insert(msg.id.clone(), running);
+    }
+
+    fn finish(&mut self, msg: &Finish) {
+        let Some(running) = self.running.remove(&msg.id) else {
+            return;
+        };
+        if running.entered {
+            self.loads.ended(&running.service);
+        }
+        if running.foreign {
+            self.loads.foreign_ended(&running.service);
+        }
+        self.quarantine.end_alone(running.suspect);
+        let Some(permit) = running.once else {
+            return;
+        };
+        let outcome = match msg.outcome {
+            Outcome::Ran => once::Outcome::Ran {
+                status: msg.status,
+                answer: None,
+            },
+            Outcome::NotRun => once::Outcome::NotRun,
+            Outcome::Unknown => once::Outcome::Unknown,
+        };
+        self.once.finish(permit, outcome);
+    }
+
+    fn record_refusal(&mut self, now: Instant, msg: &Start, refusal: Refusal) {
+        let organisation = match &msg.sender {
+            Sender::Caller(Some(digest)) => self.credentials.organisation_of(digest).cloned(),
+            Sender::Caller(None) => None,
+            Sender::Home(organisation) | Sender::Run(organisation) => organisation.clone(),
+        };
+        let service = self.index.as_ref().and_then(|index| {
+            let route = index.route_named(&msg.route)?;
+            Some(route.service.clone())
+        });
+        let basis = self.refusal_basis(now, refusal.reason, organisation.as_ref());
+        let decision = Decision::Refused {
+            reason: refusal.reason,
+            outcome: refusal.outcome,
+            organisation,
+            service,
+        };
+        self.record(now, Some(&msg.id), decision, basis);
+    }
+}
