--- a/src/config.rs
+++ b/src/config.rs
@@ -1,3 +1,12 @@
 //! The operators' configuration set.
 
+pub mod block;
+pub mod check;
+pub mod diff;
+pub mod difference;
+pub mod fault;
+pub mod index;
+pub mod kind;
 pub mod object;
+pub mod parse;
+pub mod path;
--- /dev/null
+++ b/src/config/check/address.rs
@@ -0,0 +1,98 @@
+//! Addresses: upstreams and client blocks.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    net::SocketAddr, //
+};
+
+use ipnet::IpNet;
+
+use crate::config::{
+    check::report::Report,
+    fault::Problem,
+    kind::Kind,
+    object::{
+        Block,
+        Set, //
+    },
+};
+
+/// The most zones that a client block may name.
+const NEAR_MAX: usize = 16;
+
+/// Checks the addresses of upstreams and clients.
+pub(super) fn check(set: &Set, report: &mut Report<'_>) {
+    upstreams(set, report);
+    blocks(set, report);
+    overlaps(&set.blocks, report);
+}
+
+fn upstreams(set: &Set, report: &mut Report<'_>) {
+    let mut first = HashMap::<SocketAddr, usize>::new();
+    for (i, pool) in set.pools.iter().enumerate() {
+        for upstream in &pool.upstreams {
+            let ip = upstream.ip();
+            let holds = upstream.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+            let rule = "is not an address to connect to; write the upstream's IP:PORT";
+            report.rule(i, pool, "upstreams", upstream, holds, rule);
+            let other = *first.entry(*upstream).or_insert(i);
+            let value = upstream.to_string();
+            if other != i {
+                // Two pools would both give out all of the upstream's slots.
+                let other = format!("pool {}", set.pools[other].name);
+                report.add(i, pool, "upstreams", Problem::Duplicate { value, other });
+            }
+        }
+        let distinct: HashSet<_> = pool.upstreams.iter().collect();
+        if distinct.len() < pool.upstreams.len() {
+            report.distinct(i, pool, "upstreams", &pool.upstreams);
+        }
+    }
+}
+
+fn blocks(set: &Set, report: &mut Report<'_>) {
+    let zones: HashSet<_> = set.zones.iter().map(|zone| &zone.name).collect();
+    for (i, block) in set.blocks.iter().enumerate() {
+        let rule = "has bits set beyond its prefix; clear them";
+        let plain = block.net == block.net.trunc();
+        report.rule(i, block, "net", &block.net, plain, rule);
+        let rule = "holds IPv4 clients under IPv6 addresses; write it as an IPv4 block";
+        report.rule(i, block, "net", &block.net, !is_mapped(&block.net), rule);
+        report.bounds(i, block, "near", block.near.len(), (1, NEAR_MAX));
+        for zone in &block.near {
+            let found = zones.contains(zone);
+            report.refers(i, block, "near", Kind::Zone, found, zone);
+        }
+        if block.near.len() > 1 {
+            report.distinct(i, block, "near", &block.near);
+        }
+    }
+}
+
+fn is_mapped(net: &IpNet) -> bool {
+    matches!(net, IpNet::V6(net) if net.addr().to_ipv4_mapped().is_some())
+}
+
+/// Reports blocks that share addresses. Two blocks share none, or one holds
+/// the other; so in the order of their first addresses it is enough to compare
+/// each with the one that reaches furthest before it.
+fn overlaps(blocks: &[Block], report: &mut Report<'_>) {
+    let mut order: Vec<_> = blocks.iter().enumerate().collect();
+    order.sort_by_key(|(i, block)| (block.net.network(), block.net.prefix_len(), *i));
+    let mut widest: Option<&IpNet> = None;
+    for (i, block) in order {
+        match widest {
+            Some(other) if other.contains(&block.net) => {
+                let problem = Problem::Overlap {
+                    value: block.net.to_string(),
+                    other: other.to_string(),
+                };
+                report.add(i, block, "net", problem);
+            }
+            _ => widest = Some(&block.net),
+        }
+    }
+}
--- /dev/null
+++ b/src/config/check/limit.rs
@@ -0,0 +1,202 @@
+//! Bounds of single values, and names that stand twice.
+
+use std::time::Duration;
+
+use humantime::format_duration;
+
+use crate::{
+    config::{
+        check::report::Report,
+        fault::Problem,
+        kind::Configured,
+        object::*,
+        path::normal_path, //
+    },
+    util::units::{
+        BitRate,
+        RequestRate, //
+    },
+};
+
+/// The most that a link may carry.
+const LINK_CAP_MAX: BitRate = BitRate(100_000_000_000_000);
+/// The longest one-way delay of a link.
+const LINK_DELAY_MAX: Duration = Duration::from_secs(10);
+/// The shortest deadline of a route.
+const ROUTE_DEADLINE_MIN: Duration = Duration::from_millis(1);
+/// The longest deadline of a route.
+const ROUTE_DEADLINE_MAX: Duration = Duration::from_secs(3600);
+/// The longest prefix of a route, in bytes.
+const PREFIX_MAX_BYTES: usize = 1024;
+/// The least rate of an organisation.
+const RATE_MIN: RequestRate = RequestRate(1);
+/// The largest rate of an organisation.
+const RATE_MAX: RequestRate = RequestRate::per_second(1_000_000_000);
+/// The largest burst of an organisation, in requests.
+const BURST_MAX: u32 = 100_000_000;
+/// The largest weight of an organisation.
+const WEIGHT_MAX: u32 = 1000;
+/// The most upstreams of a pool.
+const UPSTREAMS_MAX: usize = 1000;
+/// The most requests that one upstream runs at once.
+const SLOTS_MAX: u32 = 100_000;
+/// The most connections of one upstream.
+const CONNECTIONS_MAX: u32 = 1_000_000;
+/// The longest warm-up of an upstream.
+const WARM_UP_MAX: Duration = Duration::from_secs(3600);
+/// The shortest time that a drain may be given.
+const DRAIN_WITHIN_MIN: Duration = Duration::from_secs(1);
+/// The longest time that a drain may be given.
+const DRAIN_WITHIN_MAX: Duration = Duration::from_secs(24 * 3600);
+/// The paths that the system answers itself.
+const OWN_PATHS: &str = "/.cardamomroad";
+/// The methods that a route may name.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Checks single values.
+pub(super) fn check(set: &Set, report: &mut Report<'_>) {
+    if set.schema != SCHEMA {
+        report.add_whole(Problem::Schema {
+            value: set.schema.to_string(),
+            known: SCHEMA,
+        });
+    }
+    names(&set.regions, report);
+    names(&set.zones, report);
+    names(&set.links, report);
+    names(&set.services, report);
+    names(&set.routes, report);
+    names(&set.organisations, report);
+    names(&set.keys, report);
+    names(&set.pools, report);
+    names(&set.drains, report);
+    report.unique(&set.keys, "digest", |k| k.digest, |k| k.digest.to_string());
+    links(set, report);
+    routes(set, report);
+    organisations(set, report);
+    pools(set, report);
+    drains(set, report);
+}
+
+fn names<T: Configured>(objects: &[T], report: &mut Report<'_>) {
+    report.unique(objects, "name", T::id, |object| object.id().to_string());
+}
+
+fn links(set: &Set, report: &mut Report<'_>) {
+    for (i, link) in set.links.iter().enumerate() {
+        report.bounds(i, link, "cap", link.cap, (BitRate(1), LINK_CAP_MAX));
+        duration(
+            i,
+            link,
+            "delay",
+            link.delay,
+            (Duration::ZERO, LINK_DELAY_MAX),
+            report,
+        );
+    }
+}
+
+fn routes(set: &Set, report: &mut Report<'_>) {
+    let deadlines = (ROUTE_DEADLINE_MIN, ROUTE_DEADLINE_MAX);
+    for (i, route) in set.routes.iter().enumerate() {
+        duration(i, route, "deadline", route.deadline, deadlines, report);
+        prefix(i, route, report);
+        for method in &route.methods {
+            let holds = METHODS.contains(&method.as_str());
+            let rule =
+                "is not one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS; use one of these";
+            report.rule(i, route, "methods", method, holds, rule);
+        }
+        report.distinct(i, route, "methods", &route.methods);
+        report.distinct(i, route, "organisations", &route.organisations);
+        let closed = route.access == Access::Keyed || route.organisations.is_empty();
+        let rule = "has a list of organisations, which nobody can check without keys; \
+                    make it keyed or remove the list";
+        report.rule(i, route, "access", &"open", closed, rule);
+    }
+}
+
+fn prefix(i: usize, route: &Route, report: &mut Report<'_>) {
+    let prefix = &route.prefix;
+    let visible = |b: u8| b.is_ascii_graphic() && b != b'?' && b != b'#';
+    let plain = prefix.bytes().all(visible) && prefix.len() <= PREFIX_MAX_BYTES;
+    let normal = normal_path(prefix).is_some_and(|path| path == prefix.as_str());
+    let rule = "is not a plain path: start it with '/', and leave out '.', '..' and empty \
+                segments, queries, spaces and needless percent-encodings";
+    report.rule(i, route, "prefix", prefix, plain && normal, rule);
+    let own = prefix.strip_prefix(OWN_PATHS);
+    let own = own.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'));
+    let rule = "is answered by the entry hosts themselves; choose another path";
+    report.rule(i, route, "prefix", prefix, !own, rule);
+}
+
+fn organisations(set: &Set, report: &mut Report<'_>) {
+    for (i, organisation) in set.organisations.iter().enumerate() {
+        let Organisation {
+            rate,
+            burst,
+            weight,
+            ..
+        } = *organisation;
+        report.bounds(i, organisation, "rate", rate, (RATE_MIN, RATE_MAX));
+        report.bounds(i, organisation, "burst", burst, (1, BURST_MAX));
+        report.bounds(i, organisation, "weight", weight, (1, WEIGHT_MAX));
+    }
+}
+
+fn pools(set: &Set, report: &mut Report<'_>) {
+    for (i, pool) in set.pools.iter().enumerate() {
+        let count = pool.upstreams.len();
+        report.bounds(i, pool, "upstreams", count, (1, UPSTREAMS_MAX));
+        report.bounds(i, pool, "slots", pool.slots, (1, SLOTS_MAX));
+        report.bounds(
+            i,
+            pool,
+            "connections",
+            pool.connections,
+            (1, CONNECTIONS_MAX),
+        );
+        duration(
+            i,
+            pool,
+            "warm_up",
+            pool.warm_up,
+            (Duration::ZERO, WARM_UP_MAX),
+            report,
+        );
+        if pool.slots > pool.connections {
+            let problem = Problem::OverCap {
+                what: "slots of one upstream, each on a connection",
+                sum: pool.slots.into(),
+                cap: pool.connections.into(),
+            };
+            report.add(i, pool, "slots", problem);
+        }
+    }
+}
+
+fn drains(set: &Set, report: &mut Report<'_>) {
+    let bounds = (DRAIN_WITHIN_MIN, DRAIN_WITHIN_MAX);
+    for (i, drain) in set.drains.iter().enumerate() {
+        duration(i, drain, "within", drain.within, bounds, report);
+    }
+}
+
+fn duration<T: Configured>(
+    i: usize,
+    object: &T,
+    field: &str,
+    value: Duration,
+    (least, most): (Duration, Duration),
+    report: &mut Report<'_>,
+) {
+    if value >= least && value <= most {
+        return;
+    }
+    let problem = Problem::OutOfBounds {
+        value: format_duration(value).to_string(),
+        least: format_duration(least).to_string(),
+        most: format_duration(most).to_string(),
+    };
+    report.add(i, object, field, problem);
+}
--- /dev/null
+++ b/src/config/check/reference.rs
@@ -0,0 +1,199 @@
+//! References between objects, and what has to stand behind them.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddr, //
+};
+
+use crate::{
+    config::{
+        check::report::Report,
+        fault::Problem,
+        kind::Kind,
+        object::*, //
+    },
+    util::id::{
+        ObjectName,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// The names that objects may refer to.
+struct Names<'a> {
+    regions: HashSet<&'a RegionName>,
+    zones: HashSet<&'a ZoneName>,
+    services: HashSet<&'a ServiceName>,
+    organisations: HashSet<&'a OrganisationName>,
+    pools: HashSet<&'a ObjectName>,
+}
+
+/// Checks the references between objects.
+pub(super) fn check(set: &Set, report: &mut Report<'_>) {
+    let names = Names {
+        regions: set.regions.iter().map(|region| &region.name).collect(),
+        zones: set.zones.iter().map(|zone| &zone.name).collect(),
+        services: set.services.iter().map(|service| &service.name).collect(),
+        organisations: set.organisations.iter().map(|o| &o.name).collect(),
+        pools: set.pools.iter().map(|pool| &pool.name).collect(),
+    };
+    places(set, &names, report);
+    links(set, &names, report);
+    routes(set, &names, report);
+    pools(set, &names, report);
+    drains(set, &names, report);
+    for (i, key) in set.keys.iter().enumerate() {
+        let found = names.organisations.contains(&key.organisation);
+        let kind = Kind::Organisation;
+        report.refers(i, key, "organisation", kind, found, &key.organisation);
+    }
+}
+
+fn places(set: &Set, names: &Names<'_>, report: &mut Report<'_>) {
+    let with_zones: HashSet<_> = set.zones.iter().map(|zone| &zone.region).collect();
+    for (i, region) in set.regions.iter().enumerate() {
+        if !with_zones.contains(&region.name) {
+            report.add(i, region, "", Problem::Without { missing: "zone" });
+        }
+    }
+    let with_pools: HashSet<_> = set.pools.iter().map(|pool| &pool.zone).collect();
+    for (i, zone) in set.zones.iter().enumerate() {
+        let found = names.regions.contains(&zone.region);
+        report.refers(i, zone, "region", Kind::Region, found, &zone.region);
+        if !with_pools.contains(&zone.name) {
+            report.add(i, zone, "", Problem::Without { missing: "pool" });
+        }
+    }
+}
+
+fn links(set: &Set, names: &Names<'_>, report: &mut Report<'_>) {
+    let directions: HashSet<_> = set.links.iter().map(|l| (&l.from, &l.to)).collect();
+    let text = |link: &Link| format!("{} to {}", link.from, link.to);
+    report.unique(&set.links, "to", |link| (&link.from, &link.to), text);
+    for (i, link) in set.links.iter().enumerate() {
+        let found = names.regions.contains(&link.from);
+        report.refers(i, link, "from", Kind::Region, found, &link.from);
+        let found = names.regions.contains(&link.to);
+        report.refers(i, link, "to", Kind::Region, found, &link.to);
+        let rule = "is also where the link comes from; name two regions";
+        report.rule(i, link, "to", &link.to, link.from != link.to, rule);
+        if !directions.contains(&(&link.to, &link.from)) {
+            let missing = "link back, which answers need";
+            report.add(i, link, "", Problem::Without { missing });
+        }
+    }
+}
+
+fn routes(set: &Set, names: &Names<'_>, report: &mut Report<'_>) {
+    let with_pools: HashSet<_> = set.pools.iter().map(|pool| &pool.service).collect();
+    for (i, service) in set.services.iter().enumerate() {
+        if !with_pools.contains(&service.name) {
+            report.add(i, service, "", Problem::Without { missing: "pool" });
+        }
+    }
+    for (i, route) in set.routes.iter().enumerate() {
+        let found = names.services.contains(&route.service);
+        report.refers(i, route, "service", Kind::Service, found, &route.service);
+        for organisation in &route.organisations {
+            let found = names.organisations.contains(organisation);
+            let kind = Kind::Organisation;
+            report.refers(i, route, "organisations", kind, found, organisation);
+        }
+    }
+    same_requests(set, report);
+}
+
+/// Reports routes that take the same requests.
+fn same_requests(set: &Set, report: &mut Report<'_>) {
+    let mut order: Vec<_> = set.routes.iter().enumerate().collect();
+    order.sort_by_key(|(i, route)| (&route.prefix, *i));
+    for same in order.chunk_by(|(_, a), (_, b)| a.prefix == b.prefix) {
+        for (n, &(i, route)) in same.iter().enumerate() {
+            let clash = |other: &Route| {
+                let any = other.methods.is_empty() || route.methods.is_empty();
+                any || route.methods.iter().any(|m| other.methods.contains(m))
+            };
+            let Some((_, other)) = same[..n].iter().find(|(_, other)| clash(other)) else {
+                continue;
+            };
+            let problem = Problem::Duplicate {
+                value: route.prefix.clone(),
+                other: format!("route {} for the same methods", other.name),
+            };
+            report.add(i, route, "prefix", problem);
+        }
+    }
+}
+
+fn pools(set: &Set, names: &Names<'_>, report: &mut Report<'_>) {
+    let text = |pool: &Pool| format!("{} in {}", pool.service, pool.zone);
+    report.unique(&set.pools, "zone", |pool| (&pool.service, &pool.zone), text);
+    for (i, pool) in set.pools.iter().enumerate() {
+        let found = names.services.contains(&pool.service);
+        report.refers(i, pool, "service", Kind::Service, found, &pool.service);
+        let found = names.zones.contains(&pool.zone);
+        report.refers(i, pool, "zone", Kind::Zone, found, &pool.zone);
+    }
+}
+
+fn drains(set: &Set, names: &Names<'_>, report: &mut Report<'_>) {
+    let mut upstreams = HashSet::<&SocketAddr>::new();
+    for pool in &set.pools {
+        upstreams.extend(&pool.upstreams);
+    }
+    let text = |drain: &Drain| format!("{:?}", drain.target);
+    report.unique(&set.drains, "target", text, text);
+    for (i, drain) in set.drains.iter().enumerate() {
+        match &drain.target {
+            DrainTarget::Zone(zone) => {
+                let found = names.zones.contains(zone);
+                report.refers(i, drain, "target", Kind::Zone, found, zone);
+            }
+            DrainTarget::Pool(pool) => {
+                let found = names.pools.contains(pool);
+                report.refers(i, drain, "target", Kind::Pool, found, pool);
+            }
+            DrainTarget::Upstream(upstream) if !upstreams.contains(upstream) => {
+                let rule = "is an upstream of no pool; correct the address";
+                report.rule(i, drain, "target", upstream, false, rule);
+            }
+            // Hosts are the platform's, and come and go without a configuration.
+            DrainTarget::Upstream(_) | DrainTarget::Host(_) => (),
+        }
+    }
+    drained_services(set, report);
+}
+
+/// Reports services of which the drains leave no upstream.
+fn drained_services(set: &Set, report: &mut Report<'_>) {
+    if set.drains.is_empty() {
+        return;
+    }
+    let targets: HashSet<_> = set
+        .drains
+        .iter()
+        .map(|d| format!("{:?}", d.target))
+        .collect();
+    let drained = |target: DrainTarget| targets.contains(&format!("{target:?}"));
+    let mut served = HashSet::new();
+    let mut with_pools = HashSet::new();
+    for pool in &set.pools {
+        with_pools.insert(&pool.service);
+        if drained(DrainTarget::Zone(pool.zone.clone()))
+            || drained(DrainTarget::Pool(pool.name.clone()))
+        {
+            continue;
+        }
+        let left = |upstream: &_| !drained(DrainTarget::Upstream(*upstream));
+        if pool.upstreams.iter().any(left) {
+            served.insert(&pool.service);
+        }
+    }
+    for (i, service) in set.services.iter().enumerate() {
+        if with_pools.contains(&service.name) && !served.contains(&service.name) {
+            report.add(i, service, "", Problem::DrainedWhole);
+        }
+    }
+}
--- /dev/null
+++ b/src/config/check/report.rs
@@ -0,0 +1,167 @@
+//! The collection of faults.
+
+use std::{
+    collections::HashMap,
+    fmt::Display,
+    hash::Hash, //
+};
+
+use crate::config::{
+    fault::{
+        Fault,
+        Places,
+        Problem, //
+    },
+    kind::{
+        Configured,
+        Kind, //
+    },
+};
+
+/// The faults found so far.
+pub(super) struct Report<'a> {
+    places: &'a Places,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Report<'a> {
+    /// Returns an empty report.
+    pub(super) fn new(places: &'a Places) -> Self {
+        Self {
+            places,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Returns the faults in the order in which their objects stand.
+    pub(super) fn into_faults(mut self) -> Vec<Fault> {
+        self.faults.sort_by(|a, b| {
+            let place = |fault: &Fault| fault.place.clone().map(|p| (p.file, p.line));
+            place(a).cmp(&place(b))
+        });
+        self.faults
+    }
+
+    /// Adds a fault of the set as a whole.
+    pub(super) fn add_whole(&mut self, problem: Problem) {
+        self.faults.push(Fault {
+            place: None,
+            kind: None,
+            object: None,
+            field: None,
+            problem,
+        });
+    }
+
+    /// Adds a fault of an object.
+    pub(super) fn add<T: Configured>(
+        &mut self,
+        index: usize,
+        object: &T,
+        field: &str,
+        problem: Problem,
+    ) {
+        self.faults.push(Fault {
+            place: self.places.get(T::KIND, index),
+            kind: Some(T::KIND),
+            object: Some(object.id().to_string()),
+            field: (!field.is_empty()).then(|| field.to_owned()),
+            problem,
+        });
+    }
+
+    /// Adds a fault where a rule does not hold.
+    pub(super) fn rule<T: Configured>(
+        &mut self,
+        index: usize,
+        object: &T,
+        field: &str,
+        value: &dyn Display,
+        holds: bool,
+        rule: &'static str,
+    ) {
+        if holds {
+            return;
+        }
+        let value = value.to_string();
+        self.add(index, object, field, Problem::Rule { value, rule });
+    }
+
+    /// Adds a fault where a value is out of bounds.
+    pub(super) fn bounds<T: Configured, V: PartialOrd + Display>(
+        &mut self,
+        index: usize,
+        object: &T,
+        field: &str,
+        value: V,
+        (least, most): (V, V),
+    ) {
+        if value >= least && value <= most {
+            return;
+        }
+        let problem = Problem::OutOfBounds {
+            value: value.to_string(),
+            least: least.to_string(),
+            most: most.to_string(),
+        };
+        self.add(index, object, field, problem);
+    }
+
+    /// Adds a fault for each value that stands in two objects.
+    pub(super) fn unique<'s, T: Configured, V: Eq + Hash + 's>(
+        &mut self,
+        objects: &'s [T],
+        field: &str,
+        value: impl Fn(&'s T) -> V,
+        text: impl Fn(&'s T) -> String,
+    ) {
+        let mut first = HashMap::with_capacity(objects.len());
+        for (i, object) in objects.iter().enumerate() {
+            let other = *first.entry(value(object)).or_insert(i);
+            if other == i {
+                continue;
+            }
+            let mut at = format!("{} {}", T::KIND, objects[other].id());
+            if let Some(place) = self.places.get(T::KIND, other) {
+                at = format!("{at} at {place}");
+            }
+            let value = text(object);
+            self.add(i, object, field, Problem::Duplicate { value, other: at });
+        }
+    }
+
+    /// Adds a fault for each value that stands twice in a list.
+    pub(super) fn distinct<T: Configured, V: Eq + Hash + Display>(
+        &mut self,
+        index: usize,
+        object: &T,
+        field: &str,
+        values: &[V],
+    ) {
+        for (i, value) in values.iter().enumerate() {
+            // Lists are short, or else bounded before.
+            if !values[..i].contains(value) {
+                continue;
+            }
+            let value = value.to_string();
+            self.add(index, object, field, Problem::Repeated { value });
+        }
+    }
+
+    /// Adds a fault where a name refers to nothing.
+    pub(super) fn refers<T: Configured>(
+        &mut self,
+        index: usize,
+        object: &T,
+        field: &str,
+        kind: Kind,
+        found: bool,
+        value: &dyn Display,
+    ) {
+        if found {
+            return;
+        }
+        let value = value.to_string();
+        self.add(index, object, field, Problem::Dangling { kind, value });
+    }
+}
--- /dev/null
+++ b/src/config/difference.rs
@@ -0,0 +1,125 @@
+//! What changed between two sets, for operators.
+
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::config::{
+    diff::{
+        Changes,
+        Edits, //
+    },
+    kind::{
+        Configured,
+        Kind,
+        for_each_kind, //
+    },
+    object::*,
+};
+
+/// A field that changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FieldChange {
+    /// The field.
+    pub field: String,
+    /// Its value before.
+    pub old: Value,
+    /// Its value now.
+    pub new: Value,
+}
+
+/// What happened to an object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "change")]
+pub enum Happened {
+    /// The object is new.
+    Added,
+    /// The object is gone.
+    Removed,
+    /// Fields of the object changed.
+    Changed {
+        /// The changed fields.
+        fields: Vec<FieldChange>,
+    },
+}
+
+/// A changed object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Difference {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its id.
+    pub id: String,
+    /// What happened to it.
+    #[serde(flatten)]
+    pub happened: Happened,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { kind, id, happened } = self;
+        match happened {
+            Happened::Added => write!(f, "+ {kind} {id}"),
+            Happened::Removed => write!(f, "- {kind} {id}"),
+            Happened::Changed { fields } => {
+                write!(f, "~ {kind} {id}")?;
+                for change in fields {
+                    write!(f, " {}: {} -> {}", change.field, change.old, change.new)?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Returns all changed objects between two sorted sets.
+pub fn differences(old: &Set, new: &Set) -> Vec<Difference> {
+    let changes = Changes::between(old, new);
+    let mut all = Vec::with_capacity(changes.len());
+    macro_rules! describe {
+        ($($field:ident: $type:ident),*) => {$(
+            describe_kind(&old.$field, &changes.$field, &mut all);
+        )*};
+    }
+    for_each_kind!(describe);
+    all
+}
+
+fn describe_kind<T: Configured>(old: &[T], edits: &Edits<T>, all: &mut Vec<Difference>) {
+    for id in &edits.removed {
+        all.push(Difference {
+            kind: T::KIND,
+            id: id.to_string(),
+            happened: Happened::Removed,
+        });
+    }
+    for object in &edits.put {
+        let happened = match old.binary_search_by(|o| o.id().cmp(object.id())) {
+            Ok(i) => Happened::Changed {
+                fields: changed_fields(&old[i], object),
+            },
+            Err(_) => Happened::Added,
+        };
+        all.push(Difference {
+            kind: T::KIND,
+            id: object.id().to_string(),
+            happened,
+        });
+    }
+}
+
+fn changed_fields<T: Serialize>(old: &T, new: &T) -> Vec<FieldChange> {
+    let (old, new) = (serde_json::to_value(old), serde_json::to_value(new));
+    let (Ok(Value::Object(old)), Ok(Value::Object(new))) = (old, new) else {
+        return Vec::new();
+    };
+    let mut fields = Vec::new();
+    for (field, new) in new {
+        let old = old.get(&field).cloned().unwrap_or(Value::Null);
+        if old != new {
+            fields.push(FieldChange { field, old, new });
+        }
+    }
+    fields
+}
--- /dev/null
+++ b/src/config/index.rs
@@ -0,0 +1,256 @@
+//! The compiled form of a configuration set, as the hosts use it.
+
+use std::{
+    collections::HashMap,
+    net::IpAddr,
+    sync::Arc, //
+};
+
+use thiserror::Error;
+
+use crate::{
+    config::{
+        block::BlockTable,
+        diff::{
+            Delta,
+            DeltaError, //
+        },
+        kind::Kind,
+        object::{
+            Key,
+            Link,
+            Organisation,
+            Pool,
+            Route,
+            Set,
+            Zone, //
+        },
+        path::normal_path,
+    },
+    util::id::{
+        Generation,
+        KeyDigest,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// A set that no host can use; [`check`](crate::config::check) refuses such sets.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum IndexError {
+    /// An object names another that is not in the set.
+    #[error("{object:?} refers to {target:?}, which is not in the set; check the set first")]
+    Dangling {
+        /// The referring object.
+        object: String,
+        /// The missing name.
+        target: String,
+    },
+    /// The delta does not lead on from the snapshot.
+    #[error(transparent)]
+    Delta(#[from] DeltaError),
+}
+
+/// An immutable snapshot of one generation, shared by pointer.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    generation: Generation,
+    set: Set,
+    routes: HashMap<String, Vec<usize>>,
+    organisations: HashMap<OrganisationName, usize>,
+    keys: HashMap<KeyDigest, usize>,
+    pools: HashMap<ServiceName, Vec<usize>>,
+    zones: HashMap<ZoneName, usize>,
+    regions: HashMap<RegionName, Vec<ZoneName>>,
+    links: HashMap<RegionName, HashMap<RegionName, usize>>,
+    blocks: Arc<BlockTable>,
+}
+
+impl Index {
+    /// Compiles a sorted set.
+    pub fn new(generation: Generation, mut set: Set) -> Result<Self, IndexError> {
+        let blocks = Arc::new(BlockTable::new(&set.blocks));
+        set.blocks = Vec::new();
+        Self::with_blocks(generation, set, blocks)
+    }
+
+    /// Returns the snapshot of the generation that a delta leads to.
+    pub fn with_delta(&self, delta: &Delta) -> Result<Self, IndexError> {
+        let held = self.generation;
+        let edits = &delta.changes.blocks;
+        let missing = edits.removed.iter().find(|net| !self.blocks.contains(net));
+        if let Some(net) = missing {
+            let (kind, id) = (Kind::Block, net.to_string());
+            return Err(DeltaError::Missing { kind, id, held }.into());
+        }
+        let blocks = if edits.is_empty() {
+            Arc::clone(&self.blocks)
+        } else {
+            Arc::new(self.blocks.with_edits(edits))
+        };
+        let mut set = self.set.clone();
+        delta.without_blocks().apply(held, &mut set)?;
+        Self::with_blocks(delta.to, set, blocks)
+    }
+
+    /// Returns the generation.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Returns the set that was compiled, without its client blocks, which
+    /// are kept in [`Index::blocks`] only.
+    pub fn set(&self) -> &Set {
+        &self.set
+    }
+
+    /// Returns the client blocks.
+    pub fn blocks(&self) -> &BlockTable {
+        &self.blocks
+    }
+
+    /// Returns a copy of the whole set, with its client blocks.
+    pub fn to_whole_set(&self) -> Set {
+        let mut set = self.set.clone();
+        set.blocks = self.blocks.blocks().collect();
+        set
+    }
+
+    /// Returns the route of a request: of the routes that take its method, the
+    /// one with the longest prefix of its path.
+    ///
+    /// A prefix matches whole path segments. A path that an upstream could
+    /// read in two ways matches no route, see [`normal_path`].
+    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        let path = normal_path(path)?;
+        let mut end = path.len();
+        loop {
+            if let Some(route) = self.route_at(method, &path[..end]) {
+                return Some(route);
+            }
+            end = match path[..end].strip_suffix('/') {
+                Some("") => return None,
+                Some(shorter) => shorter.len(),
+                None => path[..end].rfind('/')? + 1,
+            };
+        }
+    }
+
+    /// Returns an organisation.
+    pub fn organisation(&self, name: &OrganisationName) -> Option<&Organisation> {
+        let &i = self.organisations.get(name)?;
+        self.set.organisations.get(i)
+    }
+
+    /// Returns the key with a digest.
+    pub fn key(&self, digest: &KeyDigest) -> Option<&Key> {
+        let &i = self.keys.get(digest)?;
+        self.set.keys.get(i)
+    }
+
+    /// Returns a service's pool in a zone.
+    pub fn pool(&self, service: &ServiceName, zone: &ZoneName) -> Option<&Pool> {
+        self.pools(service).find(|pool| pool.zone == *zone)
+    }
+
+    /// Returns all pools of a service.
+    pub fn pools(&self, service: &ServiceName) -> impl Iterator<Item = &Pool> {
+        let indices = self.pools.get(service).map_or(&[][..], Vec::as_slice);
+        indices.iter().filter_map(|&i| self.set.pools.get(i))
+    }
+
+    /// Returns a zone.
+    pub fn zone(&self, name: &ZoneName) -> Option<&Zone> {
+        let &i = self.zones.get(name)?;
+        self.set.zones.get(i)
+    }
+
+    /// Returns the region of a zone.
+    pub fn region_of(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.zone(zone).map(|zone| &zone.region)
+    }
+
+    /// Returns the zones of a region.
+    pub fn zones_in(&self, region: &RegionName) -> &[ZoneName] {
+        self.regions.get(region).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the link from one region to another.
+    pub fn link(&self, from: &RegionName, to: &RegionName) -> Option<&Link> {
+        let &i = self.links.get(from)?.get(to)?;
+        self.set.links.get(i)
+    }
+
+    /// Returns the zones nearest to a client, best first; none where no block holds it.
+    pub fn near(&self, client: IpAddr) -> &[ZoneName] {
+        self.blocks.near(client)
+    }
+
+    fn route_at(&self, method: &str, prefix: &str) -> Option<&Route> {
+        for &i in self.routes.get(prefix)? {
+            let route = &self.set.routes[i];
+            if route.methods.is_empty() || route.methods.iter().any(|m| m == method) {
+                return Some(route);
+            }
+        }
+        None
+    }
+
+    fn with_blocks(
+        generation: Generation,
+        set: Set,
+        blocks: Arc<BlockTable>,
+    ) -> Result<Self, IndexError> {
+        let mut index = Self {
+            generation,
+            blocks,
+            ..Self::default()
+        };
+        for (i, zone) in set.zones.iter().enumerate() {
+            index.zones.insert(zone.name.clone(), i);
+            let zones = index.regions.entry(zone.region.clone()).or_default();
+            zones.push(zone.name.clone());
+        }
+        for zone in index.blocks.classes().flatten() {
+            if !index.zones.contains_key(zone) {
+                return Err(dangling(&"a client block", zone));
+            }
+        }
+        for (i, link) in set.links.iter().enumerate() {
+            let links = index.links.entry(link.from.clone()).or_default();
+            links.insert(link.to.clone(), i);
+        }
+        for (i, organisation) in set.organisations.iter().enumerate() {
+            index.organisations.insert(organisation.name.clone(), i);
+        }
+        for (i, route) in set.routes.iter().enumerate() {
+            let routes = index.routes.entry(route.prefix.clone()).or_default();
+            routes.push(i);
+        }
+        for (i, key) in set.keys.iter().enumerate() {
+            if !index.organisations.contains_key(&key.organisation) {
+                return Err(dangling(&key.name, &key.organisation));
+            }
+            index.keys.insert(key.digest, i);
+        }
+        for (i, pool) in set.pools.iter().enumerate() {
+            if !index.zones.contains_key(&pool.zone) {
+                return Err(dangling(&pool.name, &pool.zone));
+            }
+            let pools = index.pools.entry(pool.service.clone()).or_default();
+            pools.push(i);
+        }
+        index.set = set;
+        Ok(index)
+    }
+}
+
+/// Returns the error of a reference to a missing object.
+fn dangling(object: &dyn ToString, target: &dyn ToString) -> IndexError {
+    IndexError::Dangling {
+        object: object.to_string(),
+        target: target.to_string(),
+    }
+}
--- /dev/null
+++ b/src/config/kind.rs
@@ -0,0 +1,170 @@
+//! The kinds of configured objects and what tells two objects of a kind apart.
+
+use std::{
+    fmt,
+    hash::Hash, //
+};
+
+use ipnet::IpNet;
+use serde::{
+    Deserialize,
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use crate::{
+    config::object::{
+        Block,
+        Drain,
+        Key,
+        Link,
+        Organisation,
+        Pool,
+        Region,
+        Route,
+        Service,
+        Set,
+        Zone, //
+    },
+    util::id::{
+        ObjectName,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// A kind of configured object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// [`Region`].
+    Region,
+    /// [`Zone`].
+    Zone,
+    /// [`Link`].
+    Link,
+    /// [`Service`].
+    Service,
+    /// [`Route`].
+    Route,
+    /// [`Organisation`].
+    Organisation,
+    /// [`Key`].
+    Key,
+    /// [`Pool`].
+    Pool,
+    /// [`Drain`].
+    Drain,
+    /// [`Block`].
+    Block,
+}
+
+impl Kind {
+    /// All kinds; a kind refers only to kinds before it.
+    pub const ALL: [Self; 10] = [
+        Self::Region,
+        Self::Zone,
+        Self::Link,
+        Self::Service,
+        Self::Organisation,
+        Self::Route,
+        Self::Key,
+        Self::Pool,
+        Self::Drain,
+        Self::Block,
+    ];
+
+    /// Returns the kind's name in TOML files.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Region => "region",
+            Self::Zone => "zone",
+            Self::Link => "link",
+            Self::Service => "service",
+            Self::Route => "route",
+            Self::Organisation => "organisation",
+            Self::Key => "key",
+            Self::Pool => "pool",
+            Self::Drain => "drain",
+            Self::Block => "block",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// An object of the configuration set.
+pub trait Configured: Clone + PartialEq + Serialize + DeserializeOwned {
+    /// What tells two objects of the kind apart.
+    type Id: Clone + Ord + Hash + fmt::Display + fmt::Debug + Serialize + DeserializeOwned;
+    /// The kind.
+    const KIND: Kind;
+
+    /// Returns the object's id.
+    fn id(&self) -> &Self::Id;
+
+    /// Returns all objects of the kind.
+    fn all(set: &Set) -> &Vec<Self>;
+
+    /// Returns all objects of the kind, to be changed.
+    fn all_mut(set: &mut Set) -> &mut Vec<Self>;
+}
+
+macro_rules! configured {
+    ($($type:ident, $id:ident, $field:ident, $all:ident;)*) => {$(
+        impl Configured for $type {
+            type Id = $id;
+            const KIND: Kind = Kind::$type;
+
+            fn id(&self) -> &$id {
+                &self.$field
+            }
+
+            fn all(set: &Set) -> &Vec<Self> {
+                &set.$all
+            }
+
+            fn all_mut(set: &mut Set) -> &mut Vec<Self> {
+                &mut set.$all
+            }
+        }
+    )*};
+}
+
+configured! {
+    Region, RegionName, name, regions;
+    Zone, ZoneName, name, zones;
+    Link, ObjectName, name, links;
+    Service, ServiceName, name, services;
+    Route, ObjectName, name, routes;
+    Organisation, OrganisationName, name, organisations;
+    Key, ObjectName, name, keys;
+    Pool, ObjectName, name, pools;
+    Drain, ObjectName, name, drains;
+    Block, IpNet, net, blocks;
+}
+
+/// Calls a macro once with the list of all configured types, in the order of [`Kind::ALL`].
+macro_rules! for_each_kind {
+    ($callback:ident) => {
+        $callback! {
+            regions: Region,
+            zones: Zone,
+            links: Link,
+            services: Service,
+            organisations: Organisation,
+            routes: Route,
+            keys: Key,
+            pools: Pool,
+            drains: Drain,
+            blocks: Block
+        }
+    };
+}
+pub(crate) use for_each_kind;
--- /dev/null
+++ b/src/config/parse.rs
@@ -0,0 +1,269 @@
+//! Reading of a set from TOML files.
+
+mod object;
+
+use std::{
+    fs, io,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use thiserror::Error;
+use toml::{
+    Spanned,
+    de::{
+        DeTable,
+        DeValue, //
+    },
+};
+
+use crate::config::{
+    check::faults,
+    fault::{
+        Fault,
+        Faults,
+        Places,
+        Problem, //
+    },
+    kind::{
+        Configured,
+        Kind,
+        for_each_kind, //
+    },
+    object::*,
+    parse::object::ObjectReader,
+};
+
+/// The ending of configuration files in a folder.
+const FILE_ENDING: &str = "toml";
+
+/// The text of one configuration file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// The file's path, for messages.
+    pub file: String,
+    /// Its text.
+    pub text: String,
+}
+
+/// A failure to read files.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// A file or folder cannot be read.
+    #[error("{path:?} could not be read ({cause}); name a TOML file or a folder of them")]
+    Unreadable {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system says.
+        cause: io::Error,
+    },
+    /// A folder holds no TOML file.
+    #[error("folder {0:?} holds no file that ends in .toml; name another")]
+    Empty(PathBuf),
+}
+
+/// Reads a TOML file, or all TOML files of a folder in the order of their names.
+pub fn read(path: &Path) -> Result<Vec<Source>, ReadError> {
+    let unreadable = |path: &Path| {
+        let path = path.to_owned();
+        |cause| ReadError::Unreadable { path, cause }
+    };
+    if !path.is_dir() {
+        let text = fs::read_to_string(path).map_err(unreadable(path))?;
+        let file = path.display().to_string();
+        return Ok(vec![Source { file, text }]);
+    }
+    let mut files = Vec::new();
+    for entry in fs::read_dir(path).map_err(unreadable(path))? {
+        let file = entry.map_err(unreadable(path))?.path();
+        if file.extension().is_some_and(|ending| ending == FILE_ENDING) {
+            files.push(file);
+        }
+    }
+    files.sort();
+    let mut sources = Vec::with_capacity(files.len());
+    for file in files {
+        let text = fs::read_to_string(&file).map_err(unreadable(&file))?;
+        let file = file.display().to_string();
+        sources.push(Source { file, text });
+    }
+    if sources.is_empty() {
+        return Err(ReadError::Empty(path.to_owned()));
+    }
+    Ok(sources)
+}
+
+/// Reads and checks a set; all faults are reported at once.
+pub fn parse(sources: &[Source]) -> Result<Set, Faults> {
+    let mut parser = Parser {
+        set: Set {
+            schema: SCHEMA,
+            ..Set::default()
+        },
+        places: Places::default(),
+        faults: Vec::new(),
+    };
+    for source in sources {
+        parser.file(source);
+    }
+    let unread = !parser.faults.is_empty();
+    for fault in faults(&parser.set, &parser.places) {
+        // What is missing may stand in an object that could not be read.
+        if unread && fault.problem.needs_whole_set() {
+            continue;
+        }
+        parser.faults.push(fault);
+    }
+    if !parser.faults.is_empty() {
+        return Err(Faults(parser.faults));
+    }
+    parser.set.sort();
+    Ok(parser.set)
+}
+
+struct Parser {
+    set: Set,
+    places: Places,
+    faults: Vec<Fault>,
+}
+
+impl Parser {
+    fn file(&mut self, source: &Source) {
+        let file = self.places.add_file(&source.file);
+        let lines = Lines::new(&source.text);
+        let table = match DeTable::parse(&source.text) {
+            Ok(table) => table.into_inner(),
+            Err(e) => {
+                let line = e.span().map_or(1, |span| lines.at(span.start));
+                let cause = e.message().to_owned();
+                self.fault(file, line, Problem::Syntax { cause });
+                return;
+            }
+        };
+        let text = &source.text;
+        if !table.contains_key("schema") {
+            let value = "(none)".to_owned();
+            self.fault(
+                file,
+                1,
+                Problem::Schema {
+                    value,
+                    known: SCHEMA,
+                },
+            );
+        }
+        for (key, value) in table {
+            let line = lines.at(key.span().start);
+            self.entry(file, line, key.get_ref(), value, text, &lines);
+        }
+    }
+
+    fn entry(
+        &mut self,
+        file: u32,
+        line: u32,
+        key: &str,
+        value: Spanned<DeValue<'_>>,
+        text: &str,
+        lines: &Lines,
+    ) {
+        if key == "schema" {
+            let raw = text.get(value.span()).unwrap_or_default();
+            if raw != SCHEMA.to_string() {
+                let value = raw.to_owned();
+                self.fault(
+                    file,
+                    line,
+                    Problem::Schema {
+                        value,
+                        known: SCHEMA,
+                    },
+                );
+            }
+            return;
+        }
+        macro_rules! read {
+            ($($field:ident: $type:ident),*) => {$(
+                if key == $type::KIND.as_str() {
+                    return self.kind::<$type>(file, line, value, text, lines);
+                }
+            )*};
+        }
+        for_each_kind!(read);
+        let known: Vec<_> = Kind::ALL.iter().map(|kind| kind.as_str()).collect();
+        let problem = Problem::UnknownKind {
+            value: key.to_owned(),
+            known: known.join(", "),
+        };
+        self.fault(file, line, problem);
+    }
+
+    fn kind<T: Configured>(
+        &mut self,
+        file: u32,
+        line: u32,
+        value: Spanned<DeValue<'_>>,
+        text: &str,
+        lines: &Lines,
+    ) {
+        let reader = ObjectReader::<T>::new(text);
+        let DeValue::Array(objects) = value.into_inner() else {
+            let problem = Problem::Malformed {
+                value: T::KIND.to_string(),
+                cause: "not a list of tables".to_owned(),
+                example: format!("[[{}]]", T::KIND),
+            };
+            self.fault(file, line, problem);
+            return;
+        };
+        for (i, object) in objects.into_iter().enumerate() {
+            let line = lines.at(object.span().start);
+            match reader.read(object) {
+                Ok(object) => {
+                    self.places.add(T::KIND, file, line);
+                    T::all_mut(&mut self.set).push(object);
+                }
+                Err(unread) => {
+                    let name = unread.name.unwrap_or_else(|| format!("#{}", i + 1));
+                    for field in unread.fields {
+                        let line = field.offset.map_or(line, |offset| lines.at(offset));
+                        self.faults.push(Fault {
+                            place: self.places.place(file, line),
+                            kind: Some(T::KIND),
+                            object: Some(name.clone()),
+                            field: field.name,
+                            problem: field.problem,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn fault(&mut self, file: u32, line: u32, problem: Problem) {
+        self.faults.push(Fault {
+            place: self.places.place(file, line),
+            kind: None,
+            object: None,
+            field: None,
+            problem,
+        });
+    }
+}
+
+/// The offsets at which lines start.
+struct Lines(Vec<usize>);
+
+impl Lines {
+    fn new(text: &str) -> Self {
+        let ends = text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
+        Self(ends.map(|(i, _)| i + 1).collect())
+    }
+
+    /// Returns the line of an offset, counted from one.
+    fn at(&self, offset: usize) -> u32 {
+        self.0.partition_point(|&start| start <= offset) as u32 + 1
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -40,3 +40,62 @@
         cause: String,
     },
 }
+
+/// A setting that cannot be used.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum OptionError {
+    /// The setting is not there.
+    #[error("{flag} is missing; give it or set {variable}")]
+    Missing {
+        /// The flag.
+        flag: &'static str,
+        /// The environment variable.
+        variable: String,
+    },
+    /// The setting's value cannot be read.
+    #[error("{flag} (or {variable}) is {value:?}: {cause}; {remedy}")]
+    Malformed {
+        /// The flag.
+        flag: &'static str,
+        /// The environment variable.
+        variable: String,
+        /// The value.
+        value: String,
+        /// What is wrong with it.
+        cause: String,
+        /// What to write.
+        remedy: &'static str,
+    },
+    /// The fleet secret is too short. It is not repeated.
+    #[error("--fleet-secret has {bytes} bytes; use at least {least}")]
+    SecretTooShort {
+        /// Its length.
+        bytes: usize,
+        /// The least length.
+        least: usize,
+    },
+    /// Two settings name the same address.
+    #[error("{flag} and {other} are both {address}; give each its own port")]
+    Shared {
+        /// One flag.
+        flag: &'static str,
+        /// The other flag.
+        other: &'static str,
+        /// The address.
+        address: std::net::SocketAddr,
+    },
+}
+
+/// All settings that cannot be used, never none.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub struct OptionErrors(pub Vec<OptionError>);
+
+impl std::fmt::Display for OptionErrors {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the settings cannot be used:")?;
+        for e in &self.0 {
+            write!(f, "\n  {e}")?;
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,13 @@
 //! and an instant that is passed in; actors own the state and do the I/O. The
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
+pub mod cli;
 pub mod config;
 pub mod error;
+pub mod explain;
+pub mod options;
+pub mod publish;
+pub mod reason;
 pub mod store;
 pub mod util;
 pub mod wire;
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,237 @@
+//! The checked settings of the programs.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    str::FromStr, //
+};
+
+use bytes::Bytes;
+
+use crate::{
+    cli::EntryArguments,
+    error::{
+        OptionError,
+        OptionErrors, //
+    },
+    util::id::{
+        HostName,
+        ZoneName, //
+    },
+};
+
+/// The shortest fleet secret, in bytes.
+const SECRET_MIN_BYTES: usize = 16;
+
+/// The secret that entry hosts show one another; it is never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FleetSecret(Bytes);
+
+impl FleetSecret {
+    /// Returns the secret.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for FleetSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "FleetSecret(..)")
+    }
+}
+
+/// The settings of `cardamomroad-entry`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryOptions {
+    /// The host's name.
+    pub name: HostName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for other entry hosts.
+    pub peers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
+    /// The platform's object API.
+    pub store: SocketAddr,
+    /// The secret that entry hosts show one another.
+    pub fleet_secret: FleetSecret,
+    /// The peers to ask when the store does not answer.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl EntryOptions {
+    /// Checks all settings together.
+    pub fn new(args: &EntryArguments) -> Result<Self, OptionErrors> {
+        let mut errors = Vec::new();
+        let name = required("--name", &args.name, &mut errors);
+        let zone = required("--zone", &args.zone, &mut errors);
+        let callers = required("--callers", &args.callers, &mut errors);
+        let peers = required("--peers", &args.peers, &mut errors);
+        let operators = required("--operators", &args.operators, &mut errors);
+        let store = required("--store", &args.store, &mut errors);
+        let fleet_secret = secret(&args.fleet_secret, &mut errors);
+        let seeds = seeds(&args.seeds, &mut errors);
+        let listeners = [
+            ("--callers", callers),
+            ("--peers", peers),
+            ("--operators", operators),
+        ];
+        distinct(&listeners, &mut errors);
+        not_listener("--store", store, &listeners, &mut errors);
+        let complete = (name, zone, callers, peers, operators, store, fleet_secret);
+        let (
+            Some(name),
+            Some(zone),
+            Some(callers),
+            Some(peers),
+            Some(operators),
+            Some(store),
+            Some(fleet_secret),
+        ) = complete
+        else {
+            return Err(OptionErrors(errors));
+        };
+        if !errors.is_empty() {
+            return Err(OptionErrors(errors));
+        }
+        Ok(Self {
+            name,
+            zone,
+            callers,
+            peers,
+            operators,
+            store,
+            fleet_secret,
+            seeds,
+        })
+    }
+}
+
+fn required<T>(
+    flag: &'static str,
+    text: &Option<String>,
+    errors: &mut Vec<OptionError>,
+) -> Option<T>
+where
+    T: FromStr,
+    T::Err: fmt::Display,
+{
+    let Some(text) = text else {
+        errors.push(OptionError::Missing {
+            flag,
+            variable: variable(flag),
+        });
+        return None;
+    };
+    parsed(flag, text, errors)
+}
+
+fn parsed<T>(flag: &'static str, text: &str, errors: &mut Vec<OptionError>) -> Option<T>
+where
+    T: FromStr,
+    T::Err: fmt::Display,
+{
+    match text.trim().parse() {
+        Ok(value) => Some(value),
+        Err(e) => {
+            errors.push(OptionError::Malformed {
+                flag,
+                variable: variable(flag),
+                value: text.to_owned(),
+                cause: e.to_string(),
+                remedy: remedy(flag),
+            });
+            None
+        }
+    }
+}
+
+fn secret(text: &Option<String>, errors: &mut Vec<OptionError>) -> Option<FleetSecret> {
+    let flag = "--fleet-secret";
+    let text: String = required(flag, text, errors)?;
+    if text.len() < SECRET_MIN_BYTES {
+        errors.push(OptionError::SecretTooShort {
+            bytes: text.len(),
+            least: SECRET_MIN_BYTES,
+        });
+        return None;
+    }
+    Some(FleetSecret(text.into()))
+}
+
+fn seeds(text: &Option<String>, errors: &mut Vec<OptionError>) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for seed in text.as_deref().unwrap_or_default().split(',') {
+        if seed.trim().is_empty() {
+            continue;
+        }
+        seeds.extend(parsed::<SocketAddr>("--seeds", seed, errors));
+    }
+    seeds
+}
+
+/// Reports listeners that share an address; port 0 picks a free one.
+fn distinct(listeners: &[(&'static str, Option<SocketAddr>)], errors: &mut Vec<OptionError>) {
+    for (i, &(flag, address)) in listeners.iter().enumerate() {
+        let Some(address) = address.filter(|address| address.port() != 0) else {
+            continue;
+        };
+        for &(other, taken) in &listeners[..i] {
+            if taken == Some(address) {
+                errors.push(OptionError::Shared {
+                    flag,
+                    other,
+                    address,
+                });
+            }
+        }
+    }
+}
+
+/// Reports a remote address that is one of this process's own.
+fn not_listener(
+    flag: &'static str,
+    address: Option<SocketAddr>,
+    listeners: &[(&'static str, Option<SocketAddr>)],
+    errors: &mut Vec<OptionError>,
+) {
+    let Some(address) = address else {
+        return;
+    };
+    if address.port() == 0 {
+        errors.push(OptionError::Malformed {
+            flag,
+            variable: variable(flag),
+            value: address.to_string(),
+            cause: "port 0 cannot be reached".to_owned(),
+            remedy: remedy(flag),
+        });
+    }
+    for &(other, listener) in listeners {
+        if listener == Some(address) && address.port() != 0 {
+            errors.push(OptionError::Shared {
+                flag,
+                other,
+                address,
+            });
+        }
+    }
+}
+
+/// Returns the environment variable of a flag.
+fn variable(flag: &str) -> String {
+    let name = flag.trim_start_matches('-').replace('-', "_");
+    format!("CARDAMOMROAD_{}", name.to_uppercase())
+}
+
+fn remedy(flag: &str) -> &'static str {
+    match flag {
+        "--name" => "use the host's name, for example bac-a-1",
+        "--zone" => "use a zone of the configuration, for example bac-a",
+        "--seeds" => "use addresses of peers, for example 10.0.0.1:8002,10.0.0.2:8002",
+        "--store" => "use the object API's address, for example 10.0.0.9:7000",
+        _ => "use an address, for example 10.0.0.1:8001",
+    }
+}
--- /dev/null
+++ b/src/publish/chunk.rs
@@ -0,0 +1,151 @@
+//! The parts that a set is published in.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    config::{
+        kind::{
+            Configured,
+            for_each_kind, //
+        },
+        object::*,
+    },
+    publish::{
+        PublishError,
+        head::{
+            ChunkDigest,
+            KindChunks,
+            Manifest, //
+        },
+    },
+};
+
+/// The mean number of objects in a chunk above which a kind gets more chunks.
+const OBJECTS_PER_CHUNK: usize = 512;
+/// The most chunks of a kind, so that the head stays far under the store's limit.
+const CHUNKS_MAX: usize = 4096;
+/// The largest chunk.
+pub const CHUNK_MAX_BYTES: usize = 512 << 10;
+
+/// Chunks by their digest.
+#[derive(Clone, Debug, Default)]
+pub struct Chunks(HashMap<ChunkDigest, Bytes>);
+
+impl Chunks {
+    /// Adds a chunk.
+    pub fn insert(&mut self, chunk: Bytes) -> ChunkDigest {
+        let digest = ChunkDigest::of(&chunk);
+        self.0.insert(digest, chunk);
+        digest
+    }
+
+    /// Returns a chunk.
+    pub fn get(&self, digest: &ChunkDigest) -> Option<&Bytes> {
+        self.0.get(digest)
+    }
+
+    /// Drops all chunks that a manifest does not name.
+    pub fn retain(&mut self, manifest: &Manifest) {
+        let mut kept = HashMap::with_capacity(self.0.len());
+        for digest in manifest.all_chunks() {
+            if let Some(chunk) = self.0.remove(digest) {
+                kept.insert(*digest, chunk);
+            }
+        }
+        self.0 = kept;
+    }
+
+    /// Returns the number of bytes held.
+    pub fn bytes(&self) -> usize {
+        self.0.values().map(Bytes::len).sum()
+    }
+
+    /// Reads the objects of a chunk.
+    pub fn objects<T: Configured>(&self, digest: &ChunkDigest) -> Result<Vec<T>, PublishError> {
+        let Some(chunk) = self.0.get(digest) else {
+            return Err(PublishError::ChunkLost(digest.key()));
+        };
+        rmp_serde::from_slice(chunk).map_err(|e| PublishError::malformed(&digest.key(), &e))
+    }
+
+    /// Reads all objects that a manifest names.
+    pub fn set(&self, manifest: &Manifest) -> Result<Set, PublishError> {
+        let mut set = Set {
+            schema: manifest.schema,
+            ..Set::default()
+        };
+        macro_rules! read {
+            ($($field:ident: $type:ident),*) => {$(
+                for digest in manifest.chunks($type::KIND) {
+                    set.$field.extend(self.objects::<$type>(digest)?);
+                }
+            )*};
+        }
+        for_each_kind!(read);
+        set.sort();
+        Ok(set)
+    }
+}
+
+/// Cuts a set into chunks.
+pub fn cut(set: &Set, base: Option<&Manifest>) -> Result<(Manifest, Chunks), PublishError> {
+    let mut chunks = Chunks::default();
+    let mut kinds = Vec::new();
+    macro_rules! cut {
+        ($($field:ident: $type:ident),*) => {$(
+            if !set.$field.is_empty() {
+                let held = base.map_or(0, |base| base.chunks($type::KIND).len());
+                kinds.push(KindChunks {
+                    kind: $type::KIND,
+                    chunks: cut_kind(&set.$field, held, &mut chunks)?,
+                });
+            }
+        )*};
+    }
+    for_each_kind!(cut);
+    Ok((Manifest::new(kinds), chunks))
+}
+
+fn cut_kind<T: Configured>(
+    objects: &[T],
+    held: usize,
+    chunks: &mut Chunks,
+) -> Result<Vec<ChunkDigest>, PublishError> {
+    let count = chunk_count(objects.len(), held);
+    let mut buckets = vec![Vec::new(); count];
+    for object in objects {
+        let hash = xxh3_64(object.id().to_string().as_bytes());
+        buckets[hash as usize & (count - 1)].push(object);
+    }
+    let mut digests = Vec::with_capacity(count);
+    for mut bucket in buckets {
+        bucket.sort_by(|a, b| a.id().cmp(b.id()));
+        let chunk = rmp_serde::to_vec(&bucket);
+        let chunk = chunk.map_err(|e| PublishError::malformed(T::KIND.as_str(), &e))?;
+        let bytes = chunk.len();
+        let digest = chunks.insert(chunk.into());
+        if bytes > CHUNK_MAX_BYTES {
+            return Err(PublishError::TooLarge {
+                key: digest.key(),
+                bytes,
+                most: CHUNK_MAX_BYTES,
+            });
+        }
+        digests.push(digest);
+    }
+    Ok(digests)
+}
+
+/// Returns the number of chunks of a kind, a power of two. The number held
+/// stays until it is far off, because another number changes every chunk.
+fn chunk_count(objects: usize, held: usize) -> usize {
+    let fitting = objects.div_ceil(OBJECTS_PER_CHUNK).next_power_of_two();
+    let fitting = fitting.min(CHUNKS_MAX);
+    if held.is_power_of_two() && held <= 2 * fitting && fitting <= 2 * held {
+        return held;
+    }
+    fitting
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -2,6 +2,9 @@
 //!
 //! Production code reaches the platform only through [`ObjectStore`].
 
+pub mod counted;
+pub mod http;
+
 use std::{
     future::Future,
     net::SocketAddr,
--- /dev/null
+++ b/src/store/http.rs
@@ -0,0 +1,275 @@
+//! The platform's object API over HTTP.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{
+        ETAG,
+        HeaderMap,
+        HeaderValue,
+        IF_MATCH,
+        IF_NONE_MATCH, //
+    },
+};
+use hyper_util::{
+    client::legacy::{
+        Client,
+        connect::HttpConnector, //
+    },
+    rt::{
+        TokioExecutor,
+        TokioTimer, //
+    },
+};
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::{
+    error::StoreError,
+    store::{
+        Change,
+        Changes,
+        Condition,
+        ListedHost,
+        Object,
+        ObjectStore, //
+    },
+    util::id::Version,
+    wire::PLATFORM_CALLER,
+};
+
+/// The longest wait for an answer, beyond a watch's own wait.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// The longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The largest answer that is read.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// A client of the platform's object API.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    address: SocketAddr,
+    caller: HeaderValue,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    value: Bytes,
+}
+
+impl HttpStore {
+    /// Returns a client of the store at an address. The platform counts its
+    /// calls under the caller's name.
+    pub fn new(address: SocketAddr, caller: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        let caller = HeaderValue::from_str(caller);
+        Self {
+            address,
+            caller: caller.unwrap_or_else(|_| HeaderValue::from_static("unnamed")),
+            timeout: CALL_TIMEOUT,
+            client,
+        }
+    }
+
+    /// Sets the longest wait for an answer.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    async fn call(
+        &self,
+        key: &str,
+        req: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Answer, StoreError> {
+        let limit = self.timeout.saturating_add(wait);
+        let answer = time::timeout(limit, self.exchange(req)).await;
+        let answer = answer.map_err(|_| self.unanswered(&format!("no answer in {limit:?}")))??;
+        match answer.status {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(answer),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict {
+                key: key.to_owned(),
+                current: version(key, &answer.headers).ok(),
+            }),
+            status if status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error() => {
+                Err(StoreError::Refused {
+                    key: key.to_owned(),
+                    status: status.as_u16(),
+                })
+            }
+            status => Err(self.unanswered(&format!("status {status}"))),
+        }
+    }
+
+    async fn exchange(&self, mut req: Request<Full<Bytes>>) -> Result<Answer, StoreError> {
+        req.headers_mut()
+            .insert(PLATFORM_CALLER, self.caller.clone());
+        let answer: Response<Incoming> = self
+            .client
+            .request(req)
+            .await
+            .map_err(|e| self.unanswered(&Causes(&e)))?;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
+        let body = body.map_err(|e| self.unanswered(&e))?;
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            value: body.to_bytes(),
+        })
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        target: &str,
+        wait: Duration,
+    ) -> Result<T, StoreError> {
+        let req = self.request(Method::GET, target, Bytes::new())?;
+        let answer = self.call(target, req, wait).await?;
+        if answer.status != StatusCode::OK {
+            return Err(StoreError::Refused {
+                key: target.to_owned(),
+                status: answer.status.as_u16(),
+            });
+        }
+        serde_json::from_slice(&answer.value).map_err(|e| malformed(target, &e))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        target: &str,
+        value: Bytes,
+    ) -> Result<Request<Full<Bytes>>, StoreError> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{target}", self.address))
+            .body(Full::new(value))
+            .map_err(|e| malformed(target, &e))
+    }
+
+    fn unanswered(&self, cause: &dyn ToString) -> StoreError {
+        StoreError::Unanswered {
+            address: self.address.to_string(),
+            cause: cause.to_string(),
+        }
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        let req = self.request(Method::GET, &object_target(key), Bytes::new())?;
+        let answer = self.call(key, req, Duration::ZERO).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(Object {
+            version: version(key, &answer.headers)?,
+            value: answer.value,
+        }))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        condition: Condition,
+    ) -> Result<Version, StoreError> {
+        let mut req = self.request(Method::PUT, &object_target(key), value)?;
+        let headers = req.headers_mut();
+        match condition {
+            Condition::Absent => headers.insert(IF_NONE_MATCH, HeaderValue::from_static("*")),
+            Condition::At(version) => headers.insert(IF_MATCH, etag(version)),
+        };
+        let answer = self.call(key, req, Duration::ZERO).await?;
+        if answer.status != StatusCode::OK {
+            return Err(StoreError::Refused {
+                key: key.to_owned(),
+                status: answer.status.as_u16(),
+            });
+        }
+        version(key, &answer.headers)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Change>, StoreError> {
+        let target = format!("/v1/list?prefix={prefix}");
+        self.read(&target, Duration::ZERO).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let wait_ms = wait.as_millis();
+        let target = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        self.read(&target, wait).await
+    }
+
+    async fn hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
+        self.read("/v1/hosts", Duration::ZERO).await
+    }
+}
+
+/// Shows an error with all its sources.
+struct Causes<'a>(&'a (dyn std::error::Error + 'static));
+
+impl std::fmt::Display for Causes<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)?;
+        let mut source = self.0.source();
+        while let Some(cause) = source {
+            write!(f, ": {cause}")?;
+            source = cause.source();
+        }
+        Ok(())
+    }
+}
+
+fn object_target(key: &str) -> String {
+    format!("/v1/objects/{key}")
+}
+
+fn etag(version: Version) -> HeaderValue {
+    HeaderValue::from_str(&format!("\"{version}\""))
+        .unwrap_or_else(|_| HeaderValue::from_static("\"0\""))
+}
+
+fn version(key: &str, headers: &HeaderMap) -> Result<Version, StoreError> {
+    let etag = headers.get(ETAG).and_then(|value| value.to_str().ok());
+    let text = etag.map(|etag| etag.trim_matches('"'));
+    let version = text.and_then(|text| text.parse().ok());
+    version.ok_or_else(|| malformed(key, &"no version in its etag"))
+}
+
+fn malformed(key: &str, cause: &dyn ToString) -> StoreError {
+    StoreError::Malformed {
+        key: key.to_owned(),
+        cause: cause.to_string(),
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -18,3 +18,5 @@
 pub const SERVED_BY: &str = "x-cardamomroad-served-by";
 /// Carries the caller's key, as an alternative to `authorization: Bearer`.
 pub const KEY: &str = "x-cardamomroad-key";
+/// Names the caller to the platform's object API, which counts each call under it.
+pub const PLATFORM_CALLER: &str = "x-platform-caller";
