--- a/src/wire.rs
+++ b/src/wire.rs
@@ -30,3 +30,5 @@
 pub const CONTROL_PREFIX: &str = "/.cardamomroad/control/";
 /// The prefix of all headers of this system.
 pub const HEADER_PREFIX: &str = "x-cardamomroad-";
+/// Names the caller to the platform's object API, which counts each call under it.
+pub const PLATFORM_CALLER: &str = "x-platform-caller";
