--- a/src/lookup.rs
+++ b/src/lookup.rs
@@ -19,7 +19,7 @@
     Serialize, //
 };
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     blocks::{
@@ -27,6 +27,7 @@
         ClassId, //
     },
     config::object::Set,
+    plan::Plan,
     util::id::{
         Generation,
         HostName,
@@ -42,8 +43,14 @@
 pub const TTL: Duration = Duration::from_secs(5);
 /// How long callers may keep an answer that is about to change.
 pub const TTL_MOVING: Duration = Duration::from_secs(2);
+/// The part of the callers that keep an answer beyond its time to live.
+const OVERSTAY_PART: f64 = 0.1;
+/// How long those keep it, in times to live.
+pub const OVERSTAY_TTLS: u32 = 4;
 /// The most hosts in one answer.
 pub const HOSTS_MAX: usize = 4;
+/// The most hosts of the best zone in one answer.
+const HOSTS_BEST: usize = 2;
 /// Zones that one answer draws hosts from.
 const ZONES_MAX: usize = 3;
 /// The weight of a host of the best zone.
@@ -112,10 +119,20 @@
     pub stamp: Stamp,
 }
 
-/// The hosts of one zone, by name.
+/// Returns the part of the callers that still follow an answer given `age` ago.
+///
+/// Most ask again when the time to live is over; some overstay it.
+pub fn held(age: Duration, ttl: Duration) -> f64 {
+    let ttls = age.as_secs_f64() / ttl.as_secs_f64();
+    let prompt = (1.0 - ttls).max(0.0);
+    let late = (1.0 - ttls / f64::from(OVERSTAY_TTLS)).max(0.0);
+    (1.0 - OVERSTAY_PART) * prompt + OVERSTAY_PART * late
+}
+
+/// The hosts of one zone that may be named, by name, each with its name's hash.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct ZoneHosts {
-    usable: Vec<Host>,
+    usable: Vec<(u64, Host)>,
 }
 
 /// The compiled look-up table.
@@ -130,7 +147,8 @@
     zones: Arc<Places>,
     hosts: Vec<Arc<ZoneHosts>>,
     homes: Arc<Homes>,
-    moving: bool,
+    /// Zones that the plan closes to new callers.
+    closed: SmallVec<[ZoneId; 4]>,
 }
 
 /// The hosts that hold shares of an organisation's rate.
@@ -229,7 +247,7 @@
             hosts: vec![empty; places.names.len()],
             zones: Arc::new(places),
             homes: Arc::default(),
-            moving: false,
+            closed: SmallVec::new(),
         };
         table = table.with_hosts(hosts);
         table
@@ -243,12 +261,13 @@
                 continue;
             };
             if host.standing != Standing::Leaving {
-                by_zone[usize::from(id)].usable.push(host.clone());
+                let hash = xxh3_64(host.name.as_str().as_bytes());
+                by_zone[usize::from(id)].usable.push((hash, host.clone()));
             }
         }
         let mut next = self.clone();
         for (old, mut new) in next.hosts.iter_mut().zip(by_zone) {
-            new.usable.sort_by(|a, b| a.name.cmp(&b.name));
+            new.usable.sort_by(|(_, a), (_, b)| a.name.cmp(&b.name));
             if **old != new {
                 *old = Arc::new(new);
             }
@@ -264,11 +283,13 @@
         }
     }
 
-    /// Returns the table with a shorter time to live while hosts or zones are
-    /// about to leave, so that fewer caches overstay.
-    pub fn with_moving(&self, moving: bool) -> Self {
+    /// Returns the table under a plan: zones that it closes are named last, and
+    /// answers live shorter while any is closed, so that fewer caches overstay.
+    pub fn with_plan(&self, plan: &Plan) -> Self {
+        let ids = plan.closed.iter();
+        let closed = ids.filter_map(|z| self.zones.ids.get(z).copied());
         Self {
-            moving,
+            closed: closed.collect(),
             ..self.clone()
         }
     }
@@ -294,22 +315,32 @@
             None => &self.fallback,
         };
         let homes = organisation.and_then(|o| self.homes.get(o));
-        let homes = homes.map_or(&[][..], SmallVec::as_slice);
+        let homes: SmallVec<[u64; 4]> = homes
+            .into_iter()
+            .flatten()
+            .map(|h| xxh3_64(h.as_str().as_bytes()))
+            .collect();
+        let closed = |z: &&ZoneId| self.closed.contains(z);
+        let open = order.iter().filter(|z| !closed(z));
         let mut hosts = SmallVec::new();
         let mut zones = 0;
-        for &zone in order.iter() {
+        for &zone in open.chain(order.iter().filter(closed)) {
             if zones == ZONES_MAX || hosts.len() == HOSTS_MAX {
                 break;
             }
             let first = zones == 0;
-            let room = if first { HOSTS_MAX - 2 } else { 1 };
-            let found = self.best_of(zone, client, homes, room);
+            let room = if first { HOSTS_BEST } else { 1 };
+            let found = self.best_of(zone, client, &homes, room);
             zones += usize::from(!found.is_empty());
             for host in found {
                 hosts.push(named(host, first));
             }
         }
-        let ttl = if self.moving { TTL_MOVING } else { TTL };
+        let ttl = if self.closed.is_empty() {
+            TTL
+        } else {
+            TTL_MOVING
+        };
         Answer {
             generation: self.generation,
             ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
@@ -322,12 +353,18 @@
         &self,
         zone: ZoneId,
         client: IpAddr,
-        homes: &[HostName],
+        homes: &[u64],
         room: usize,
     ) -> SmallVec<[&Host; HOSTS_MAX]> {
         let mut best: SmallVec<[(Preference, &Host); HOSTS_MAX]> = SmallVec::new();
-        for host in &self.hosts[usize::from(zone)].usable {
-            let preference = Preference::new(host, client, homes);
+        let client = client_hash(client);
+        for (hash, host) in &self.hosts[usize::from(zone)].usable {
+            let preference = Preference {
+                live: host.standing == Standing::Live,
+                spare: host.spare >= SPARE_MIN,
+                home: homes.contains(hash),
+                rank: mix(hash ^ client),
+            };
             let at = best.partition_point(|(p, _)| *p >= preference);
             if at == room {
                 continue;
@@ -348,27 +385,21 @@
     rank: u64,
 }
 
-impl Preference {
-    fn new(host: &Host, client: IpAddr, homes: &[HostName]) -> Self {
-        Self {
-            live: host.standing == Standing::Live,
-            spare: host.spare >= SPARE_MIN,
-            home: homes.contains(&host.name),
-            rank: rank(host, client),
-        }
-    }
-}
-
 /// The thousandths of a host's capacity below which others are preferred.
 const SPARE_MIN: u16 = 100;
 
-/// Ranks a host for a client by rendezvous hashing.
-fn rank(host: &Host, client: IpAddr) -> u64 {
-    let seed = match client {
-        IpAddr::V4(a) => u64::from(a.to_bits()),
-        IpAddr::V6(a) => (a.to_bits() >> 64) as u64 ^ a.to_bits() as u64,
-    };
-    xxh3_64_with_seed(host.name.as_str().as_bytes(), seed)
+fn client_hash(client: IpAddr) -> u64 {
+    match client {
+        IpAddr::V4(a) => xxh3_64(&a.octets()),
+        IpAddr::V6(a) => xxh3_64(&a.octets()),
+    }
+}
+
+/// Spreads the bits of a combined hash, as the last step of SplitMix64 does.
+fn mix(hash: u64) -> u64 {
+    let a = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let b = (a ^ (a >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    b ^ (b >> 31)
 }
 
 fn named(host: &Host, first: bool) -> Named {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -31,6 +31,8 @@
     pub number: u64,
     /// Whether it was made from fresh measurements.
     pub basis: Basis,
+    /// Zones that drain or are lost: look-ups name their hosts last.
+    pub closed: Vec<ZoneName>,
     /// One entry for each pair of zone and service whose weights differ from the default.
     pub steers: Vec<Steer>,
 }
@@ -44,6 +46,7 @@
             term,
             number: 0,
             basis: Basis::Measured,
+            closed: Vec::new(),
             steers: Vec::new(),
         }
     }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -140,6 +140,7 @@
         self.plan.generation = generation;
         self.plan.number += 1;
         self.plan.basis = basis;
+        self.plan.closed = closed(view);
         self.plan.steers = steers;
         &self.plan
     }
@@ -202,6 +203,15 @@
     }
 }
 
+/// Returns the zones that drain or are lost for all their services.
+fn closed(view: &View) -> Vec<ZoneName> {
+    let shut = |zone: &&ZoneName| {
+        let mut own = view.capacities.iter().filter(|(p, _)| p.0 == **zone);
+        own.all(|(_, c)| c.standing != Standing::Open)
+    };
+    view.zones.keys().filter(shut).cloned().collect()
+}
+
 /// Returns the age of the oldest measurement that a step for this demand rests on.
 fn age_of(now: Instant, view: &View, place: &Place, demand: &Demand) -> Duration {
     let own = view.capacities.get(place).map_or(demand.at, |c| c.at);
--- a/src/planner/room.rs
+++ b/src/planner/room.rs
@@ -8,7 +8,11 @@
 use tokio::time::Instant;
 
 use crate::{
-    lookup::TTL,
+    lookup::{
+        OVERSTAY_TTLS,
+        TTL,
+        held, //
+    },
     planner::{
         LINK_PART, ZONE_PART,
         view::{
@@ -28,10 +32,6 @@
 const PLAN_SPREAD: Duration = Duration::from_secs(2);
 /// The window over which gateways average what they measure.
 const MEASURE_WINDOW: Duration = Duration::from_secs(5);
-/// The part of the callers that keep an answer beyond its time to live.
-const OVERSTAY_PART: f64 = 0.1;
-/// How long those keep it, in times to live.
-const OVERSTAY_TTLS: u32 = 4;
 
 /// Traffic that an earlier step moved.
 #[derive(Clone, Debug)]
@@ -83,10 +83,7 @@
     /// time to live is over, and some keep it for longer.
     pub fn unseen(&self, at: Instant) -> f64 {
         let age = at.saturating_duration_since(self.at + PLAN_SPREAD + MEASURE_WINDOW);
-        let ttls = age.as_secs_f64() / TTL.as_secs_f64();
-        let prompt = (1.0 - ttls).max(0.0);
-        let late = (1.0 - ttls / f64::from(OVERSTAY_TTLS)).max(0.0);
-        (1.0 - OVERSTAY_PART) * prompt + OVERSTAY_PART * late
+        held(age, TTL)
     }
 
     /// Returns whether every measurement from `now` on shows it.
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -82,7 +82,8 @@
 
 #[test]
 fn drained_cut_off_stale_and_costly_zones_are_passed_over() {
-    let changes: [(fn(&mut Candidate), Against); 4] = [
+    type Change = fn(&mut Candidate);
+    let changes: [(Change, Against); 4] = [
         (|c| c.drained = true, Against::Drained),
         (|c| c.reachable = false, Against::Unreachable),
         (
