--- a/src/planner.rs
+++ b/src/planner.rs
@@ -115,9 +115,10 @@
             .iter()
             .filter(|(place, _)| view.zones.get(&place.0) == Some(&region))
             .collect();
-        let targets = target::targets(&region, view, &own, &self.splits, CLAIM_PART);
-        let mut room = Room::measured(view, ZONE_PART, LINK_PART).less_unseen(view, &self.moves);
-        room = room.claimed(view, &region, CLAIM_PART);
+        let mut room = Room::measured(view, ZONE_PART, LINK_PART)
+            .claimed(view, &region, CLAIM_PART)
+            .less_unseen(view, &self.moves);
+        let targets = target::targets(&region, view, &own, &self.splits, room.clone());
         let mut steers = Vec::new();
         let mut basis = Basis::Measured;
         for (place, demand) in own {
--- a/src/planner/target.rs
+++ b/src/planner/target.rs
@@ -40,14 +40,15 @@
 ///
 /// Zones are filled nearest first: all own zones, then the other zones of the
 /// region, then other regions as far as their spare slots and the links go.
+/// `room` is what is left beside the traffic that is in its place already.
 pub fn targets(
     region: &RegionName,
     view: &View,
     own: &[(&Place, &Demand)],
     present: &BTreeMap<Place, Split>,
-    claim: f64,
+    room: Room,
 ) -> BTreeMap<Place, Target> {
-    let mut room = without_own(region, view, own, present, claim);
+    let mut room = without_own(region, view, own, present, room);
     let mut splits: BTreeMap<Place, (Split, f64)> = BTreeMap::new();
     for (place, _) in own {
         splits.insert((*place).clone(), (Split::new(), 1.0));
@@ -82,9 +83,8 @@
     view: &View,
     own: &[(&Place, &Demand)],
     present: &BTreeMap<Place, Split>,
-    claim: f64,
+    mut room: Room,
 ) -> Room {
-    let mut room = Room::measured(view, ZONE_PART, LINK_PART).claimed(view, region, claim);
     for (place, demand) in own {
         let default = Split::from_iter([(place.0.clone(), 1.0)]);
         for (zone, part) in present.get(*place).unwrap_or(&default) {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -42,12 +42,25 @@
 pub const PAUSE_MAX: Duration = Duration::from_secs(3);
 
 /// The gateways that divide the upstreams' slots, from the zone's ledger.
+///
+/// While members change, the ledger holds the old list beside the new one. A
+/// share is the least by any list, so that no share grows before the old list
+/// is dropped; that is when all its hosts have shrunk or are gone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Members {
     /// The ledger's revision; a lower one never replaces a higher one.
     pub revision: u64,
-    /// The member hosts.
-    pub hosts: Vec<HostName>,
+    /// The lists that the ledger still holds.
+    pub lists: SmallVec<[Vec<HostName>; 2]>,
+}
+
+impl Members {
+    /// Returns a host's share of the `whole` slots of one upstream.
+    fn share(&self, host: &HostName, upstream: SocketAddr, whole: u32) -> u32 {
+        let lists = self.lists.iter();
+        let shares = lists.map(|list| slots::share(list, host, upstream, whole));
+        shares.min().unwrap_or(0)
+    }
 }
 
 /// Where a request goes.
@@ -117,8 +130,6 @@
 pub struct Pool {
     me: HostName,
     members: Members,
-    /// Members whose shares are in force for growing; see [`Pool::settle`].
-    settled: Members,
     slots: u32,
     connections: u32,
     warm_up: Duration,
@@ -131,13 +142,9 @@
 
 impl Pool {
     /// Creates the pool of one gateway.
-    ///
-    /// The shares of `members` are in force at once, which is right where no
-    /// other division was before; [`Pool::set_members`] changes them later.
     pub fn new(now: Instant, me: HostName, cfg: &object::Pool, members: Members) -> Self {
         let mut pool = Self {
             me,
-            settled: members.clone(),
             members,
             slots: cfg.slots,
             connections: cfg.connections,
@@ -175,8 +182,8 @@
         self.divide();
     }
 
-    /// Takes a newer member list. Smaller shares are in force at once, larger
-    /// ones after [`Pool::settle`].
+    /// Takes the ledger's member lists, and with them the word that the shares
+    /// of this revision hold.
     pub fn set_members(&mut self, members: Members) {
         if members.revision < self.members.revision {
             return;
@@ -186,19 +193,8 @@
         self.divide();
     }
 
-    /// Puts larger shares of a revision in force. To be called when every
-    /// member of the previous revision has either reported [`Pool::is_shrunk`]
-    /// for this revision or is proven gone.
-    pub fn settle(&mut self, revision: u64) {
-        if revision != self.members.revision {
-            return;
-        }
-        self.settled = self.members.clone();
-        self.divide();
-    }
-
     /// Returns whether no upstream runs more of this gateway's requests than
-    /// the shares of `revision` allow.
+    /// the shares of `revision` allow. Only then may it be acknowledged.
     pub fn is_shrunk(&self, revision: u64) -> bool {
         self.members.revision >= revision && self.upstreams.iter().all(|u| u.running() <= u.share())
     }
@@ -313,9 +309,7 @@
     fn divide(&mut self) {
         let whole = self.slots.min(self.connections);
         for u in &mut self.upstreams {
-            let next = slots::share(&self.members.hosts, &self.me, u.address(), whole);
-            let held = slots::share(&self.settled.hosts, &self.me, u.address(), whole);
-            u.set_share(next.min(held));
+            u.set_share(self.members.share(&self.me, u.address(), whole));
         }
     }
 
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -36,10 +36,15 @@
     format!("host-{i}").parse().unwrap()
 }
 
-fn members(revision: u64, n: usize) -> Members {
+fn hosts(n: usize) -> Vec<HostName> {
+    (0..n).map(host).collect()
+}
+
+/// The ledger's word: one list, or the old and the new one while they change.
+fn members(revision: u64, counts: &[usize]) -> Members {
     Members {
         revision,
-        hosts: (0..n).map(host).collect(),
+        lists: counts.iter().map(|&n| hosts(n)).collect(),
     }
 }
 
@@ -71,7 +76,12 @@
         let now = Instant::now();
         let mut rig = Self {
             now,
-            pool: Pool::new(now, host(0), &config(upstreams, slots), members(1, hosts)),
+            pool: Pool::new(
+                now,
+                host(0),
+                &config(upstreams, slots),
+                members(1, &[hosts]),
+            ),
             rng: StdRng::seed_from_u64(7),
         };
         rig.wait(WARM_UP);
@@ -137,15 +147,15 @@
 
     /// Shares of one upstream add up to its slots, whatever the member list.
     #[test]
-    fn shares_add_up_to_the_slots(hosts in 1_usize..300, whole in 0_u32..500, port in 1_u16..1000) {
-        let hosts = members(1, hosts).hosts;
+    fn shares_add_up_to_the_slots(count in 1_usize..300, whole in 0_u32..500, port in 1_u16..1000) {
+        let hosts = hosts(count);
         let at = SocketAddr::from(([10, 0, 0, 1], port));
         let sum: u32 = hosts.iter().map(|h| slots::share(&hosts, h, at, whole)).sum();
         prop_assert_eq!(sum, whole);
     }
 
     /// However members come and go, the gateways together never start more at
-    /// an upstream than its slots, if shares grow only when all have shrunk.
+    /// an upstream than its slots, if an old list is dropped only when all have shrunk.
     #[test]
     fn gateways_together_keep_to_the_slots(
         changes in proptest::collection::vec((1_usize..8, 0_u8..40), 1..20),
@@ -155,14 +165,16 @@
         let cfg = config(3, 4);
         let mut rng = StdRng::seed_from_u64(seed);
         let mut pools: Vec<Pool> = (0..8)
-            .map(|i| Pool::new(now, host(i), &cfg, members(0, 8)))
+            .map(|i| Pool::new(now, host(i), &cfg, members(0, &[8])))
             .collect();
         let mut running: Vec<(usize, SocketAddr)> = Vec::new();
         let mut now = now;
+        let mut held = vec![8];
         for (revision, (count, starts)) in changes.into_iter().enumerate() {
-            let revision = revision as u64 + 1;
+            let revision = 2 * revision as u64 + 1;
+            held.push(count);
             for pool in &mut pools {
-                pool.set_members(members(revision, count));
+                pool.set_members(members(revision, &held));
             }
             for n in 0..usize::from(starts) {
                 now += Duration::from_millis(500);
@@ -182,7 +194,9 @@
                 }
             }
             if pools.iter().all(|p| p.is_shrunk(revision)) {
-                pools.iter_mut().for_each(|p| p.settle(revision));
+                held = vec![count];
+                let last = members(revision + 1, &held);
+                pools.iter_mut().for_each(|p| p.set_members(last.clone()));
             }
         }
     }
@@ -190,7 +204,7 @@
 
 #[test]
 fn more_gateways_than_slots_keep_to_subsets() {
-    let hosts = members(1, 217).hosts;
+    let hosts = hosts(217);
     let mut most = 0;
     for h in &hosts {
         let mine = (0..30).map(|i| slots::share(&hosts, h, address(i), 4));
@@ -235,7 +249,7 @@
     let now = Instant::now();
     let mut rig = Rig {
         now,
-        pool: Pool::new(now, host(0), &config(1, 8), members(1, 1)),
+        pool: Pool::new(now, host(0), &config(1, 8), members(1, &[1])),
         rng: StdRng::seed_from_u64(7),
     };
     let mut seen = vec![rig.pool.free_slots(rig.now)];
@@ -361,6 +375,6 @@
     assert_eq!(rig.reason(), Reason::SharesUnconfirmed);
     rig.wait(Duration::from_secs(1));
     assert_eq!(rig.reason(), Reason::SharesUnconfirmed);
-    rig.pool.set_members(members(1, 2));
+    rig.pool.set_members(members(1, &[2]));
     assert_eq!(rig.reason(), Reason::MostRoom);
 }
