--- a/src/planner.rs
+++ b/src/planner.rs
@@ -115,9 +115,10 @@
             .iter()
             .filter(|(place, _)| view.zones.get(&place.0) == Some(&region))
             .collect();
-        let targets = target::targets(&region, view, &own, &self.splits, CLAIM_PART);
-        let mut room = Room::measured(view, ZONE_PART, LINK_PART).less_unseen(view, &self.moves);
-        room = room.claimed(view, &region, CLAIM_PART);
+        let mut room = Room::measured(view, ZONE_PART, LINK_PART)
+            .claimed(view, &region, CLAIM_PART)
+            .less_unseen(view, &self.moves);
+        let targets = target::targets(&region, view, &own, &self.splits, room.clone());
         let mut steers = Vec::new();
         let mut basis = Basis::Measured;
         for (place, demand) in own {
@@ -140,6 +141,7 @@
         self.plan.generation = generation;
         self.plan.number += 1;
         self.plan.basis = basis;
+        self.plan.closed = closed(view);
         self.plan.steers = steers;
         &self.plan
     }
@@ -202,6 +204,15 @@
     }
 }
 
+/// Returns the zones that drain or are lost for all their services.
+fn closed(view: &View) -> Vec<ZoneName> {
+    let shut = |zone: &&ZoneName| {
+        let mut own = view.capacities.iter().filter(|(p, _)| p.0 == **zone);
+        own.all(|(_, c)| c.standing != Standing::Open)
+    };
+    view.zones.keys().filter(shut).cloned().collect()
+}
+
 /// Returns the age of the oldest measurement that a step for this demand rests on.
 fn age_of(now: Instant, view: &View, place: &Place, demand: &Demand) -> Duration {
     let own = view.capacities.get(place).map_or(demand.at, |c| c.at);
