standins: store stand-in with the platform's object API and its fault switches

Cause: tests need a platform whose outages, stale reads and lost answers can be switched. One version counter, conditional writes, list and watches by long poll as in docs/INTERFACES.md; the switches are down, slow, stale, lose-answers, cut, hang, each limited to keys or callers.

--- /dev/null
+++ b/standins/src/bin/standin-upstream.rs
@@ -0,0 +1,3 @@
+//! A stand-in for an upstream.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/error.rs
@@ -0,0 +1,69 @@
+//! The errors of the stand-ins. Each message names the offending value and the remedy.
+
+use std::{
+    io,
+    net::SocketAddr, //
+};
+
+use thiserror::Error;
+
+/// A failure inside a stand-in or of a call to one.
+#[derive(Debug, Error)]
+pub enum StandinError {
+    /// An address could not be bound.
+    #[error("address {address} could not be bound ({cause}); use another address or port 0")]
+    Bind {
+        /// The address asked for.
+        address: SocketAddr,
+        /// What the system answered.
+        cause: io::Error,
+    },
+    /// The program could not read or write.
+    #[error("{what} failed: {cause}; check that the path exists and is readable")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system answered.
+        cause: io::Error,
+    },
+    /// A call over HTTP failed before its answer was complete.
+    #[error("the call to {target} failed: {cause}; check that the process there runs")]
+    Call {
+        /// What was called.
+        target: String,
+        /// What went wrong.
+        cause: String,
+    },
+    /// A call over HTTP was answered with an unexpected status.
+    #[error("{target} answered {status}: {body}")]
+    Status {
+        /// What was called.
+        target: String,
+        /// The HTTP status.
+        status: u16,
+        /// The answer's body.
+        body: String,
+    },
+    /// Text that should be JSON could not be read.
+    #[error("{what} is not the expected JSON: {cause}")]
+    Json {
+        /// What was read.
+        what: String,
+        /// What is wrong with it.
+        cause: serde_json::Error,
+    },
+}
+
+/// The way a stand-in ends a connection on purpose, without an answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Dropped {
+    /// The answer is lost although the call took effect.
+    #[error("the answer is lost on purpose")]
+    AnswerLost,
+    /// The caller is cut off.
+    #[error("the caller is cut off on purpose")]
+    Cut,
+    /// The body breaks off.
+    #[error("the body breaks off on purpose")]
+    BodyBroken,
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stand-ins.
+//! Stand-ins for what surrounds the system: the platform's object store, the
+//! upstreams and the callers.
+//!
+//! Production code never depends on this package. Each stand-in is a library
+//! with a thin program; tests, the demonstration and the benchmarks use both.
+
+pub mod error;
+pub mod http;
+pub mod process;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/standins/src/store/service.rs
@@ -0,0 +1,257 @@
+//! The object API and the control calls over HTTP.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use cardamomroad::{
+    store::{
+        Changes,
+        Condition,
+        ListedHost, //
+    },
+    util::id::Version,
+};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    Method, Request, StatusCode,
+    body::Incoming,
+    header::{
+        ETAG,
+        HeaderMap,
+        HeaderValue,
+        IF_MATCH,
+        IF_NONE_MATCH, //
+    },
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use tokio::{
+    net::TcpListener,
+    time::Instant, //
+};
+
+use super::{
+    CallKind,
+    Store,
+    SwitchChange, //
+};
+use crate::{
+    error::Dropped,
+    http::{
+        Answer,
+        answer,
+        json,
+        query, //
+    },
+};
+
+/// The header that names the caller.
+const CALLER: &str = "x-platform-caller";
+/// The caller counted where the header is missing.
+const UNNAMED_CALLER: &str = "unnamed";
+/// The largest value that an object holds, in bytes.
+const VALUE_MAX_BYTES: usize = 1 << 20;
+/// The longest time that a watch waits.
+const WATCH_MAX: Duration = Duration::from_secs(60);
+
+/// Serves the object API until the returned future is dropped.
+pub async fn serve(listener: TcpListener, store: Arc<Store>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        // Answers are small; waiting to fill a segment would only delay them.
+        let _ = stream.set_nodelay(true);
+        let store = Arc::clone(&store);
+        tokio::spawn(async move {
+            let service = service_fn(|req| handle(&store, req));
+            // A dropped answer ends the connection with an error on purpose.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn handle(store: &Store, req: Request<Incoming>) -> Result<Answer, Dropped> {
+    if req.uri().path().starts_with("/control/") {
+        return Ok(control(store, req).await);
+    }
+    let Some((kind, target)) = classify(&req) else {
+        return Ok(answer(StatusCode::NOT_FOUND, "no such call"));
+    };
+    let caller = req.headers().get(CALLER);
+    let caller = caller.and_then(|c| c.to_str().ok());
+    let caller = caller.unwrap_or(UNNAMED_CALLER).to_owned();
+    store.count(&caller, kind);
+    if let Some(refusal) = admit(store, &caller, &target).await? {
+        return Ok(refusal);
+    }
+    match kind {
+        CallKind::Get => Ok(get(store, &target)),
+        CallKind::Put => put(store, &target, req).await,
+        CallKind::List => Ok(json(&store.list(&target).changes)),
+        CallKind::Watch => watch(store, &caller, &target, req).await,
+        CallKind::Hosts => Ok(json(&store.hosts())),
+    }
+}
+
+/// Returns the kind of a call and the key or prefix that it names.
+fn classify(req: &Request<Incoming>) -> Option<(CallKind, String)> {
+    let path = req.uri().path();
+    let prefix = || query(req.uri(), "prefix").unwrap_or_default();
+    if let Some(key) = path.strip_prefix("/v1/objects/") {
+        let key = percent_encoding::percent_decode_str(key);
+        let key = key.decode_utf8_lossy().into_owned();
+        return match *req.method() {
+            Method::GET => Some((CallKind::Get, key)),
+            Method::PUT => Some((CallKind::Put, key)),
+            _ => None,
+        };
+    }
+    if req.method() != Method::GET {
+        return None;
+    }
+    match path {
+        "/v1/list" => Some((CallKind::List, prefix())),
+        "/v1/watch" => Some((CallKind::Watch, prefix())),
+        "/v1/hosts" => Some((CallKind::Hosts, String::new())),
+        _ => None,
+    }
+}
+
+/// Applies the switches that act before a call runs.
+async fn admit(store: &Store, caller: &str, target: &str) -> Result<Option<Answer>, Dropped> {
+    let mut seen = store.changed.subscribe();
+    let switches = store.switches();
+    if switches.slow_ms > 0 && switches.touches(target) {
+        tokio::time::sleep(Duration::from_millis(switches.slow_ms)).await;
+    }
+    loop {
+        let switches = store.switches();
+        if switches.is_cut(caller) {
+            return Err(Dropped::Cut);
+        }
+        if switches.is_hung(caller) {
+            store.wait_for_change(&mut seen).await;
+            if !store.switches().is_hung(caller) {
+                return Err(Dropped::Cut);
+            }
+            continue;
+        }
+        if switches.down && switches.touches(target) {
+            return Ok(Some(answer(StatusCode::SERVICE_UNAVAILABLE, "down")));
+        }
+        return Ok(None);
+    }
+}
+
+fn get(store: &Store, key: &str) -> Answer {
+    match store.get(key) {
+        Some(object) => with_version(answer(StatusCode::OK, object.value), Some(object.version)),
+        None => answer(StatusCode::NOT_FOUND, "no such object"),
+    }
+}
+
+async fn put(store: &Store, key: &str, req: Request<Incoming>) -> Result<Answer, Dropped> {
+    let Some(condition) = condition(req.headers()) else {
+        let text = "a write needs if-match: \"VERSION\" or if-none-match: *";
+        return Ok(answer(StatusCode::PRECONDITION_REQUIRED, text));
+    };
+    let body = Limited::new(req.into_body(), VALUE_MAX_BYTES)
+        .collect()
+        .await;
+    let Ok(body) = body else {
+        return Ok(answer(StatusCode::PAYLOAD_TOO_LARGE, "value too large"));
+    };
+    match store.put(key, body.to_bytes(), condition) {
+        Ok(_) if store.take_lost_answer(key) => Err(Dropped::AnswerLost),
+        Ok(version) => Ok(with_version(answer(StatusCode::OK, ""), Some(version))),
+        Err(conflict) => {
+            let refusal = answer(StatusCode::PRECONDITION_FAILED, conflict.to_string());
+            Ok(with_version(refusal, conflict.current))
+        }
+    }
+}
+
+async fn watch(
+    store: &Store,
+    caller: &str,
+    prefix: &str,
+    req: Request<Incoming>,
+) -> Result<Answer, Dropped> {
+    let number = |name| query(req.uri(), name).and_then(|n| n.parse::<u64>().ok());
+    let after = Version(number("after").unwrap_or_default());
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+    let end = Instant::now() + wait.min(WATCH_MAX);
+    let mut seen = store.changed.subscribe();
+    loop {
+        if let Some(refusal) = admit(store, caller, prefix).await? {
+            return Ok(refusal);
+        }
+        let changes: Changes = store.changes(prefix, after);
+        if !changes.changes.is_empty() || Instant::now() >= end {
+            return Ok(json(&changes));
+        }
+        tokio::select! {
+            () = store.wait_for_change(&mut seen) => {}
+            () = tokio::time::sleep_until(end) => {}
+        }
+    }
+}
+
+fn condition(headers: &HeaderMap) -> Option<Condition> {
+    if headers.get(IF_NONE_MATCH).is_some_and(|v| v == "*") {
+        return Some(Condition::Absent);
+    }
+    let version = headers.get(IF_MATCH)?.to_str().ok()?;
+    let version = version.strip_prefix('"')?.strip_suffix('"')?;
+    version.parse().ok().map(Condition::At)
+}
+
+fn with_version(mut answer: Answer, version: Option<Version>) -> Answer {
+    let tag = version.and_then(|v| HeaderValue::try_from(format!("\"{v}\"")).ok());
+    if let Some(tag) = tag {
+        answer.headers_mut().insert(ETAG, tag);
+    }
+    answer
+}
+
+async fn control(store: &Store, req: Request<Incoming>) -> Answer {
+    let call = (req.method().clone(), req.uri().path().to_owned());
+    let body = match req.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return answer(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    match (call.0.as_str(), call.1.as_str()) {
+        ("GET", "/control/switch") => json(&store.switches()),
+        ("POST", "/control/switch") => with_json(&body, |change: SwitchChange| {
+            json(&store.switch(change)) //
+        }),
+        ("GET", "/control/counts") => json(&store.counts()),
+        ("DELETE", "/control/counts") => {
+            store.clear_counts();
+            json(&store.counts())
+        }
+        ("PUT", "/control/hosts") => with_json(&body, |hosts: Vec<ListedHost>| {
+            store.set_hosts(hosts);
+            json(&store.hosts())
+        }),
+        _ => answer(StatusCode::NOT_FOUND, "no such control call"),
+    }
+}
+
+fn with_json<T: DeserializeOwned>(body: &Bytes, run: impl FnOnce(T) -> Answer) -> Answer {
+    match serde_json::from_slice(body) {
+        Ok(value) => run(value),
+        Err(e) => answer(StatusCode::BAD_REQUEST, e.to_string()),
+    }
+}
--- /dev/null
+++ b/standins/src/upstream.rs
@@ -0,0 +1,1 @@
+//! A stand-in for an upstream.
