--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,317 @@
+//! The tasks of a host: errands of the actor, its clock, and the store.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::{
+    Request,
+    Uri, //
+};
+use tokio::{
+    sync::mpsc::UnboundedReceiver,
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval,
+        timeout, //
+    },
+};
+
+use crate::{
+    adoption::{
+        Source,
+        Step, //
+    },
+    body::full,
+    config::{
+        diff::Delta,
+        index::Index, //
+    },
+    control::{
+        self,
+        CONTROL_TIMEOUT,
+        Configuration,
+        ControlReply,
+        ControlRequest,
+        SET_TIMEOUT, //
+    },
+    gateway::{
+        Gateway,
+        head, //
+    },
+    host::{
+        configuration::{
+            Adopt,
+            HeadConfirmed,
+            HeadSeen, //
+        },
+        errand::Errand,
+        news::{
+            Answered,
+            Listed,
+            TICK,
+            Tick, //
+        },
+    },
+    publish::{
+        self,
+        head::HEAD_KEY, //
+    },
+    store::{
+        Condition,
+        ObjectStore, //
+    },
+    util::id::{
+        Generation,
+        HostName,
+        Version, //
+    },
+};
+
+/// How long an upstream's own report may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Starts the tasks that serve the actor.
+pub fn spawn<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    seeds: Vec<SocketAddr>,
+    errands: UnboundedReceiver<Errand>,
+) {
+    tokio::spawn(keep_time(gw.clone()));
+    tokio::spawn(meet_seeds(gw.clone(), seeds));
+    tokio::spawn(run_errands(gw, store, errands));
+}
+
+async fn keep_time(gw: Arc<Gateway>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        if gw.host.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Makes the seeds known: they may answer where the store does not.
+async fn meet_seeds(gw: Arc<Gateway>, seeds: Vec<SocketAddr>) {
+    for address in seeds {
+        let Ok(beat) = gw.host.send(crate::host::news::Greeting).await else {
+            return;
+        };
+        let msg = ControlRequest::Beat(beat);
+        let asked = Instant::now();
+        let Ok(reply) = control::call(&gw, address, &msg, CONTROL_TIMEOUT).await else {
+            continue;
+        };
+        let ControlReply::Beat(beat) = &reply else {
+            continue;
+        };
+        let to = beat.heartbeat.from.clone();
+        let answered = Answered {
+            to,
+            asked,
+            msg,
+            reply: Some(reply),
+        };
+        if gw.host.send(answered).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn run_errands<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    mut errands: UnboundedReceiver<Errand>,
+) {
+    while let Some(errand) = errands.recv().await {
+        tokio::spawn(run_errand(gw.clone(), store.clone(), errand));
+    }
+}
+
+async fn run_errand<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>, errand: Errand) {
+    match errand {
+        Errand::Control { to, address, msg } => ask(&gw, to, address, msg).await,
+        Errand::Adoption(step) => adopt(&gw, &*store, step).await,
+        Errand::List => list(&gw, &*store).await,
+        Errand::Health(addresses) => {
+            for address in addresses {
+                tokio::spawn(health(gw.clone(), address));
+            }
+        }
+    }
+}
+
+async fn ask(gw: &Gateway, to: HostName, address: SocketAddr, msg: ControlRequest) {
+    let asked = Instant::now();
+    let reply = match control::call(gw, address, &msg, CONTROL_TIMEOUT).await {
+        Ok(reply) => Some(reply),
+        Err(e) => {
+            log::debug!(event = "control-failed", to:%, cause:% = e; "");
+            None
+        }
+    };
+    let answered = Answered {
+        to,
+        asked,
+        msg,
+        reply,
+    };
+    // The actor ends only with the process.
+    let _ = gw.host.send(answered).await;
+}
+
+async fn list<S: ObjectStore>(gw: &Gateway, store: &S) {
+    gw.metrics.store_calls.inc();
+    match store.hosts().await {
+        Ok(hosts) => {
+            let _ = gw.host.send(Listed(hosts)).await;
+        }
+        Err(e) => log::warn!(event = "list-not-read", cause:% = e; ""),
+    }
+}
+
+async fn adopt<S: ObjectStore>(gw: &Gateway, store: &S, step: Step) {
+    match step {
+        Step::Ask => {
+            list(gw, store).await;
+            see_head(gw, store).await;
+        }
+        Step::Confirm { version } => confirm(gw, store, version).await,
+        Step::Fetch { generation, source } => fetch(gw, store, generation, source).await,
+        Step::Wait { .. } => {}
+    }
+}
+
+async fn see_head<S: ObjectStore>(gw: &Gateway, store: &S) {
+    gw.metrics.store_calls.inc();
+    let seen = match publish::read_head(store).await {
+        Ok(Some(head)) => Some((head.version, head.head.generation())),
+        Ok(None) => None,
+        Err(e) => {
+            log::warn!(event = "head-not-read", cause:% = e; "");
+            None
+        }
+    };
+    let _ = gw.host.send(HeadSeen(seen)).await;
+}
+
+/// Writes the head back unchanged: that succeeds only on the current version.
+async fn confirm<S: ObjectStore>(gw: &Gateway, store: &S, asked: Version) {
+    gw.metrics.store_calls.inc_by(2);
+    let new = match store.get(HEAD_KEY).await {
+        Ok(Some(object)) if object.version == asked => store
+            .put(HEAD_KEY, object.value, Condition::At(asked))
+            .await
+            .ok(),
+        _ => None,
+    };
+    let _ = gw.host.send(HeadConfirmed { asked, new }).await;
+}
+
+async fn fetch<S: ObjectStore>(gw: &Gateway, store: &S, wanted: Generation, source: Source) {
+    let held = gw.index.load_full();
+    let found = match &source {
+        Source::Store(_) => from_store(gw, store).await,
+        Source::Peer(host) => from_peer(gw, host, held.as_deref()).await,
+    };
+    let Some((set, deltas, generation)) = found else {
+        log::warn!(event = "generation-not-fetched", generation:% = wanted; "");
+        return;
+    };
+    // A large set takes a while to compile; requests go on meanwhile.
+    let compiled = tokio::task::spawn_blocking(move || Index::new(generation, set)).await;
+    match compiled {
+        Ok(Ok(index)) => {
+            let msg = Adopt {
+                index: Arc::new(index),
+                deltas,
+                source,
+            };
+            let _ = gw.host.send(msg).await;
+        }
+        Ok(Err(e)) => log::error!(event = "generation-refused", generation:%, cause:% = e; ""),
+        Err(e) => log::error!(event = "generation-refused", generation:%, cause:% = e; ""),
+    }
+}
+
+type Fetched = (crate::config::object::Set, Vec<Delta>, Generation);
+
+async fn from_store<S: ObjectStore>(gw: &Gateway, store: &S) -> Option<Fetched> {
+    gw.metrics.store_calls.inc();
+    match publish::reader::load(store).await {
+        Ok(found) => found.map(|(generation, set)| (set, Vec::new(), generation)),
+        Err(e) => {
+            log::warn!(event = "set-not-read", cause:% = e; "");
+            None
+        }
+    }
+}
+
+async fn from_peer(gw: &Gateway, host: &HostName, held: Option<&Index>) -> Option<Fetched> {
+    let address = gw
+        .host
+        .send(crate::host::news::AddressOf(host.clone()))
+        .await
+        .ok()??;
+    let msg = ControlRequest::Configuration(held.map(Index::generation));
+    let reply = control::call(gw, address, &msg, SET_TIMEOUT).await;
+    match reply {
+        Ok(ControlReply::Configuration(Configuration::Whole(generation, set))) => {
+            Some((*set, Vec::new(), generation))
+        }
+        Ok(ControlReply::Configuration(Configuration::Deltas(deltas))) => follow(held?, deltas),
+        Ok(_) => None,
+        Err(e) => {
+            log::debug!(event = "set-not-read", from:% = host, cause:% = e; "");
+            None
+        }
+    }
+}
+
+/// Applies deltas to the configuration that is held.
+fn follow(held: &Index, deltas: Vec<Delta>) -> Option<Fetched> {
+    let mut set = held.set().clone();
+    let mut generation = held.generation();
+    for delta in &deltas {
+        if let Err(e) = delta.apply(generation, &mut set) {
+            log::warn!(event = "delta-refused", cause:% = e; "");
+            return None;
+        }
+        generation = delta.to;
+    }
+    Some((set, deltas, generation))
+}
+
+/// Asks an upstream for its health and its load.
+async fn health(gw: Arc<Gateway>, address: SocketAddr) {
+    let measured = Instant::now();
+    let health = get(&gw, address, "/.health").await;
+    let load = get(&gw, address, "/.load").await;
+    let msg = crate::host::loads::Reported {
+        address,
+        measured,
+        health,
+        load,
+    };
+    let _ = gw.host.send(msg).await;
+}
+
+async fn get(gw: &Gateway, address: SocketAddr, path: &'static str) -> Option<Bytes> {
+    use http_body_util::BodyExt;
+    let mut req = Request::new(full(Bytes::new()));
+    *req.uri_mut() = Uri::from_static(path);
+    head::set(req.headers_mut(), "host", address);
+    let exchange = timeout(HEALTH_TIMEOUT, gw.connections.send(address, req)).await;
+    let exchange = exchange.ok()?.ok()?;
+    let body = timeout(HEALTH_TIMEOUT, exchange.res.into_body().collect()).await;
+    let body = body.ok()?.ok()?;
+    exchange.lease.give_back();
+    Some(body.to_bytes())
+}
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -30,6 +30,7 @@
     util::id::{
         Generation,
         KeyDigest,
+        ObjectName,
         OrganisationName,
         RegionName,
         ServiceName,
@@ -138,6 +139,16 @@
         }
     }
 
+    /// Returns the route of a name.
+    pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
+        self.set.routes.iter().find(|r| r.name == *name)
+    }
+
+    /// Returns whether the set has a service.
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        self.set.services.iter().any(|s| s.name == *name)
+    }
+
     /// Returns an organisation.
     pub fn organisation(&self, name: &OrganisationName) -> Option<&Organisation> {
         let &i = self.organisations.get(name)?;
--- a/src/control.rs
+++ b/src/control.rs
@@ -204,7 +204,9 @@
     #[error("{0} did not answer the control message in time")]
     TimedOut(SocketAddr),
     /// The host refused the message.
-    #[error("{address} refused the control message with status {status}; do the fleet secrets agree?")]
+    #[error(
+        "{address} refused the control message with status {status}; do the fleet secrets agree?"
+    )]
     Refused {
         /// The host's address.
         address: SocketAddr,
@@ -259,7 +261,11 @@
 
 /// Sends a heartbeat to a host that somebody else could not reach.
 async fn probe(gw: &Gateway, target: HostName) -> Option<ControlReply> {
-    let errand = gw.host.send(crate::host::news::ProbeFor(target)).await.ok()?;
+    let errand = gw
+        .host
+        .send(crate::host::news::ProbeFor(target))
+        .await
+        .ok()?;
     let Some((address, beat)) = errand else {
         return Some(ControlReply::Probed(None));
     };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -26,7 +26,10 @@
         SignalKind,
         signal, //
     },
-    sync::watch,
+    sync::{
+        mpsc,
+        watch, //
+    },
     time::Instant,
 };
 use xtra::Mailbox;
@@ -35,6 +38,7 @@
     agent,
     connection::Connections,
     control,
+    credential::WhenStale,
     gateway::{
         FleetSecret,
         Gateway,
@@ -42,9 +46,11 @@
         lookup, //
     },
     host::{
-        Host,
-        HostConfig,
-        message::Leave, //
+        Host, HostConfig,
+        message::{
+            Leave,
+            ReturnLoans, //
+        },
     },
     listener,
     lookup::TTL,
@@ -62,6 +68,8 @@
 
 /// How long running requests are waited for between two looks.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How long the returned loans and the last heartbeats may take.
+const RETURN_TIME: Duration = Duration::from_millis(300);
 /// Random bits in an incarnation, below its start time.
 const INCARNATION_RANDOM_BITS: u32 = 12;
 
@@ -69,7 +77,9 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// An address could not be bound.
-    #[error("cannot bind {address} for {role} ({cause}); stop the process that holds it or choose another")]
+    #[error(
+        "cannot bind {address} for {role} ({cause}); stop the process that holds it or choose another"
+    )]
     Bind {
         /// What the address is for.
         role: &'static str,
@@ -127,7 +137,9 @@
     let index = Arc::new(ArcSwapOption::empty());
     let region = Arc::new(ArcSwapOption::empty());
     let keys = Arc::new(Keys::new());
-    let secret = FleetSecret::new(cfg.fleet_secret.expose()).ok_or(EntryError::FleetSecret)?;
+    let table = Arc::new(ArcSwapOption::empty());
+    let (errands, errands_rx) = mpsc::unbounded_channel();
+    let secret = FleetSecret::new(cfg.fleet_secret.as_bytes()).ok_or(EntryError::FleetSecret)?;
     let connections = Connections::new();
     let host = Host::new(HostConfig {
         name: cfg.name.clone(),
@@ -136,10 +148,14 @@
         peers: bound.peers.local_addr()?,
         incarnation,
         started,
+        when_stale: WhenStale::default(),
         index: index.clone(),
+        table: table.clone(),
         region: region.clone(),
         keys: keys.clone(),
         metrics: metrics.clone(),
+        errands,
+        seed: rand::random(),
     });
     let host = xtra::spawn_tokio(host, Mailbox::unbounded());
     let gw = Arc::new(Gateway {
@@ -148,15 +164,16 @@
         started,
         host,
         index,
+        table,
         keys,
         connections,
-        tracing: Tracing::new(&cfg.name, cfg.collector.as_deref())?,
+        tracing: Tracing::new(&cfg.name, None)?,
         metrics,
         fleet_secret: Arc::new(secret),
         region,
     });
     let store = HttpStore::new(cfg.store, cfg.name.as_str());
-    agent::spawn(gw.clone(), Arc::new(store), cfg.seeds.clone());
+    agent::spawn(gw.clone(), Arc::new(store), cfg.seeds.clone(), errands_rx);
     log::info!(
         event = "started",
         host:% = cfg.name,
@@ -191,6 +208,10 @@
     while gw.metrics.in_flight.get() > 0 {
         tokio::time::sleep(DRAIN_POLL).await;
     }
+    if gw.host.send(ReturnLoans).await.is_err() {
+        log::error!(event = "actor-gone", host:% = gw.name; "");
+    }
+    tokio::time::sleep(RETURN_TIME).await;
     peers.abort();
     operators.abort();
     gw.tracing.shutdown();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,6 +52,7 @@
             Started, //
         },
     },
+    lookup::Table,
     metrics::{
         AnswerLabels,
         Metrics,
@@ -59,6 +60,7 @@
         ReasonLabel,
         RefusalLabels, //
     },
+    quarantine::Suspect,
     refusal::{
         Outcome,
         Reason,
@@ -95,6 +97,8 @@
     pub index: IndexInForce,
     /// The keys' standing, for running bodies.
     pub keys: Arc<Keys>,
+    /// The look-up table in force.
+    pub table: Arc<ArcSwapOption<Table>>,
     /// Connections to upstreams and other entry hosts.
     pub connections: Connections,
     /// Traces.
@@ -112,8 +116,8 @@
 
 impl FleetSecret {
     /// Returns the secret in the form of a header's value, or `None` where it cannot be one.
-    pub fn new(secret: &str) -> Option<Self> {
-        let mut value = hyper::header::HeaderValue::from_str(secret).ok()?;
+    pub fn new(secret: &[u8]) -> Option<Self> {
+        let mut value = hyper::header::HeaderValue::from_bytes(secret).ok()?;
         value.set_sensitive(true);
         Some(Self(value))
     }
@@ -142,19 +146,18 @@
 impl Gateway {
     /// Runs a request that was received, from its budget to its answer.
     pub async fn run(self: &Arc<Self>, call: Call, upload: Upload) -> Response<ProxyBody> {
-        let fingerprint = call.fingerprint(upload.held());
-        let started = self.start(&call, &upload, fingerprint).await;
+        let suspect = call.suspect(&upload);
+        let started = self.start(&call, suspect).await;
         let passage = Passage::new(self.host.clone(), Instant::now());
         match started {
             Ok(Started::Run { organisation }) => {
                 self.metrics.in_flight.inc();
-                let recorded = !call.route.idempotent && !call.is_local_only();
-                let permit = Permit::new(self.host.clone(), call.id.clone(), recorded);
+                let permit = Permit::new(self.host.clone(), call.id.clone());
                 let f = Forwarding {
                     call,
                     upload,
                     organisation,
-                    fingerprint,
+                    suspect,
                     permit,
                     passage,
                 };
@@ -163,12 +166,12 @@
             Ok(Started::Home { organisation, home }) => {
                 log::debug!(event = "sent-home", id:% = call.id, host:% = call.id.host; "");
                 self.metrics.in_flight.inc();
-                let permit = Permit::new(self.host.clone(), call.id.clone(), false);
+                let permit = Permit::new(self.host.clone(), call.id.clone());
                 let f = Forwarding {
                     call,
                     upload,
                     organisation,
-                    fingerprint,
+                    suspect,
                     permit,
                     passage,
                 };
@@ -179,21 +182,20 @@
         }
     }
 
-    async fn start(
-        &self,
-        call: &Call,
-        upload: &Upload,
-        fingerprint: u64,
-    ) -> Result<Started, Refusal> {
+    async fn start(&self, call: &Call, suspect: Suspect) -> Result<Started, Refusal> {
+        let own_region = self.region.load_full();
+        let mut first_try = None;
         loop {
             let msg = Start {
                 sender: call.sender.clone(),
                 route: call.route.name.clone(),
                 id: call.id.clone(),
-                fingerprint,
-                length: upload.length(),
-                waited: call.received.elapsed(),
+                suspect,
+                foreign: call.from_region.is_some()
+                    && call.from_region.as_ref() != own_region.as_deref(),
+                first_try,
             };
+            first_try = first_try.or(Some(Instant::now()));
             match self.host.send(msg).await {
                 Ok(Started::Wait(until)) if until < call.deadline => sleep_until(until).await,
                 Ok(started) => return Ok(started),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,7 +18,6 @@
     post::post,
     refusal::{
         Outcome,
-        Reason,
         Refusal, //
     },
     trace::HopSpan,
@@ -105,20 +104,18 @@
 pub struct Permit {
     host: Address<Host>,
     id: RequestId,
-    recorded: bool,
     outcome: Outcome,
-    reason: Option<Reason>,
+    status: u16,
 }
 
 impl Permit {
     /// Returns the permit of a request of which nothing has left yet.
-    pub fn new(host: Address<Host>, id: RequestId, recorded: bool) -> Self {
+    pub fn new(host: Address<Host>, id: RequestId) -> Self {
         Self {
             host,
             id,
-            recorded,
             outcome: Outcome::NotRun,
-            reason: None,
+            status: 0,
         }
     }
 
@@ -133,14 +130,15 @@
     }
 
     /// Records what is known of the run.
-    pub fn ended(&mut self, outcome: Outcome) {
+    pub fn ended(&mut self, outcome: Outcome, status: u16) {
         self.outcome = outcome;
+        self.status = status;
     }
 
     /// Records a refusal.
     pub fn refused(&mut self, refusal: &Refusal) {
         self.outcome = refusal.outcome;
-        self.reason = Some(refusal.reason);
+        self.status = refusal.reason.status();
     }
 }
 
@@ -149,8 +147,7 @@
         let msg = Finish {
             id: self.id.clone(),
             outcome: self.outcome,
-            reason: self.reason,
-            recorded: self.recorded,
+            status: self.status,
         };
         post(&self.host, msg);
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -40,6 +40,7 @@
         },
     },
     host::message::{
+        AskRetry,
         Choice,
         Choose,
         Target,
@@ -47,18 +48,25 @@
         TryFinished, //
     },
     post::post,
+    quarantine::Suspect,
     refusal::{
         Outcome,
         Reason,
         Refusal, //
     },
+    retry::{
+        Failure,
+        Retry, //
+    },
     trace,
     util::id::OrganisationName,
     wire,
 };
 
 /// Bytes that a head takes on a link beside its headers.
-const HEAD_BASE_BYTES: u64 = 64;
+const HEAD_BASE_BYTES: usize = 64;
+/// The reason of an upstream that refuses new work because it drains.
+const DRAINING: &[u8] = b"draining";
 
 /// What an entry host is asked to do with a forwarded request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,8 +96,8 @@
     pub upload: Upload,
     /// The organisation that it runs for.
     pub organisation: Option<OrganisationName>,
-    /// The digest that tells repeated requests apart.
-    pub fingerprint: u64,
+    /// What tells repeated requests apart.
+    pub suspect: Suspect,
     /// Its permit.
     pub permit: Permit,
     /// How its body passes.
@@ -100,10 +108,30 @@
 enum Tried {
     /// An answer to hand on.
     Answer(Box<Exchange>),
-    /// It did not start; another place may be tried.
-    NotStarted(Refusal),
-    /// It may have run.
-    Unknown(Reason),
+    /// No answer, or one that says that the request did not start.
+    Failed(Failed),
+}
+
+/// A try without an answer to hand on.
+#[derive(Clone, Copy, Debug)]
+struct Failed {
+    end: TryEnd,
+    refusal: Refusal,
+    draining: bool,
+}
+
+impl Failed {
+    const fn new(end: TryEnd, refusal: Refusal) -> Self {
+        Self {
+            end,
+            refusal,
+            draining: false,
+        }
+    }
+
+    const fn may_have_run(&self) -> bool {
+        !matches!(self.end, TryEnd::NotStarted | TryEnd::NotSent)
+    }
 }
 
 impl Gateway {
@@ -112,58 +140,71 @@
         let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
         let mut may_have_run = false;
         loop {
-            let target = match self.choose(&f, &tried, may_have_run).await {
+            let target = match self.choose(&f, &tried).await {
                 Ok(target) => target,
                 Err(refusal) => return self.refuse(f, refusal, may_have_run),
             };
             let sent = Instant::now();
-            let result = self.send_once(&mut f, &target, Forward::Run).await;
-            let (end, refusal) = match result {
+            let tried_so = self.send_once(&mut f, &target, Forward::Run).await;
+            let failed = match tried_so {
                 Tried::Answer(exchange) => return self.hand_on(f, target, *exchange, sent),
-                Tried::NotStarted(refusal) => (TryEnd::NotStarted, refusal),
-                Tried::Unknown(reason) => {
-                    may_have_run = true;
-                    let end = if reason == Reason::Deadline {
-                        TryEnd::TimedOut
-                    } else {
-                        TryEnd::Lost
-                    };
-                    (end, Refusal::unknown(reason))
-                }
+                Tried::Failed(failed) => failed,
             };
-            self.report_try(&f, &target, end, sent);
-            if matches!(end, TryEnd::NotStarted) && !may_have_run {
+            self.report_end(&f, &target, failed, sent.elapsed());
+            may_have_run |= failed.may_have_run();
+            if !may_have_run {
                 f.permit.came_back();
             }
-            let again = end == TryEnd::NotStarted || f.call.route.idempotent;
-            if !again || !f.upload.can_be_sent() || f.call.deadline <= Instant::now() {
-                return self.refuse(f, refusal, may_have_run);
+            tried.push(target);
+            if !self.may_send_again(&f, failed, tried.len()).await {
+                return self.refuse(f, failed.refusal, may_have_run);
             }
             self.metrics.retries.inc();
-            tried.push(target);
         }
     }
 
-    /// Sends a request to its home, which alone may run it.
-    pub async fn send_home(self: &Arc<Self>, mut f: Forwarding, home: Target) -> Response<ProxyBody> {
-        let sent = Instant::now();
-        match self.send_once(&mut f, &home, Forward::Home).await {
-            Tried::Answer(exchange) => self.hand_on(f, home, *exchange, sent),
-            Tried::NotStarted(refusal) if refusal.reason != Reason::Unreachable => {
-                self.refuse(f, refusal, false)
+    /// Asks whether a failed request may be sent again, and waits for its turn.
+    async fn may_send_again(&self, f: &Forwarding, failed: Failed, tries: usize) -> bool {
+        if !f.upload.can_be_sent() {
+            return false;
+        }
+        let failure = Failure {
+            idempotent: f.call.route.idempotent,
+            not_started: !failed.may_have_run(),
+            tries: u32::try_from(tries).unwrap_or(u32::MAX),
+            deadline: f.call.deadline,
+        };
+        match self.host.send(AskRetry(failure)).await {
+            Ok(Retry::After(pause)) => {
+                tokio::time::sleep(pause).await;
+                true
             }
-            // An earlier copy may have reached the home, so that nothing is known.
-            Tried::NotStarted(refusal) => self.refuse(f, refusal, true),
-            Tried::Unknown(reason) => self.refuse(f, Refusal::unknown(reason), true),
+            Ok(Retry::No(_)) | Err(_) => false,
         }
     }
 
+    /// Sends a request to its home, which alone may run it.
+    pub async fn send_home(
+        self: &Arc<Self>,
+        mut f: Forwarding,
+        home: Target,
+    ) -> Response<ProxyBody> {
+        let sent = Instant::now();
+        let failed = match self.send_once(&mut f, &home, Forward::Home).await {
+            Tried::Answer(exchange) => return self.hand_on(f, home, *exchange, sent),
+            Tried::Failed(failed) => failed,
+        };
+        // Where nothing left, an earlier copy may still have reached the home.
+        let may_have_run = failed.end != TryEnd::NotStarted;
+        self.refuse(f, failed.refusal, may_have_run)
+    }
+
     async fn choose(
         &self,
         f: &Forwarding,
         tried: &SmallVec<[Target; 2]>,
-        is_retry: bool,
     ) -> Result<Target, Refusal> {
+        let mut first_try = None;
         loop {
             let msg = Choose {
                 service: f.call.route.service.clone(),
@@ -171,10 +212,11 @@
                 id: f.call.id.clone(),
                 local_only: f.call.is_local_only(),
                 tried: tried.clone(),
-                is_retry,
-                fingerprint: f.fingerprint,
+                route: f.call.route.name.clone(),
                 length: f.upload.length(),
+                first_try,
             };
+            first_try = first_try.or(Some(Instant::now()));
             match self.host.send(msg).await {
                 Ok(Choice::Send(target)) => return Ok(target),
                 Ok(Choice::Refused(refusal)) => return Err(refusal),
@@ -212,11 +254,11 @@
             result = send => result,
             () = self.out_of_time(f) => {
                 trace::fail(&span, "deadline");
-                return Tried::Unknown(Reason::Deadline);
+                return failed(TryEnd::TimedOut, Refusal::unknown(Reason::Deadline));
             }
             () = self.withdrawn(f) => {
                 trace::fail(&span, "key withdrawn");
-                return Tried::Unknown(Reason::KeyUnknown);
+                return failed(TryEnd::Abandoned, Refusal::unknown(Reason::KeyUnknown));
             }
         };
         match result {
@@ -226,12 +268,12 @@
                 if let Some(req) = req {
                     f.upload.give_back(req.into_body());
                 }
-                Tried::NotStarted(Refusal::not_run(Reason::Unreachable))
+                failed(TryEnd::NotSent, Refusal::not_run(Reason::Unreachable))
             }
             Err(SendError::Lost { cause, .. }) => {
                 trace::fail(&span, "lost");
                 log::debug!(event = "try-lost", id:% = f.call.id, address:%, cause:%; "");
-                Tried::Unknown(Reason::UpstreamLost)
+                failed(TryEnd::Lost, Refusal::unknown(Reason::UpstreamLost))
             }
         }
     }
@@ -269,14 +311,17 @@
     fn judge(&self, exchange: Exchange, target: &Target) -> Tried {
         let headers = exchange.res.headers();
         match target {
-            Target::Upstream(_) if headers.contains_key(wire::NOT_STARTED) => {
-                Tried::NotStarted(Refusal::not_run(Reason::Overload))
-            }
+            Target::Upstream(_) => match headers.get(wire::NOT_STARTED) {
+                Some(why) => Tried::Failed(Failed {
+                    draining: why.as_bytes() == DRAINING,
+                    ..Failed::new(TryEnd::NotStarted, Refusal::not_run(Reason::Overload))
+                }),
+                None => Tried::Answer(Box::new(exchange)),
+            },
             Target::Gateway { .. } => match not_started(headers) {
-                Some(refusal) => Tried::NotStarted(refusal),
+                Some(refusal) => failed(TryEnd::NotStarted, refusal),
                 None => Tried::Answer(Box::new(exchange)),
             },
-            Target::Upstream(_) => Tried::Answer(Box::new(exchange)),
         }
     }
 
@@ -320,16 +365,21 @@
             Target::Upstream(_) => Outcome::Ran,
             Target::Gateway { .. } => outcome_of(&parts.headers),
         };
-        let reason = head::text(&parts.headers, wire::REASON).and_then(|t| Reason::from_bytes(t.as_bytes()));
+        let reason =
+            head::text(&parts.headers, wire::REASON).and_then(|t| t.parse::<Reason>().ok());
         head::remove_hop_by_hop(&mut parts.headers);
         head::remove_own(&mut parts.headers);
         head::set_answer_headers(&mut parts.headers, &f.call.id, &self.name, outcome);
         if let Some(reason) = reason {
             head::set(&mut parts.headers, wire::REASON, reason);
         }
-        f.permit.ended(outcome);
+        f.permit.ended(outcome, parts.status.as_u16());
         self.record_answer(&f.call, outcome, parts.status);
-        trace::annotate(&f.call.span, "http.response.status_code", i64::from(parts.status.as_u16()));
+        trace::annotate(
+            &f.call.span,
+            "http.response.status_code",
+            i64::from(parts.status.as_u16()),
+        );
         let body = self.answer_body(f, target, body, lease, sent);
         Response::from_parts(parts, body)
     }
@@ -351,7 +401,8 @@
                 true => TryEnd::Whole,
                 false => TryEnd::Broken,
             };
-            gw.report_end(&f, &target, end, took);
+            let failed = Failed::new(end, Refusal::unknown(Reason::UpstreamLost));
+            gw.report_end(&f, &target, failed, took);
             if whole {
                 lease.give_back();
             }
@@ -364,22 +415,25 @@
             .boxed_unsync()
     }
 
-    fn report_try(&self, f: &Forwarding, target: &Target, end: TryEnd, sent: Instant) {
-        self.report_end(f, target, end, sent.elapsed());
-    }
-
-    fn report_end(&self, f: &Forwarding, target: &Target, end: TryEnd, took: Duration) {
+    fn report_end(&self, f: &Forwarding, target: &Target, failed: Failed, took: Duration) {
+        let Failed { end, draining, .. } = failed;
         let msg = TryFinished {
             service: f.call.route.service.clone(),
             target: target.clone(),
             end,
-            fingerprint: f.fingerprint,
+            draining,
+            suspect: f.suspect,
             took,
         };
         post(&self.host, msg);
     }
 
-    fn refuse(&self, mut f: Forwarding, mut refusal: Refusal, may_have_run: bool) -> Response<ProxyBody> {
+    fn refuse(
+        &self,
+        mut f: Forwarding,
+        mut refusal: Refusal,
+        may_have_run: bool,
+    ) -> Response<ProxyBody> {
         if may_have_run {
             refusal.outcome = Outcome::Unknown;
         }
@@ -389,16 +443,22 @@
     }
 }
 
+fn failed(end: TryEnd, refusal: Refusal) -> Tried {
+    Tried::Failed(Failed::new(end, refusal))
+}
+
 /// Returns the bytes that a head takes on a link.
 fn head_bytes(headers: &hyper::HeaderMap) -> usize {
-    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
-    fields.sum::<usize>() + HEAD_BASE_BYTES as usize
+    let fields = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    fields.sum::<usize>() + HEAD_BASE_BYTES
 }
 
 /// Returns the outcome that an entry host told; an answer without one may have run.
 fn outcome_of(headers: &hyper::HeaderMap) -> Outcome {
-    let text = headers.get(wire::OUTCOME);
-    text.and_then(|v| Outcome::from_bytes(v.as_bytes()))
+    let text = head::text(headers, wire::OUTCOME);
+    text.and_then(|t| t.parse().ok())
         .unwrap_or(Outcome::Unknown)
 }
 
@@ -408,7 +468,7 @@
     if outcome_of(headers) != Outcome::NotRun {
         return None;
     }
-    let reason = Reason::from_bytes(headers.get(wire::REASON)?.as_bytes())?;
+    let reason = head::text(headers, wire::REASON)?.parse::<Reason>().ok()?;
     match reason {
         Reason::Overload
         | Reason::Stopping
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -1,7 +1,6 @@
 //! Reads and checks the heads of requests, from callers and from other entry hosts.
 
 use std::{
-    hash::Hasher,
     sync::Arc,
     time::Duration, //
 };
@@ -16,7 +15,6 @@
     Instant,
     timeout_at, //
 };
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     body::ProxyBody,
@@ -27,7 +25,7 @@
             Route, //
         },
     },
-    credential,
+    credential::scrub::scrub,
     gateway::{
         Gateway,
         call::{
@@ -38,6 +36,10 @@
         upload::Upload,
     },
     host::message::Sender,
+    quarantine::{
+        BODY_PREFIX_BYTES,
+        Suspect, //
+    },
     refusal::{
         Reason,
         Refusal, //
@@ -47,6 +49,7 @@
         HopSpan, //
     },
     util::id::{
+        KeyDigest,
         ObjectName,
         OrganisationName,
         RequestId,
@@ -107,7 +110,11 @@
         let received = Instant::now();
         let index = self.index_in_force()?;
         let route = find_route(&index, &parts)?;
-        let key = credential::take_key(&mut parts).map_err(|_| exposed())?;
+        let is_key = |digest: &KeyDigest| index.key(digest).is_some();
+        let headers = std::mem::take(&mut parts.headers);
+        let scrubbed = scrub(&parts.uri, headers, is_key).map_err(|_| exposed())?;
+        parts.headers = scrubbed.headers;
+        let key = scrubbed.key.map(|key| key.digest());
         if route.access == Access::Keyed && key.is_none() {
             return Err(Refusal::not_run(Reason::KeyMissing));
         }
@@ -188,23 +195,27 @@
             host: self.name.clone(),
             incarnation: self.incarnation,
             stamp: self.stamp(now),
-            nonce: nonce.parse().unwrap_or_else(|_| unreachable!("hex digits are a name")),
+            nonce: nonce
+                .parse()
+                .unwrap_or_else(|_| unreachable!("hex digits are a name")),
         }
     }
 }
 
 impl Call {
-    /// Returns the digest that tells a repeated request apart from others: of its
-    /// method, target and the held part of its body.
-    pub fn fingerprint(&self, body: &[u8]) -> u64 {
-        let mut hasher = Xxh3::new();
-        hasher.write(self.parts.method.as_str().as_bytes());
-        hasher.write(b" ");
+    /// Returns what tells a repeated request apart from others: its method, its
+    /// target and the beginning of its body.
+    pub fn suspect(&self, upload: &Upload) -> Suspect {
         let target = self.parts.uri.path_and_query();
-        hasher.write(target.map_or("", |t| t.as_str()).as_bytes());
-        hasher.write(b"\n");
-        hasher.write(body);
-        hasher.finish()
+        let held = upload.held();
+        let prefix = &held[..held.len().min(BODY_PREFIX_BYTES)];
+        Suspect::of(
+            self.named_organisation(),
+            self.parts.method.as_str(),
+            target.map_or("", |t| t.as_str()),
+            upload.length(),
+            prefix,
+        )
     }
 }
 
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -1,6 +1,9 @@
 //! Request bodies: small ones are held, so that they can be sent again.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 
 use arc_swap::ArcSwapOption;
 use bytes::{
@@ -45,7 +48,7 @@
     /// Not read yet; it can be sent once.
     Stream(Incoming),
     /// Came back from a connection on which nothing left.
-    Returned(ProxyBody),
+    Returned(Mutex<ProxyBody>),
     /// Gone with an earlier try.
     Spent,
 }
@@ -86,7 +89,7 @@
         match self {
             Self::Held(bytes) => Some(bytes.len() as u64),
             Self::Stream(body) => body.size_hint().exact(),
-            Self::Returned(body) => body.size_hint().exact(),
+            Self::Returned(body) => body.lock().ok().and_then(|b| b.size_hint().exact()),
             Self::Spent => None,
         }
     }
@@ -112,7 +115,9 @@
                     .with_cutoff(cutoff);
                 body.boxed_unsync()
             }
-            Self::Returned(body) => body,
+            Self::Returned(body) => body
+                .into_inner()
+                .unwrap_or_else(|poisoned| poisoned.into_inner()),
             Self::Spent => full(Bytes::new()),
         }
     }
@@ -120,7 +125,7 @@
     /// Takes back a body of which nothing left.
     pub fn give_back(&mut self, body: ProxyBody) {
         if matches!(self, Self::Spent) {
-            *self = Self::Returned(body);
+            *self = Self::Returned(Mutex::new(body));
         }
     }
 }
@@ -159,11 +164,14 @@
 /// Waits until the link to a region may carry these bytes, and pays for them.
 pub async fn pay(host: Address<Host>, to: RegionName, bytes: usize) {
     let bytes = bytes as u64;
+    let mut first_try = None;
     loop {
         let msg = Pay {
             to: to.clone(),
             bytes,
+            first_try,
         };
+        first_try = first_try.or(Some(Instant::now()));
         match host.send(msg).await {
             Ok(Some(until)) => tokio::time::sleep_until(until).await,
             Ok(None) | Err(_) => return,
--- a/src/host.rs
+++ b/src/host.rs
@@ -43,7 +43,7 @@
         Quorum,
         WhenStale, //
     },
-    explain::Journal,
+    explain::journal::Journal,
     gateway::{
         IndexInForce,
         keys::Keys, //
@@ -71,17 +71,23 @@
         Suspect, //
     },
     retry,
-    util::id::{
-        HostName,
-        Incarnation,
-        OrganisationName,
-        RegionName,
-        RequestId,
-        ServiceName,
-        ZoneName, //
+    util::{
+        id::{
+            HostName,
+            Incarnation,
+            ObjectName,
+            RegionName,
+            RequestId,
+            ServiceName,
+            ZoneName, //
+        },
+        units::ByteSize,
     },
 };
 
+/// Records that the journal holds.
+const JOURNAL_RECORDS: usize = 4096;
+
 /// What a host's actor is made from.
 #[derive(Debug)]
 pub struct HostConfig {
@@ -119,9 +125,12 @@
 #[derive(Debug)]
 struct Running {
     once: Option<Permit>,
-    organisation: Option<OrganisationName>,
     service: ServiceName,
-    alone: Option<Suspect>,
+    suspect: Suspect,
+    /// It entered the system at this host.
+    entered: bool,
+    /// It came from another region, to run here.
+    foreign: bool,
 }
 
 /// The state of an entry host.
@@ -147,8 +156,14 @@
     plans: BTreeMap<RegionName, Plan>,
     running: HashMap<RequestId, Running>,
     journal: Journal,
+    table: Option<Arc<Table>>,
+    headroom: HashMap<ObjectName, ByteSize>,
+    ledger_asked: Option<Instant>,
+    ledger_due: bool,
+    others_changed: bool,
     leaving: bool,
     ticks: u64,
+    ticked: Instant,
     rng: StdRng,
 }
 
@@ -181,9 +196,15 @@
             others: BTreeMap::new(),
             plans: BTreeMap::new(),
             running: HashMap::new(),
-            journal: Journal::new(),
+            journal: Journal::new(JOURNAL_RECORDS),
+            table: None,
+            headroom: HashMap::new(),
+            ledger_asked: None,
+            ledger_due: true,
+            others_changed: false,
             leaving: false,
             ticks: 0,
+            ticked: now,
             rng: StdRng::seed_from_u64(cfg.seed),
             cfg,
         }
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -19,6 +19,7 @@
     host::{
         Host,
         message::{
+            AskRetry,
             Choice,
             Choose,
             Pay,
@@ -34,7 +35,6 @@
     membership::PeerState,
     plan::WEIGHT_WHOLE,
     pool::{
-        self,
         Pick,
         upstream::Outcome, //
     },
@@ -42,7 +42,10 @@
         Reason,
         Refusal, //
     },
-    retry,
+    retry::{
+        self,
+        Retry, //
+    },
     route::{
         self,
         Candidate, //
@@ -60,8 +63,6 @@
 
 /// The bytes that a request of unknown length is expected to bring onto a link.
 const LENGTH_UNKNOWN_BYTES: u64 = 64 * 1024;
-/// The bytes that an answer is expected to bring onto a link.
-const ANSWER_BYTES: u64 = 16 * 1024;
 /// The one-way delay between zones of one region.
 const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
 
@@ -74,6 +75,14 @@
     }
 }
 
+impl Handler<AskRetry> for Host {
+    type Return = Retry;
+
+    async fn handle(&mut self, msg: AskRetry, _cx: &mut Context<Self>) -> Retry {
+        retry::decide(&mut self.retries, Instant::now(), msg.0, &mut self.rng)
+    }
+}
+
 impl Handler<TryFinished> for Host {
     type Return = ();
 
@@ -92,10 +101,7 @@
 
 impl Host {
     fn choose(&mut self, now: Instant, msg: &Choose) -> Choice {
-        if msg.is_retry && !self.retries.spend() {
-            return Choice::Refused(Refusal::not_run(Reason::Overload));
-        }
-        if !msg.is_retry && msg.tried.is_empty() {
+        if msg.tried.is_empty() && msg.first_try.is_none() {
             self.retries.earn();
         }
         let choice = match msg.local_only {
@@ -388,7 +394,11 @@
     ) -> (u32, std::time::Duration, bool) {
         if *zone == self.cfg.zone {
             let own = self.pools.get(service).map_or(0, |p| p.free_slots(now));
-            return (own + self.free_of_peers(service), std::time::Duration::ZERO, true);
+            return (
+                own + self.free_of_peers(service),
+                std::time::Duration::ZERO,
+                true,
+            );
         }
         let mut free = 0;
         let mut age = std::time::Duration::MAX;
@@ -447,6 +457,13 @@
         }
     }
 
+    /// Returns the gateways of the own zone.
+    fn zone_size(&self) -> u32 {
+        let members = self.ledger.as_ref().and_then(|l| l.members.last());
+        let n = members.map_or(1, |m| m.hosts.len().max(1));
+        u32::try_from(n).unwrap_or(u32::MAX)
+    }
+
     fn retry_after(&self, now: Instant, service: &ServiceName) -> std::time::Duration {
         let pool = self.pools.get(service);
         pool.map_or(retry::RETRY_AFTER_MIN, |p| p.retry_after(now))
@@ -497,8 +514,3 @@
     }
     basis
 }
-
-/// Returns the bytes that an answer is expected to bring onto a link.
-pub const fn expected_answer() -> ByteSize {
-    ByteSize(ANSWER_BYTES)
-}
--- a/src/host/loads.rs
+++ b/src/host/loads.rs
@@ -1,12 +1,27 @@
 //! The load of this host and what others report of theirs.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    net::SocketAddr, //
+};
 
+use bytes::Bytes;
+use serde::Deserialize;
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
 
 use crate::{
     control::ServiceLoad,
+    host::Host,
+    pool::upstream::{
+        self,
+        ReportedLoad,
+        ReportedState, //
+    },
     util::id::{
         HostName,
         ServiceName,
@@ -23,6 +38,71 @@
     pub heard: Instant,
     /// Its load of each service.
     pub loads: SmallVec<[ServiceLoad; 4]>,
+    /// Whether it gave its shares back and stops.
+    pub released: bool,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug)]
+pub struct Reported {
+    /// The upstream.
+    pub address: SocketAddr,
+    /// When it was asked.
+    pub measured: Instant,
+    /// Its health report, where it gave one.
+    pub health: Option<Bytes>,
+    /// Its load report, where it gave one.
+    pub load: Option<Bytes>,
+}
+
+/// An upstream's health report.
+#[derive(Debug, Deserialize)]
+struct Health {
+    state: HealthState,
+}
+
+/// The state in a health report.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum HealthState {
+    Ready,
+    Draining,
+    Cold,
+}
+
+/// An upstream's load report.
+#[derive(Debug, Deserialize)]
+struct Load {
+    in_flight: u32,
+    slots: u32,
+}
+
+impl Handler<Reported> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Reported, _cx: &mut Context<Self>) {
+        let health = msg.health.as_deref().map(serde_json::from_slice::<Health>);
+        let Some(Ok(health)) = health else {
+            return;
+        };
+        let load = msg.load.as_deref().map(serde_json::from_slice::<Load>);
+        let reported = upstream::Reported {
+            state: match health.state {
+                HealthState::Ready => ReportedState::Ready,
+                HealthState::Draining => ReportedState::Draining,
+                HealthState::Cold => ReportedState::Cold,
+            },
+            load: load.and_then(Result::ok).map(|l| ReportedLoad {
+                in_flight: l.in_flight,
+                slots: l.slots,
+            }),
+            measured: msg.measured,
+        };
+        let now = Instant::now();
+        for pool in self.pools.values_mut() {
+            pool.report(now, msg.address, reported);
+        }
+    }
 }
 
 /// What this host counts of one service.
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 
 use smallvec::SmallVec;
+use tokio::time::Instant;
 
 use crate::{
+    quarantine::Suspect,
     refusal::{
         Outcome,
-        Reason,
         Refusal, //
     },
+    retry::Failure,
     util::id::{
         HostName,
         KeyDigest,
@@ -42,12 +44,12 @@
     pub route: ObjectName,
     /// Its id.
     pub id: RequestId,
-    /// The digest that tells repeated requests apart.
-    pub fingerprint: u64,
-    /// Bytes of its body, where known.
-    pub length: Option<u64>,
-    /// How long it has waited so far.
-    pub waited: std::time::Duration,
+    /// What tells repeated requests apart.
+    pub suspect: Suspect,
+    /// Whether it came from another region.
+    pub foreign: bool,
+    /// When it was first asked about, where it was told to wait.
+    pub first_try: Option<Instant>,
 }
 
 /// The answer to [`Start`].
@@ -66,7 +68,7 @@
         home: Target,
     },
     /// The organisation's budget may grow until this instant; ask again then.
-    Wait(tokio::time::Instant),
+    Wait(Instant),
     /// It must not run.
     Refused(Refusal),
 }
@@ -82,16 +84,20 @@
     pub id: RequestId,
     /// Whether only upstreams of the own zone may be chosen.
     pub local_only: bool,
+    /// The route that it matched.
+    pub route: ObjectName,
     /// The places that were tried before.
     pub tried: SmallVec<[Target; 2]>,
-    /// Whether an earlier try may have run.
-    pub is_retry: bool,
-    /// The digest that tells repeated requests apart.
-    pub fingerprint: u64,
     /// Bytes of its body, where known.
     pub length: Option<u64>,
+    /// When it was first asked about, where it was told to wait.
+    pub first_try: Option<Instant>,
 }
 
+/// Asks whether a failed request may be sent again, and after which pause.
+#[derive(Clone, Copy, Debug)]
+pub struct AskRetry(pub Failure);
+
 /// A place to send a request to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -116,7 +122,7 @@
     /// Send it there.
     Send(Target),
     /// Ask again at this instant.
-    Wait(tokio::time::Instant),
+    Wait(Instant),
     /// No place is left.
     Refused(Refusal),
 }
@@ -149,8 +155,10 @@
     pub target: Target,
     /// How it ended.
     pub end: TryEnd,
-    /// The digest that tells repeated requests apart.
-    pub fingerprint: u64,
+    /// Whether its upstream said that it drains.
+    pub draining: bool,
+    /// What tells repeated requests apart.
+    pub suspect: Suspect,
     /// The time from sending the request to its answer's head.
     pub took: std::time::Duration,
 }
@@ -162,10 +170,8 @@
     pub id: RequestId,
     /// What is known of its run.
     pub outcome: Outcome,
-    /// The reason, where it was refused.
-    pub reason: Option<Reason>,
-    /// Whether its id had been recorded.
-    pub recorded: bool,
+    /// The status of the answer, zero without one.
+    pub status: u16,
 }
 
 /// Asks for the right to send bytes to another region.
@@ -175,4 +181,29 @@
     pub to: RegionName,
     /// The bytes.
     pub bytes: u64,
+    /// When the right was first asked for, where it was told to wait.
+    pub first_try: Option<Instant>,
+}
+
+/// Tells that this host leaves the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Leave;
+
+/// Gives all loans back; sent when the last request has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnLoans;
+
+/// Asks for the host's status.
+#[derive(Clone, Copy, Debug)]
+pub struct GetStatus;
+
+/// Asks for explanations.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Explain {
+    /// What was decided about a request.
+    Request(RequestId),
+    /// The latest refusals.
+    Refusals,
+    /// The latest steps of the plan.
+    Plan,
 }
--- /dev/null
+++ b/src/host/news.rs
@@ -0,0 +1,567 @@
+//! What hosts tell one another: heartbeats, loans, and what is newer elsewhere.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use rand::RngExt;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+
+use crate::{
+    adoption::Source,
+    control::{
+        Beat,
+        ControlReply,
+        ControlRequest,
+        LedgerAt,
+        Ledgers,
+        ServiceLoad, //
+    },
+    host::{
+        Host,
+        errand::Errand,
+        loads::Report,
+        message::{
+            Leave,
+            ReturnLoans, //
+        },
+    },
+    ledger::Ledger,
+    membership::{
+        Claim,
+        Facts,
+        Gossip,
+        LoadSummary,
+        PERIOD,
+        PeerState,
+        Probe, //
+    },
+    store::ListedHost,
+    util::id::{
+        HostName,
+        ZoneName, //
+    },
+};
+
+/// How often the actor is told to look at its clocks.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Ticks in one heartbeat period.
+const TICKS_PER_PERIOD: u64 = PERIOD.as_millis() as u64 / TICK.as_millis() as u64;
+/// Heartbeat periods between two reads of the platform's list.
+const LIST_PERIODS: u64 = 30;
+/// Heartbeat periods between two looks at the upstreams' own reports.
+const HEALTH_PERIODS: u64 = 2;
+/// Suspect requests that one message passes on.
+const SUSPECTS_PASSED: usize = 64;
+/// A gap between two ticks after which the zone's ledger is asked for again.
+const LEDGER_GAP: Duration = Duration::from_secs(2);
+/// Heartbeat periods between two questions for a missing ledger.
+const LEDGER_ASK_PERIODS: u64 = 1;
+
+/// Looks at all clocks; sent every [`TICK`].
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// A control request of another host, to be answered.
+#[derive(Debug)]
+pub struct Answer(pub ControlRequest);
+
+/// The result of [`Errand::Control`].
+#[derive(Debug)]
+pub struct Answered {
+    /// The host that was asked.
+    pub to: HostName,
+    /// When it was asked.
+    pub asked: Instant,
+    /// What it was asked.
+    pub msg: ControlRequest,
+    /// Its answer; none where none came.
+    pub reply: Option<ControlReply>,
+}
+
+/// The platform's list of hosts.
+#[derive(Debug)]
+pub struct Listed(pub Vec<ListedHost>);
+
+/// Asks for a heartbeat to send to a host on another's behalf.
+#[derive(Debug)]
+pub struct ProbeFor(pub HostName);
+
+/// A heartbeat that a probe on another's behalf brought.
+#[derive(Debug)]
+pub struct Heard(pub Box<Beat>);
+
+/// Asks for a heartbeat to send to an address whose host is not known yet.
+#[derive(Debug)]
+pub struct Greeting;
+
+/// Asks for a host's address for other entry hosts.
+#[derive(Debug)]
+pub struct AddressOf(pub HostName);
+
+impl Handler<Greeting> for Host {
+    type Return = Box<Beat>;
+
+    async fn handle(&mut self, _msg: Greeting, _cx: &mut Context<Self>) -> Box<Beat> {
+        let name = self.cfg.name.clone();
+        Box::new(self.beat(Instant::now(), &name))
+    }
+}
+
+impl Handler<AddressOf> for Host {
+    type Return = Option<SocketAddr>;
+
+    async fn handle(&mut self, msg: AddressOf, _cx: &mut Context<Self>) -> Option<SocketAddr> {
+        self.membership.peer(&msg.0).map(|p| p.contact.peers)
+    }
+}
+
+impl Handler<ReturnLoans> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, _msg: ReturnLoans, _cx: &mut Context<Self>) {
+        self.return_loans(Instant::now());
+        self.tell_all(Instant::now());
+    }
+}
+
+impl Handler<Tick> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, _msg: Tick, _cx: &mut Context<Self>) {
+        self.tick(Instant::now());
+    }
+}
+
+impl Handler<Answer> for Host {
+    type Return = ControlReply;
+
+    async fn handle(&mut self, msg: Answer, _cx: &mut Context<Self>) -> ControlReply {
+        self.answer(Instant::now(), msg.0)
+    }
+}
+
+impl Handler<Answered> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Answered, _cx: &mut Context<Self>) {
+        self.answered(Instant::now(), msg);
+    }
+}
+
+impl Handler<Listed> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Listed, _cx: &mut Context<Self>) {
+        self.membership.on_list(Instant::now(), &msg.0);
+    }
+}
+
+impl Handler<ProbeFor> for Host {
+    type Return = Option<(SocketAddr, Box<Beat>)>;
+
+    async fn handle(
+        &mut self,
+        msg: ProbeFor,
+        _cx: &mut Context<Self>,
+    ) -> Option<(SocketAddr, Box<Beat>)> {
+        let address = self.membership.peer(&msg.0)?.contact.peers;
+        let beat = self.beat(Instant::now(), &msg.0);
+        Some((address, Box::new(beat)))
+    }
+}
+
+impl Handler<Heard> for Host {
+    type Return = Option<Gossip>;
+
+    async fn handle(&mut self, msg: Heard, _cx: &mut Context<Self>) -> Option<Gossip> {
+        let now = Instant::now();
+        self.membership.on_reply(now, &msg.0.heartbeat);
+        self.learn(now, &msg.0);
+        let h = &msg.0.heartbeat;
+        Some(Gossip {
+            host: h.from.clone(),
+            incarnation: h.incarnation,
+            stamp: h.stamp,
+            age_seconds: 0,
+            claim: match h.leaving {
+                true => Claim::Leaving,
+                false => Claim::Live,
+            },
+            contact: Some(h.contact.clone()),
+        })
+    }
+}
+
+impl Handler<Leave> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, _msg: Leave, _cx: &mut Context<Self>) {
+        self.leaving = true;
+        self.membership.leave();
+        self.rebuild_table(Instant::now());
+        self.tell_all(Instant::now());
+    }
+}
+
+impl Host {
+    fn tick(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        if gap > LEDGER_GAP {
+            self.ledger_due = true;
+        }
+        self.ticks += 1;
+        self.budgets.on_tick(now);
+        self.ask_for_loans(now);
+        for pool in self.pools.values_mut() {
+            pool.tick(now);
+        }
+        self.ask_for_generation(now);
+        self.publish_keys();
+        if self.ticks.is_multiple_of(TICKS_PER_PERIOD) {
+            self.period(now, self.ticks / TICKS_PER_PERIOD);
+        }
+    }
+
+    fn period(&mut self, now: Instant, period: u64) {
+        self.membership.tick(now);
+        self.once.tick(now);
+        self.quarantine.tick(now);
+        let membership = &self.membership;
+        self.loads.retain(|host| membership.peer(host).is_some());
+        self.refresh_headroom(now);
+        self.rebuild_table(now);
+        self.set_facts(now);
+        for probe in self.membership.probes(now, &mut self.rng) {
+            self.probe(now, probe);
+        }
+        if (self.ledger_due || self.budgets.needs_validation())
+            && period.is_multiple_of(LEDGER_ASK_PERIODS)
+        {
+            self.ask_for_ledger(now);
+        }
+        // Hosts do not read the list all at once.
+        let offset = self.cfg.seed % LIST_PERIODS;
+        if (period + offset).is_multiple_of(LIST_PERIODS) {
+            self.send(Errand::List);
+        }
+        if period.is_multiple_of(HEALTH_PERIODS) {
+            self.ask_for_health();
+        }
+    }
+
+    fn probe(&mut self, now: Instant, probe: Probe) {
+        match probe {
+            Probe::Direct { to, address } => {
+                let beat = Box::new(self.beat(now, &to));
+                let msg = ControlRequest::Beat(beat);
+                self.send(Errand::Control { to, address, msg });
+            }
+            Probe::Indirect {
+                via,
+                address,
+                target,
+            } => {
+                let msg = ControlRequest::Probe(target);
+                self.send(Errand::Control {
+                    to: via,
+                    address,
+                    msg,
+                });
+            }
+        }
+    }
+
+    /// Tells every known host of the own zone at once that something changed.
+    pub(super) fn tell_all(&mut self, now: Instant) {
+        self.set_facts(now);
+        let zone = self.cfg.zone.clone();
+        let peers: Vec<(HostName, SocketAddr)> = self
+            .membership
+            .zone_hosts(&zone)
+            .map(|p| (p.name.clone(), p.contact.peers))
+            .collect();
+        for (to, address) in peers {
+            self.probe(now, Probe::Direct { to, address });
+        }
+    }
+
+    fn set_facts(&mut self, now: Instant) {
+        let counts = self.pools_are_shrunk();
+        let acknowledged = self.budgets.acknowledged(now).filter(|_| counts);
+        let facts = Facts {
+            generation: self.adoption.current(),
+            ledger: acknowledged.unwrap_or_default().0,
+            withdrawn: self.credentials.summary(),
+            news: self.credentials.news(now),
+            suspects: self.quarantine.summary(),
+            load: LoadSummary {
+                in_flight: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+                admitted: 0,
+                refused: 0,
+            },
+        };
+        self.membership.set_facts(facts);
+    }
+
+    /// Returns the heartbeat to send to a host.
+    fn beat(&mut self, now: Instant, to: &HostName) -> Beat {
+        Beat {
+            heartbeat: self.membership.heartbeat(now, to, &mut self.rng),
+            loads: self.own_loads(now),
+            ledgers: self.ledger_sum(),
+            plans: self.plan_sum(),
+            released: self.leaving && self.budgets.is_released(now),
+        }
+    }
+
+    fn own_loads(&self, now: Instant) -> SmallVec<[ServiceLoad; 4]> {
+        let mut loads = SmallVec::new();
+        for (service, pool) in &self.pools {
+            loads.push(ServiceLoad {
+                service: service.clone(),
+                free: if self.leaving {
+                    0
+                } else {
+                    pool.free_slots(now)
+                },
+                usable: pool.capacity(now),
+                foreign: self.loads.foreign(service),
+                entered: self.loads.in_flight(service),
+                bytes_in: 0,
+                bytes_out: 0,
+            });
+        }
+        loads
+    }
+
+    fn answer(&mut self, now: Instant, msg: ControlRequest) -> ControlReply {
+        match msg {
+            ControlRequest::Beat(beat) => {
+                let reply = self
+                    .membership
+                    .on_heartbeat(now, &beat.heartbeat, &mut self.rng);
+                self.learn(now, &beat);
+                let from = beat.heartbeat.from.clone();
+                let mut own = self.beat(now, &from);
+                own.heartbeat = reply;
+                ControlReply::Beat(Box::new(own))
+            }
+            ControlRequest::Probe(_) => ControlReply::Probed(None),
+            ControlRequest::Loan(req) => {
+                ControlReply::Loan(self.budgets.on_loan_request(now, &req))
+            }
+            ControlRequest::Return(returned) => {
+                self.budgets.on_loan_return(now, &returned);
+                ControlReply::Done
+            }
+            ControlRequest::Configuration(have) => {
+                ControlReply::Configuration(self.configuration_since(have))
+            }
+            ControlRequest::Withdrawn(page) => {
+                let reply = self.credentials.answer_page(&page);
+                self.credentials.on_page(&page);
+                self.publish_keys();
+                ControlReply::Withdrawn(reply)
+            }
+            ControlRequest::Suspects(entries) => {
+                self.quarantine.merge(now, &entries);
+                ControlReply::Suspects(self.quarantine.entries(now, SUSPECTS_PASSED))
+            }
+            ControlRequest::Ledgers(have) => ControlReply::Ledgers(self.ledgers_since(&have)),
+            ControlRequest::Plans => ControlReply::Plans(self.plans.values().cloned().collect()),
+        }
+    }
+
+    fn answered(&mut self, now: Instant, answered: Answered) {
+        let Answered {
+            to,
+            asked,
+            msg,
+            reply,
+        } = answered;
+        match (msg, reply) {
+            (ControlRequest::Beat(_), None) => self.membership.on_silence(now, &to),
+            (ControlRequest::Beat(_), Some(ControlReply::Beat(beat))) => {
+                self.membership.on_reply(now, &beat.heartbeat);
+                let h = &beat.heartbeat;
+                self.credentials
+                    .on_peer(asked, &h.contact.zone, h.facts.withdrawn, &h.facts.news);
+                self.learn(now, &beat);
+            }
+            (ControlRequest::Probe(target), Some(ControlReply::Probed(heard))) => {
+                self.membership.on_indirect(now, &target, heard.as_ref());
+            }
+            (ControlRequest::Probe(target), _) => self.membership.on_indirect(now, &target, None),
+            (ControlRequest::Loan(_), Some(ControlReply::Loan(Some(reply)))) => {
+                self.budgets.on_loan_reply(now, &reply);
+            }
+            (ControlRequest::Withdrawn(_), Some(ControlReply::Withdrawn(page))) => {
+                self.credentials.on_page(&page);
+                self.publish_keys();
+            }
+            (ControlRequest::Suspects(_), Some(ControlReply::Suspects(entries))) => {
+                self.quarantine.merge(now, &entries);
+            }
+            (ControlRequest::Ledgers(_), Some(ControlReply::Ledgers(ledgers))) => {
+                self.take_ledgers(now, asked, ledgers);
+            }
+            (ControlRequest::Plans, Some(ControlReply::Plans(plans))) => {
+                for plan in plans {
+                    self.take_plan(now, plan);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in what a heartbeat tells beyond membership, and asks for what is newer.
+    fn learn(&mut self, now: Instant, beat: &Beat) {
+        let h = &beat.heartbeat;
+        let report = Report {
+            zone: h.contact.zone.clone(),
+            heard: now,
+            loads: beat.loads.clone(),
+            released: beat.released,
+        };
+        for load in &beat.loads {
+            if h.contact.zone != self.cfg.zone {
+                continue;
+            }
+            if let Some(pool) = self.pools.get_mut(&load.service) {
+                pool.set_peer_free(now, &h.from, load.free);
+            }
+        }
+        self.loads.report(&h.from, report);
+        let source = Source::Peer(h.from.clone());
+        self.adoption.offer(now, source, h.facts.generation);
+        let (to, address) = (h.from.clone(), h.contact.peers);
+        let ask = |msg| Errand::Control {
+            to: to.clone(),
+            address,
+            msg,
+        };
+        if h.facts.withdrawn != self.credentials.summary() {
+            self.send(ask(ControlRequest::Withdrawn(self.credentials.ask_page())));
+        }
+        if h.facts.suspects != self.quarantine.summary() {
+            let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
+            self.send(ask(ControlRequest::Suspects(entries)));
+        }
+        if beat.ledgers != self.ledger_sum() {
+            self.send(ask(ControlRequest::Ledgers(self.known_ledgers())));
+        }
+        if beat.plans != self.plan_sum() {
+            self.send(ask(ControlRequest::Plans));
+        }
+    }
+
+    /// Sends the loan requests that are due.
+    pub(super) fn ask_for_loans(&mut self, now: Instant) {
+        for (to, req) in self.budgets.loan_requests(now) {
+            let Some(peer) = self.membership.peer(&to) else {
+                continue;
+            };
+            let address = peer.contact.peers;
+            let msg = ControlRequest::Loan(req);
+            self.send(Errand::Control { to, address, msg });
+        }
+    }
+
+    /// Gives all loans back before a stop.
+    pub(super) fn return_loans(&mut self, now: Instant) {
+        for (to, returned) in self.budgets.return_all(now) {
+            let Some(peer) = self.membership.peer(&to) else {
+                continue;
+            };
+            let address = peer.contact.peers;
+            let msg = ControlRequest::Return(returned);
+            self.send(Errand::Control { to, address, msg });
+        }
+    }
+
+    /// Asks a host of the zone for the ledger that it counts by.
+    fn ask_for_ledger(&mut self, now: Instant) {
+        let zone = self.cfg.zone.clone();
+        let peers: Vec<(HostName, SocketAddr)> = self
+            .membership
+            .zone_hosts(&zone)
+            .filter(|p| self.membership.state(now, &p.name) == Some(PeerState::Live))
+            .map(|p| (p.name.clone(), p.contact.peers))
+            .collect();
+        if peers.is_empty() {
+            return;
+        }
+        let (to, address) = peers[self.rng.random_range(0..peers.len())].clone();
+        let msg = ControlRequest::Ledgers(self.known_ledgers());
+        self.send(Errand::Control { to, address, msg });
+    }
+
+    fn ask_for_health(&self) {
+        let mut addresses = Vec::new();
+        for pool in self.pools.values() {
+            addresses.extend(pool.upstreams().iter().map(|u| u.address()));
+        }
+        if !addresses.is_empty() {
+            self.send(Errand::Health(addresses));
+        }
+    }
+
+    fn known_ledgers(&self) -> Vec<LedgerAt> {
+        let all = self.ledger.iter().chain(self.others.values());
+        all.map(|l| LedgerAt {
+            zone: l.zone.clone(),
+            revision: l.revision,
+        })
+        .collect()
+    }
+
+    fn ledger_sum(&self) -> u64 {
+        let all = self.ledger.iter().chain(self.others.values());
+        all.map(|l| l.revision.0)
+            .fold(0, |sum, r| sum.wrapping_add(r))
+    }
+
+    fn plan_sum(&self) -> u64 {
+        let plans = self.plans.values();
+        plans
+            .map(|p| (p.term << 32).wrapping_add(p.number))
+            .fold(0, |sum, n| sum.wrapping_add(n))
+    }
+
+    fn ledgers_since(&mut self, have: &[LedgerAt]) -> Ledgers {
+        let newer = |l: &&Ledger| {
+            let held = have.iter().find(|h| h.zone == l.zone);
+            held.is_none_or(|h| h.revision < l.revision)
+        };
+        let all = self.ledger.iter().chain(self.others.values());
+        let ledgers = all.filter(newer).cloned().collect();
+        let revision = self.budgets.revision();
+        Ledgers {
+            zone: self.cfg.zone.clone(),
+            counts: !self.budgets.needs_validation() && !self.ledger_due,
+            revision,
+            ledgers,
+        }
+    }
+
+    fn take_ledgers(&mut self, now: Instant, asked: Instant, received: Ledgers) {
+        let is_of_zone = |zone: &ZoneName| *zone == self.cfg.zone;
+        let from_own_zone = is_of_zone(&received.zone);
+        for ledger in received.ledgers {
+            self.take_ledger(ledger);
+        }
+        let held = self.ledger.as_ref().map(|l| l.revision);
+        // A host of the zone that counts by the same revision proves that it is in force.
+        if from_own_zone && received.counts && held == Some(received.revision) {
+            self.count_by_ledger(now, asked);
+        }
+    }
+}
--- a/src/host/start.rs
+++ b/src/host/start.rs
@@ -18,8 +18,7 @@
     credential::Standing,
     explain::Decision,
     host::{
-        Host,
-        Running,
+        Host, Running,
         message::{
             Finish,
             Sender,
@@ -89,7 +88,7 @@
         }
         self.admit_suspect(now, msg.suspect)?;
         if let Sender::Run(_) = msg.sender {
-            self.remember(msg, route, organisation.clone(), None);
+            self.remember(msg, route, None);
             return Ok(Started::Run { organisation });
         }
         let permit = match route.idempotent {
@@ -98,7 +97,7 @@
         };
         match self.debit(now, organisation.as_ref(), msg) {
             Ok(None) => {
-                self.remember(msg, route, organisation.clone(), permit);
+                self.remember(msg, route, permit);
                 Ok(Started::Run { organisation })
             }
             Ok(Some(until)) => {
@@ -197,7 +196,8 @@
         organisation: &Option<OrganisationName>,
         msg: &Start,
     ) -> Result<Permit, Refusal> {
-        let fingerprint = RequestFingerprint::with_body(organisation.as_ref(), msg.fingerprint);
+        let fingerprint =
+            RequestFingerprint::of(organisation.as_ref(), "", &msg.suspect.to_string());
         match self.once.begin(now, &msg.id, fingerprint) {
             Begin::Run(permit) => Ok(permit),
             Begin::InProgress => Err(Refusal::unknown(Reason::InProgress)),
@@ -249,13 +249,7 @@
         }
     }
 
-    fn remember(
-        &mut self,
-        msg: &Start,
-        route: &Route,
-        organisation: Option<OrganisationName>,
-        once: Option<Permit>,
-    ) {
+    fn remember(&mut self, msg: &Start, route: &Route, once: Option<Permit>) {
         let entered = !matches!(msg.sender, Sender::Run(_));
         match entered {
             true => self.loads.entered(&route.service),
@@ -264,7 +258,6 @@
         }
         let running = Running {
             once,
-            organisation,
             service: route.service.clone(),
             suspect: msg.suspect,
             entered,
@@ -300,7 +293,10 @@
 
     fn record_refusal(&mut self, now: Instant, msg: &Start, refusal: Refusal) {
         let organisation = match &msg.sender {
-            Sender::Caller(Some(digest)) => self.credentials.organisation_of(digest).cloned(),
+            Sender::Caller(Some(digest)) => {
+                let key = self.index.as_ref().and_then(|index| index.key(digest));
+                key.map(|key| key.organisation.clone())
+            }
             Sender::Caller(None) => None,
             Sender::Home(organisation) | Sender::Run(organisation) => organisation.clone(),
         };
--- /dev/null
+++ b/src/host/status.rs
@@ -0,0 +1,319 @@
+//! What operators are told: status and explanations.
+
+use std::time::Duration;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+
+use crate::{
+    budget::Holding,
+    explain::{
+        Basis,
+        Decision,
+        Measurement,
+        Record,
+        Subject, //
+    },
+    host::{
+        Host,
+        message::{
+            Explain,
+            GetStatus, //
+        },
+    },
+    membership::PeerState,
+    plan::Plan,
+    refusal::Reason,
+    share::Resource,
+    util::id::{
+        Generation,
+        HostName,
+        Incarnation,
+        ObjectName,
+        OrganisationName,
+        RequestId,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// What a host says of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// Its name.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// How long it has run, in milliseconds.
+    pub uptime_ms: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// The generation that it serves by.
+    pub generation: Option<Generation>,
+    /// The revision of its zone's ledger that it counts by; none before it does.
+    pub ledger: Option<u64>,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Milliseconds since its news of keys was current; none without news.
+    pub keys_age_ms: Option<u64>,
+    /// The keys known to be withdrawn.
+    pub withdrawn: u32,
+    /// The other hosts that it knows.
+    pub peers: Vec<PeerStatus>,
+    /// Its upstreams.
+    pub upstreams: Vec<UpstreamStatus>,
+    /// Its budgets.
+    pub budgets: Vec<BudgetStatus>,
+    /// Its region's steering plan.
+    pub plan: Option<Plan>,
+}
+
+/// What a host knows of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Its name.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// What it is taken for.
+    pub state: String,
+    /// The generation that it serves by.
+    pub generation: Option<Generation>,
+}
+
+/// What a host knows of an upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// Its state.
+    pub state: String,
+    /// This host's requests that run there.
+    pub running: u32,
+    /// This host's slots there.
+    pub share: u32,
+}
+
+/// What a host may spend of one quantity.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BudgetStatus {
+    /// The organisation or link.
+    pub name: String,
+    /// Its own share a second, in thousandths of requests or in bytes.
+    pub principal_rate: u64,
+    /// What it lent a second.
+    pub lent_rate: u64,
+    /// What it borrowed a second.
+    pub borrowed_rate: u64,
+    /// What it may spend at once.
+    pub tokens: u64,
+    /// What was asked of it a second lately.
+    pub demand: u64,
+    /// Debits granted since the start.
+    pub granted: u64,
+    /// Debits refused since the start.
+    pub refused: u64,
+}
+
+impl Explain {
+    /// Reads a question from a query.
+    pub fn from_query(query: &str) -> Option<Self> {
+        for pair in query.split('&') {
+            match pair.split_once('=').unwrap_or((pair, "")) {
+                ("request", id) => return id.parse().ok().map(Self::Request),
+                ("refusals", _) => return Some(Self::Refusals),
+                ("plan", _) => return Some(Self::Plan),
+                _ => continue,
+            }
+        }
+        None
+    }
+}
+
+impl Handler<GetStatus> for Host {
+    type Return = Status;
+
+    async fn handle(&mut self, _msg: GetStatus, _cx: &mut Context<Self>) -> Status {
+        self.status(Instant::now())
+    }
+}
+
+impl Handler<Explain> for Host {
+    type Return = Vec<Record>;
+
+    async fn handle(&mut self, msg: Explain, _cx: &mut Context<Self>) -> Vec<Record> {
+        match msg {
+            Explain::Request(id) => self.journal.request(&id).cloned().collect(),
+            Explain::Refusals => self.journal.refusals().cloned().collect(),
+            Explain::Plan => self.journal.plan().cloned().collect(),
+        }
+    }
+}
+
+impl Host {
+    fn status(&mut self, now: Instant) -> Status {
+        let age = self.credentials.news_age(now);
+        Status {
+            host: self.cfg.name.clone(),
+            zone: self.cfg.zone.clone(),
+            incarnation: self.cfg.incarnation,
+            uptime_ms: milliseconds(now.saturating_duration_since(self.cfg.started)),
+            leaving: self.leaving,
+            generation: self.adoption.current(),
+            ledger: self.budgets.acknowledged(now).map(|r| r.0),
+            in_flight: self.running.len(),
+            keys_age_ms: age.map(milliseconds),
+            withdrawn: self.credentials.summary().count,
+            peers: self.peer_status(now),
+            upstreams: self.upstream_status(),
+            budgets: self.budget_status(now),
+            plan: self.plan_of_region().cloned(),
+        }
+    }
+
+    fn peer_status(&self, now: Instant) -> Vec<PeerStatus> {
+        let Some(index) = &self.index else {
+            return Vec::new();
+        };
+        let mut peers = Vec::new();
+        for zone in &index.set().zones {
+            for peer in self.membership.zone_hosts(&zone.name) {
+                let state = self.membership.state(now, &peer.name);
+                peers.push(PeerStatus {
+                    host: peer.name.clone(),
+                    zone: peer.contact.zone.clone(),
+                    incarnation: peer.incarnation,
+                    state: state_text(state).to_owned(),
+                    generation: peer.facts.as_ref().and_then(|f| f.generation),
+                });
+            }
+        }
+        peers.sort_by(|a, b| a.host.cmp(&b.host));
+        peers
+    }
+
+    fn upstream_status(&self) -> Vec<UpstreamStatus> {
+        let mut all = Vec::new();
+        for (service, pool) in &self.pools {
+            for u in pool.upstreams() {
+                all.push(UpstreamStatus {
+                    service: service.clone(),
+                    address: u.address(),
+                    state: format!("{:?}", u.state()).to_lowercase(),
+                    running: u.running(),
+                    share: u.share(),
+                });
+            }
+        }
+        all.sort_by(|a, b| (&a.service, a.address).cmp(&(&b.service, b.address)));
+        all
+    }
+
+    fn budget_status(&mut self, now: Instant) -> Vec<BudgetStatus> {
+        let holdings = self.budgets.explain(now);
+        holdings.into_iter().map(budget_status).collect()
+    }
+
+    /// Adds the account of a decision to the journal.
+    pub(super) fn record(
+        &mut self,
+        now: Instant,
+        request: Option<&RequestId>,
+        decision: Decision,
+        basis: Basis,
+    ) {
+        self.journal.push(Record {
+            host: self.cfg.name.clone(),
+            at: now.saturating_duration_since(self.cfg.started),
+            request: request.cloned(),
+            generation: self.adoption.current().unwrap_or_default(),
+            decision,
+            basis,
+        });
+    }
+
+    /// Returns the measurements that a refusal rests on.
+    pub(super) fn refusal_basis(
+        &mut self,
+        now: Instant,
+        reason: Reason,
+        organisation: Option<&OrganisationName>,
+    ) -> Basis {
+        let mut basis = Basis::new();
+        match (reason, organisation) {
+            (Reason::Rate, Some(organisation)) => {
+                let resource = Resource::Organisation(organisation.clone());
+                let quota = self.budgets.quota(now, &resource);
+                basis.push(Measurement {
+                    subject: Subject::Share(organisation.clone()),
+                    value: i64::try_from(quota.rate).unwrap_or(i64::MAX),
+                    age: Duration::ZERO,
+                });
+            }
+            (Reason::KeyStale | Reason::KeyUnknown, _) => {
+                let age = self.credentials.news_age(now);
+                basis.push(Measurement {
+                    subject: Subject::Keys,
+                    value: i64::from(self.credentials.summary().count),
+                    age: age.unwrap_or(Duration::MAX),
+                });
+            }
+            _ => {}
+        }
+        basis
+    }
+
+    /// Counts bytes that were paid for on a link.
+    pub(super) fn count_link_bytes(&self, link: &ObjectName, bytes: u64) {
+        let labels = crate::metrics::LinkLabels {
+            link: link.to_string(),
+        };
+        let counter = self.cfg.metrics.link_bytes.get_or_create(&labels);
+        counter.inc_by(bytes);
+    }
+}
+
+fn milliseconds(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
+
+const fn state_text(state: Option<PeerState>) -> &'static str {
+    match state {
+        Some(PeerState::Live) => "live",
+        Some(PeerState::Suspect) => "suspect",
+        Some(PeerState::Unreachable) => "unreachable",
+        Some(PeerState::Leaving) => "leaving",
+        Some(PeerState::Gone) => "gone",
+        None => "unknown",
+    }
+}
+
+fn budget_status((resource, holding): (Resource, Holding)) -> BudgetStatus {
+    let name = match &resource {
+        Resource::Organisation(name) => format!("organisation/{name}"),
+        Resource::Link(name) => format!("link/{name}"),
+    };
+    BudgetStatus {
+        name,
+        principal_rate: holding.principal.rate,
+        lent_rate: holding.lent.rate,
+        borrowed_rate: holding.borrowed.rate,
+        tokens: holding.tokens,
+        demand: holding.demand,
+        granted: holding.granted,
+        refused: holding.refused,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod adoption;
+pub mod agent;
 pub mod blocks;
 pub mod body;
 pub mod bucket;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -56,8 +56,7 @@
         serve_accepted(accepted, &graceful, &handler).await;
     }
     // Connections that the kernel accepted before the stop get their answer too.
-    while let Ok(accepted) =
-        tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
+    while let Ok(accepted) = tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
     {
         serve_accepted(accepted, &graceful, &handler).await;
     }
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use hyper::{
-    Request,
-    Response,
-    StatusCode,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{
         self,
@@ -82,7 +80,8 @@
     }
 }
 
-fn json<T: Serialize>(value: &T) -> Response<ProxyBody> {
+/// Returns an answer of JSON.
+pub fn json<T: Serialize>(value: &T) -> Response<ProxyBody> {
     match serde_json::to_vec(value) {
         Ok(bytes) => typed(StatusCode::OK, JSON_TYPE, bytes),
         Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -292,6 +292,11 @@
         self.upstreams.iter().map(|u| u.limit(now)).sum()
     }
 
+    /// Returns when a refused caller should come back.
+    pub fn retry_after(&self, now: Instant) -> Duration {
+        self.meter.retry_after(now, 0)
+    }
+
     /// Returns this gateway's running requests.
     pub fn running(&self) -> u32 {
         self.upstreams.iter().map(Upstream::running).sum()
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -39,6 +39,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Suspect(pub u128);
 
+impl std::fmt::Display for Suspect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 impl Suspect {
     /// Hashes what the fingerprint covers; `prefix` is the body's first
     /// [`BODY_PREFIX_BYTES`] bytes, or all of a shorter one.
