--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,7 +49,8 @@
         Host,
         message::{
             Start,
-            Started, //
+            Started,
+            Ticket, //
         },
     },
     lookup::Table,
@@ -150,9 +151,11 @@
         let started = self.start(&call, suspect).await;
         let passage = Passage::new(self.host.clone(), Instant::now());
         match started {
-            Ok(Started::Run { organisation }) => {
-                self.metrics.in_flight.inc();
-                let permit = Permit::new(self.host.clone(), call.id.clone());
+            Ok(Started::Run {
+                organisation,
+                ticket,
+            }) => {
+                let permit = self.permit(Some(ticket));
                 let f = Forwarding {
                     call,
                     upload,
@@ -165,8 +168,7 @@
             }
             Ok(Started::Home { organisation, home }) => {
                 log::debug!(event = "sent-home", id:% = call.id, host:% = call.id.host; "");
-                self.metrics.in_flight.inc();
-                let permit = Permit::new(self.host.clone(), call.id.clone());
+                let permit = self.permit(None);
                 let f = Forwarding {
                     call,
                     upload,
@@ -182,6 +184,10 @@
         }
     }
 
+    fn permit(&self, ticket: Option<Ticket>) -> Permit {
+        Permit::new(self.host.clone(), ticket, self.metrics.clone())
+    }
+
     async fn start(&self, call: &Call, suspect: Suspect) -> Result<Started, Refusal> {
         let own_region = self.region.load_full();
         let mut first_try = None;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,25 +1,32 @@
 //! One request on its way through a gateway.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use hyper::http::request::Parts;
 use tokio::time::Instant;
 use xtra::Address;
 
 use crate::{
+    body::Progress,
     config::object::Route,
     host::{
         Host,
         message::{
             Finish,
-            Sender, //
+            Sender,
+            Target,
+            Ticket,
+            TryEnd,
+            TryFinished, //
         },
     },
+    metrics::Metrics,
     post::post,
-    refusal::{
-        Outcome,
-        Refusal, //
-    },
+    quarantine::Suspect,
+    refusal::Outcome,
     trace::HopSpan,
     util::id::{
         KeyDigest,
@@ -103,19 +110,24 @@
 #[derive(Debug)]
 pub struct Permit {
     host: Address<Host>,
-    id: RequestId,
+    ticket: Option<Ticket>,
     outcome: Outcome,
     status: u16,
+    metrics: Arc<Metrics>,
 }
 
 impl Permit {
     /// Returns the permit of a request of which nothing has left yet.
-    pub fn new(host: Address<Host>, id: RequestId) -> Self {
+    ///
+    /// A request that another host runs as its home has no ticket here.
+    pub fn new(host: Address<Host>, ticket: Option<Ticket>, metrics: Arc<Metrics>) -> Self {
+        metrics.in_flight.inc();
         Self {
             host,
-            id,
+            ticket,
             outcome: Outcome::NotRun,
             status: 0,
+            metrics,
         }
     }
 
@@ -134,21 +146,89 @@
         self.outcome = outcome;
         self.status = status;
     }
-
-    /// Records a refusal.
-    pub fn refused(&mut self, refusal: &Refusal) {
-        self.outcome = refusal.outcome;
-        self.status = refusal.reason.status();
-    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.metrics.in_flight.dec();
+        let Some(ticket) = self.ticket else {
+            return;
+        };
         let msg = Finish {
-            id: self.id.clone(),
+            ticket,
             outcome: self.outcome,
             status: self.status,
         };
         post(&self.host, msg);
     }
 }
+
+/// One try that is open at its target until it is dropped.
+#[derive(Debug)]
+pub struct OpenTry {
+    host: Address<Host>,
+    service: ServiceName,
+    target: Target,
+    suspect: Suspect,
+    end: TryEnd,
+    draining: bool,
+    upload: Progress,
+    answer: Progress,
+}
+
+impl OpenTry {
+    /// Returns a try that was sent, or is about to be; without news it was abandoned.
+    pub fn new(
+        host: Address<Host>,
+        service: ServiceName,
+        target: Target,
+        suspect: Suspect,
+        upload: Progress,
+    ) -> Self {
+        Self {
+            host,
+            service,
+            target,
+            suspect,
+            end: TryEnd::Abandoned,
+            draining: false,
+            upload,
+            answer: Progress::new(Instant::now()),
+        }
+    }
+
+    /// Returns where it was sent.
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// Returns the progress of the answer's body.
+    pub fn answer(&self) -> Progress {
+        self.answer.clone()
+    }
+
+    /// Records how it ended.
+    pub fn ended(&mut self, end: TryEnd) {
+        self.end = end;
+    }
+
+    /// Records that its upstream said that it drains.
+    pub fn drains(&mut self) {
+        self.draining = true;
+    }
+}
+
+impl Drop for OpenTry {
+    fn drop(&mut self) {
+        let msg = TryFinished {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            end: self.end,
+            draining: self.draining,
+            suspect: self.suspect,
+            bytes_out: self.upload.passed(),
+            bytes_in: self.answer.passed(),
+        };
+        post(&self.host, msg);
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,10 +1,7 @@
 //! Sends one started request to the places that the host chooses, until one
 //! answers or none is left.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use http_body_util::BodyExt;
 use hyper::{
@@ -24,6 +21,7 @@
         ProxyBody, //
     },
     connection::{
+        ConnectionLease,
         Exchange,
         SendError, //
     },
@@ -31,6 +29,7 @@
         Gateway,
         call::{
             Call,
+            OpenTry,
             Permit, //
         },
         head,
@@ -44,10 +43,8 @@
         Choice,
         Choose,
         Target,
-        TryEnd,
-        TryFinished, //
+        TryEnd, //
     },
-    post::post,
     quarantine::Suspect,
     refusal::{
         Outcome,
@@ -144,13 +141,16 @@
                 Ok(target) => target,
                 Err(refusal) => return self.refuse(f, refusal, may_have_run),
             };
-            let sent = Instant::now();
-            let tried_so = self.send_once(&mut f, &target, Forward::Run).await;
-            let failed = match tried_so {
-                Tried::Answer(exchange) => return self.hand_on(f, target, *exchange, sent),
+            let mut open = self.open_try(&f, target.clone());
+            let failed = match self.send_once(&mut f, &target, Forward::Run).await {
+                Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
                 Tried::Failed(failed) => failed,
             };
-            self.report_end(&f, &target, failed, sent.elapsed());
+            open.ended(failed.end);
+            if failed.draining {
+                open.drains();
+            }
+            drop(open);
             may_have_run |= failed.may_have_run();
             if !may_have_run {
                 f.permit.came_back();
@@ -163,6 +163,12 @@
         }
     }
 
+    fn open_try(&self, f: &Forwarding, target: Target) -> OpenTry {
+        let service = f.call.route.service.clone();
+        let upload = f.passage.progress.clone();
+        OpenTry::new(self.host.clone(), service, target, f.suspect, upload)
+    }
+
     /// Asks whether a failed request may be sent again, and waits for its turn.
     async fn may_send_again(&self, f: &Forwarding, failed: Failed, tries: usize) -> bool {
         if !f.upload.can_be_sent() {
@@ -189,11 +195,12 @@
         mut f: Forwarding,
         home: Target,
     ) -> Response<ProxyBody> {
-        let sent = Instant::now();
+        let mut open = self.open_try(&f, home.clone());
         let failed = match self.send_once(&mut f, &home, Forward::Home).await {
-            Tried::Answer(exchange) => return self.hand_on(f, home, *exchange, sent),
+            Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
             Tried::Failed(failed) => failed,
         };
+        open.ended(failed.end);
         // Where nothing left, an earlier copy may still have reached the home.
         let may_have_run = failed.end != TryEnd::NotStarted;
         self.refuse(f, failed.refusal, may_have_run)
@@ -355,13 +362,12 @@
     fn hand_on(
         self: &Arc<Self>,
         mut f: Forwarding,
-        target: Target,
+        open: OpenTry,
         exchange: Exchange,
-        sent: Instant,
     ) -> Response<ProxyBody> {
         let Exchange { res, lease } = exchange;
         let (mut parts, body) = res.into_parts();
-        let outcome = match target {
+        let outcome = match open.target() {
             Target::Upstream(_) => Outcome::Ran,
             Target::Gateway { .. } => outcome_of(&parts.headers),
         };
@@ -380,54 +386,39 @@
             "http.response.status_code",
             i64::from(parts.status.as_u16()),
         );
-        let body = self.answer_body(f, target, body, lease, sent);
-        Response::from_parts(parts, body)
+        Response::from_parts(parts, self.answer_body(f, open, body, lease))
     }
 
     fn answer_body(
         self: &Arc<Self>,
         f: Forwarding,
-        target: Target,
+        mut open: OpenTry,
         body: Incoming,
-        lease: crate::connection::ConnectionLease,
-        sent: Instant,
+        lease: ConnectionLease,
     ) -> ProxyBody {
-        let took = sent.elapsed();
         let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
         let pacer = self.answer_pacer(&f.call);
-        let gw = self.clone();
+        let progress = open.answer();
         let at_end = move |whole: bool| {
-            let end = match whole {
+            open.ended(match whole {
                 true => TryEnd::Whole,
                 false => TryEnd::Broken,
-            };
-            let failed = Failed::new(end, Refusal::unknown(Reason::UpstreamLost));
-            gw.report_end(&f, &target, failed, took);
+            });
             if whole {
                 lease.give_back();
             }
-            gw.metrics.in_flight.dec();
+            drop(open);
+            // The request's permit and span end with its answer.
+            drop(f);
         };
         PassingBody::new(body)
             .with_pacer(pacer)
             .with_cutoff(cutoff)
+            .with_progress(progress)
             .with_at_end(Box::new(at_end))
             .boxed_unsync()
     }
 
-    fn report_end(&self, f: &Forwarding, target: &Target, failed: Failed, took: Duration) {
-        let Failed { end, draining, .. } = failed;
-        let msg = TryFinished {
-            service: f.call.route.service.clone(),
-            target: target.clone(),
-            end,
-            draining,
-            suspect: f.suspect,
-            took,
-        };
-        post(&self.host, msg);
-    }
-
     fn refuse(
         &self,
         mut f: Forwarding,
@@ -437,8 +428,7 @@
         if may_have_run {
             refusal.outcome = Outcome::Unknown;
         }
-        f.permit.refused(&refusal);
-        self.metrics.in_flight.dec();
+        f.permit.ended(refusal.outcome, refusal.reason.status());
         self.refusal(&f.call, &refusal)
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -50,7 +50,8 @@
     },
     host::{
         errand::Errand,
-        loads::Loads, //
+        loads::Loads,
+        message::Ticket, //
     },
     ledger::Ledger,
     link::Links,
@@ -77,7 +78,6 @@
             Incarnation,
             ObjectName,
             RegionName,
-            RequestId,
             ServiceName,
             ZoneName, //
         },
@@ -154,7 +154,8 @@
     ledger: Option<Ledger>,
     others: BTreeMap<ZoneName, Ledger>,
     plans: BTreeMap<RegionName, Plan>,
-    running: HashMap<RequestId, Running>,
+    running: HashMap<Ticket, Running>,
+    last_ticket: Ticket,
     journal: Journal,
     table: Option<Arc<Table>>,
     headroom: HashMap<ObjectName, ByteSize>,
@@ -196,6 +197,7 @@
             others: BTreeMap::new(),
             plans: BTreeMap::new(),
             running: HashMap::new(),
+            last_ticket: Ticket::default(),
             journal: Journal::new(JOURNAL_RECORDS),
             table: None,
             headroom: HashMap::new(),
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -273,6 +273,8 @@
     }
 
     fn try_finished(&mut self, now: Instant, msg: &TryFinished) {
+        self.loads
+            .moved(now, &msg.service, msg.bytes_out, msg.bytes_in);
         match &msg.target {
             Target::Upstream(address) => self.upstream_finished(now, msg, *address),
             Target::Gateway { zone, .. } => self.loads.spill_ended(&msg.service, zone),
--- a/src/host/loads.rs
+++ b/src/host/loads.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     control::ServiceLoad,
+    demand::Demand,
     host::Host,
     pool::upstream::{
         self,
@@ -111,6 +112,8 @@
     entered: u32,
     foreign: u32,
     spilled: HashMap<ZoneName, u32>,
+    bytes_in: Option<Demand>,
+    bytes_out: Option<Demand>,
 }
 
 /// The loads of all known hosts.
@@ -194,6 +197,23 @@
         self.own.get(service).map_or(0, |own| own.foreign)
     }
 
+    /// Counts the bytes of a request that entered at this host and of its answer.
+    pub fn moved(&mut self, now: Instant, service: &ServiceName, bytes_in: u64, bytes_out: u64) {
+        let own = self.own.entry(service.clone()).or_default();
+        let new = || Demand::new(now);
+        own.bytes_in.get_or_insert_with(new).record(now, bytes_in);
+        own.bytes_out.get_or_insert_with(new).record(now, bytes_out);
+    }
+
+    /// Returns the bytes a second towards the upstreams and back to the callers.
+    pub fn byte_rates(&mut self, now: Instant, service: &ServiceName) -> (u64, u64) {
+        let Some(own) = self.own.get_mut(service) else {
+            return (0, 0);
+        };
+        let rate = |d: &mut Option<Demand>| d.as_mut().map_or(0, |d| d.rate(now));
+        (rate(&mut own.bytes_in), rate(&mut own.bytes_out))
+    }
+
     /// Counts a request that this host sent to a zone.
     pub fn spilled(&mut self, service: &ServiceName, zone: &ZoneName) {
         let own = self.own.entry(service.clone()).or_default();
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -24,6 +24,10 @@
     },
 };
 
+/// The number of a started request on one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Ticket(pub u64);
+
 /// Who sent a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Sender {
@@ -59,6 +63,8 @@
     Run {
         /// The organisation that it runs for.
         organisation: Option<OrganisationName>,
+        /// The number by which [`Finish`] names it.
+        ticket: Ticket,
     },
     /// Another host is its home.
     Home {
@@ -159,15 +165,17 @@
     pub draining: bool,
     /// What tells repeated requests apart.
     pub suspect: Suspect,
-    /// The time from sending the request to its answer's head.
-    pub took: std::time::Duration,
+    /// Bytes of the request's body that left.
+    pub bytes_out: u64,
+    /// Bytes of the answer's body that came.
+    pub bytes_in: u64,
 }
 
 /// Tells that a started request has ended, and what is known of its run.
 #[derive(Clone, Debug)]
 pub struct Finish {
-    /// The request's id.
-    pub id: RequestId,
+    /// The request's number.
+    pub ticket: Ticket,
     /// What is known of its run.
     pub outcome: Outcome,
     /// The status of the answer, zero without one.
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -322,21 +322,22 @@
         }
     }
 
-    fn own_loads(&self, now: Instant) -> SmallVec<[ServiceLoad; 4]> {
+    /// Returns this host's load of each service of its zone.
+    pub(super) fn own_loads(&mut self, now: Instant) -> SmallVec<[ServiceLoad; 4]> {
         let mut loads = SmallVec::new();
         for (service, pool) in &self.pools {
+            let (bytes_in, bytes_out) = self.loads.byte_rates(now, service);
             loads.push(ServiceLoad {
                 service: service.clone(),
-                free: if self.leaving {
-                    0
-                } else {
-                    pool.free_slots(now)
+                free: match self.leaving {
+                    true => 0,
+                    false => pool.free_slots(now),
                 },
                 usable: pool.capacity(now),
                 foreign: self.loads.foreign(service),
                 entered: self.loads.in_flight(service),
-                bytes_in: 0,
-                bytes_out: 0,
+                bytes_in,
+                bytes_out,
             });
         }
         loads
--- a/src/host/start.rs
+++ b/src/host/start.rs
@@ -24,7 +24,8 @@
             Sender,
             Start,
             Started,
-            Target, //
+            Target,
+            Ticket, //
         },
     },
     membership::PeerState,
@@ -88,8 +89,11 @@
         }
         self.admit_suspect(now, msg.suspect)?;
         if let Sender::Run(_) = msg.sender {
-            self.remember(msg, route, None);
-            return Ok(Started::Run { organisation });
+            let ticket = self.remember(msg, route, None);
+            return Ok(Started::Run {
+                organisation,
+                ticket,
+            });
         }
         let permit = match route.idempotent {
             true => None,
@@ -97,8 +101,11 @@
         };
         match self.debit(now, organisation.as_ref(), msg) {
             Ok(None) => {
-                self.remember(msg, route, permit);
-                Ok(Started::Run { organisation })
+                let ticket = self.remember(msg, route, permit);
+                Ok(Started::Run {
+                    organisation,
+                    ticket,
+                })
             }
             Ok(Some(until)) => {
                 self.give_up(permit);
@@ -249,7 +256,7 @@
         }
     }
 
-    fn remember(&mut self, msg: &Start, route: &Route, once: Option<Permit>) {
+    fn remember(&mut self, msg: &Start, route: &Route, once: Option<Permit>) -> Ticket {
         let entered = !matches!(msg.sender, Sender::Run(_));
         match entered {
             true => self.loads.entered(&route.service),
@@ -263,11 +270,13 @@
             entered,
             foreign: msg.foreign && !entered,
         };
-        self.running.insert(msg.id.clone(), running);
+        self.last_ticket.0 += 1;
+        self.running.insert(self.last_ticket, running);
+        self.last_ticket
     }
 
     fn finish(&mut self, msg: &Finish) {
-        let Some(running) = self.running.remove(&msg.id) else {
+        let Some(running) = self.running.remove(&msg.ticket) else {
             return;
         };
         if running.entered {
