--- a/src/cli.rs
+++ b/src/cli.rs
@@ -40,4 +40,7 @@
     /// Peer addresses to ask when the store does not answer, comma separated.
     #[arg(long, env = "CARDAMOMROAD_SEEDS", value_name = "IP:PORT,..")]
     pub seeds: Option<String>,
+    /// Address of an OTLP collector that spans are sent to; none by default.
+    #[arg(long, env = "CARDAMOMROAD_COLLECTOR", value_name = "URL")]
+    pub collector: Option<String>,
 }
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -1,7 +1,10 @@
 //! The compiled form of a configuration set, as the hosts use it.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::IpAddr,
     sync::Arc, //
 };
@@ -30,6 +33,7 @@
     util::id::{
         Generation,
         KeyDigest,
+        ObjectName,
         OrganisationName,
         RegionName,
         ServiceName,
@@ -59,6 +63,8 @@
     generation: Generation,
     set: Set,
     routes: HashMap<String, Vec<usize>>,
+    route_names: HashMap<ObjectName, usize>,
+    services: HashSet<ServiceName>,
     organisations: HashMap<OrganisationName, usize>,
     keys: HashMap<KeyDigest, usize>,
     pools: HashMap<ServiceName, Vec<usize>>,
@@ -138,6 +144,17 @@
         }
     }
 
+    /// Returns the route with a name.
+    pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
+        let &i = self.route_names.get(name)?;
+        self.set.routes.get(i)
+    }
+
+    /// Returns whether a service is configured.
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        self.services.contains(name)
+    }
+
     /// Returns an organisation.
     pub fn organisation(&self, name: &OrganisationName) -> Option<&Organisation> {
         let &i = self.organisations.get(name)?;
@@ -228,6 +245,7 @@
         for (i, route) in set.routes.iter().enumerate() {
             let routes = index.routes.entry(route.prefix.clone()).or_default();
             routes.push(i);
+            index.route_names.insert(route.name.clone(), i);
         }
         for (i, key) in set.keys.iter().enumerate() {
             if !index.organisations.contains_key(&key.organisation) {
@@ -242,6 +260,7 @@
             let pools = index.pools.entry(pool.service.clone()).or_default();
             pools.push(i);
         }
+        index.services = set.services.iter().map(|s| s.name.clone()).collect();
         index.set = set;
         Ok(index)
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -74,6 +74,9 @@
         /// The least length.
         least: usize,
     },
+    /// The fleet secret cannot stand in a header. It is not repeated.
+    #[error("--fleet-secret holds spaces, control or non-ASCII characters; use printable ASCII")]
+    SecretNotPrintable,
     /// Two settings name the same address.
     #[error("{flag} and {other} are both {address}; give each its own port")]
     Shared {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -16,7 +16,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    reason::{
+    refusal::{
         Outcome,
         Reason, //
     },
--- a/src/explain/journal.rs
+++ b/src/explain/journal.rs
@@ -10,7 +10,7 @@
         Decision,
         Record, //
     },
-    reason::Reason,
+    refusal::Reason,
     util::id::RequestId,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod explain;
 pub mod options;
 pub mod publish;
-pub mod reason;
+pub mod refusal;
 pub mod store;
 pub mod util;
 pub mod wire;
--- a/src/options.rs
+++ b/src/options.rs
@@ -6,7 +6,7 @@
     str::FromStr, //
 };
 
-use bytes::Bytes;
+use hyper::Uri;
 
 use crate::{
     cli::EntryArguments,
@@ -25,11 +25,11 @@
 
 /// The secret that entry hosts show one another; it is never printed.
 #[derive(Clone, PartialEq, Eq)]
-pub struct FleetSecret(Bytes);
+pub struct FleetSecret(String);
 
 impl FleetSecret {
-    /// Returns the secret.
-    pub fn as_bytes(&self) -> &[u8] {
+    /// Returns the secret, to be shown to entry hosts only.
+    pub fn expose(&self) -> &str {
         &self.0
     }
 }
@@ -59,6 +59,8 @@
     pub fleet_secret: FleetSecret,
     /// The peers to ask when the store does not answer.
     pub seeds: Vec<SocketAddr>,
+    /// Where spans are sent, if anywhere.
+    pub collector: Option<String>,
 }
 
 impl EntryOptions {
@@ -73,6 +75,7 @@
         let store = required("--store", &args.store, &mut errors);
         let fleet_secret = secret(&args.fleet_secret, &mut errors);
         let seeds = seeds(&args.seeds, &mut errors);
+        let collector = collector(&args.collector, &mut errors);
         let listeners = [
             ("--callers", callers),
             ("--peers", peers),
@@ -105,6 +108,7 @@
             store,
             fleet_secret,
             seeds,
+            collector,
         })
     }
 }
@@ -158,7 +162,11 @@
         });
         return None;
     }
-    Some(FleetSecret(text.into()))
+    if !text.bytes().all(|b| b.is_ascii_graphic()) {
+        errors.push(OptionError::SecretNotPrintable);
+        return None;
+    }
+    Some(FleetSecret(text))
 }
 
 fn seeds(text: &Option<String>, errors: &mut Vec<OptionError>) -> Vec<SocketAddr> {
@@ -172,6 +180,22 @@
     seeds
 }
 
+fn collector(text: &Option<String>, errors: &mut Vec<OptionError>) -> Option<String> {
+    let flag = "--collector";
+    let uri: Uri = parsed(flag, text.as_deref()?, errors)?;
+    if uri.scheme_str() == Some("http") && uri.host().is_some() {
+        return Some(uri.to_string());
+    }
+    errors.push(OptionError::Malformed {
+        flag,
+        variable: variable(flag),
+        value: uri.to_string(),
+        cause: "it is not an http address".to_owned(),
+        remedy: remedy(flag),
+    });
+    None
+}
+
 /// Reports listeners that share an address; port 0 picks a free one.
 fn distinct(listeners: &[(&'static str, Option<SocketAddr>)], errors: &mut Vec<OptionError>) {
     for (i, &(flag, address)) in listeners.iter().enumerate() {
@@ -232,6 +256,7 @@
         "--zone" => "use a zone of the configuration, for example bac-a",
         "--seeds" => "use addresses of peers, for example 10.0.0.1:8002,10.0.0.2:8002",
         "--store" => "use the object API's address, for example 10.0.0.9:7000",
+        "--collector" => "use the collector's address, for example http://10.0.0.8:4318",
         _ => "use an address, for example 10.0.0.1:8001",
     }
 }
