--- /dev/null
+++ b/src/command/key.rs
@@ -0,0 +1,123 @@
+//! The commands `key new`, `key withdraw` and `key withdrawn`.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::{
+    cli::{
+        KeyCommand,
+        WithdrawArguments, //
+    },
+    command::{
+        CommandError,
+        Context, //
+    },
+    config::object::Key,
+    publish::{
+        reader::load,
+        withdrawn::{
+            read_withdrawn,
+            withdraw, //
+        },
+    },
+    util::id::KeyDigest,
+};
+
+/// The random bytes of a key.
+const KEY_BYTES: usize = 24;
+
+/// A fresh key, and the object that makes it known.
+#[derive(Serialize)]
+struct Fresh {
+    /// The key itself, which is printed once and kept nowhere.
+    key: String,
+    /// The object to add to the set.
+    object: Key,
+}
+
+impl fmt::Display for Fresh {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Key {
+            name,
+            organisation,
+            digest,
+        } = &self.object;
+        writeln!(f, "# The key, shown this once: {}", self.key)?;
+        writeln!(f, "# Add this to the set and apply it:")?;
+        writeln!(f, "[[key]]")?;
+        writeln!(f, "name = \"{name}\"")?;
+        writeln!(f, "organisation = \"{organisation}\"")?;
+        write!(f, "digest = \"{digest}\"")
+    }
+}
+
+/// A withdrawal.
+#[derive(Serialize)]
+struct Withdrew {
+    digest: KeyDigest,
+    /// Whether the key was not withdrawn before.
+    new: bool,
+}
+
+impl fmt::Display for Withdrew {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = if self.new { "" } else { " before" };
+        write!(f, "key {} was withdrawn{before}", self.digest)
+    }
+}
+
+/// Runs a command about keys.
+pub(super) async fn run(cx: &mut Context<'_>, command: KeyCommand) -> Result<(), CommandError> {
+    match command {
+        KeyCommand::New { name, organisation } => {
+            let key = fresh_key();
+            let digest = KeyDigest::of(key.as_bytes());
+            let object = Key {
+                name,
+                organisation,
+                digest,
+            };
+            cx.printer.print(&Fresh { key, object })
+        }
+        KeyCommand::Withdraw(args) => {
+            let digest = digest_of(cx, args).await?;
+            let (store, _) = cx.store()?;
+            let new = withdraw(&store, digest).await?;
+            cx.printer.print(&Withdrew { digest, new })
+        }
+        KeyCommand::Withdrawn => {
+            let (store, _) = cx.store()?;
+            let withdrawn = read_withdrawn(&store).await?;
+            let digests: Vec<_> = withdrawn.iter().copied().collect();
+            cx.printer.list(&digests)
+        }
+    }
+}
+
+async fn digest_of(cx: &Context<'_>, args: WithdrawArguments) -> Result<KeyDigest, CommandError> {
+    if let Some(digest) = args.digest {
+        return Ok(digest);
+    }
+    let (store, address) = cx.store()?;
+    let found = load(&store).await?;
+    let (_, set) = found.ok_or(CommandError::Nothing(address))?;
+    let named = set
+        .keys
+        .iter()
+        .find(|key| Some(&key.name) == args.name.as_ref());
+    match (named, args.name) {
+        (Some(key), _) => Ok(key.digest),
+        (None, Some(name)) => Err(CommandError::NoSuchObject { kind: "key", name }),
+        (None, None) => Err(CommandError::Nothing(address)),
+    }
+}
+
+fn fresh_key() -> String {
+    let bytes: [u8; KEY_BYTES] = rand::random();
+    let mut key = String::with_capacity(2 * KEY_BYTES);
+    for b in bytes {
+        key.push_str(&format!("{b:02x}"));
+    }
+    key
+}
--- a/src/config/check/report.rs
+++ b/src/config/check/report.rs
@@ -10,7 +10,8 @@
     fault::{
         Fault,
         Places,
-        Problem, //
+        Problem,
+        sort, //
     },
     kind::{
         Configured,
@@ -35,10 +36,7 @@
 
     /// Returns the faults in the order in which their objects stand.
     pub(super) fn into_faults(mut self) -> Vec<Fault> {
-        self.faults.sort_by(|a, b| {
-            let place = |fault: &Fault| fault.place.clone().map(|p| (p.file, p.line));
-            place(a).cmp(&place(b))
-        });
+        sort(&mut self.faults);
         self.faults
     }
 
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -196,6 +196,18 @@
         }
 
         impl Set {
+            /// Returns how many objects there are.
+            pub fn len(&self) -> usize {
+                let mut len = 0;
+                $(len += self.$field.len();)*
+                len
+            }
+
+            /// Returns whether there is no object.
+            pub fn is_empty(&self) -> bool {
+                self.len() == 0
+            }
+
             /// Sorts the objects of each kind by id, the form that is published and compared.
             pub fn sort(&mut self) {
                 $(self.$field.sort_by(|a, b| a.id().cmp(b.id()));)*
--- a/src/config/fault.rs
+++ b/src/config/fault.rs
@@ -206,6 +206,15 @@
     }
 }
 
+/// Sorts faults by the places of their objects.
+pub(crate) fn sort(faults: &mut [Fault]) {
+    faults.sort_by(|a, b| {
+        let a = a.place.as_ref().map(|place| (&place.file, place.line));
+        let b = b.place.as_ref().map(|place| (&place.file, place.line));
+        a.cmp(&b)
+    });
+}
+
 /// Where the objects of a set stand in the files.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -25,7 +25,8 @@
         Fault,
         Faults,
         Places,
-        Problem, //
+        Problem,
+        sort, //
     },
     kind::{
         Configured,
@@ -117,7 +118,9 @@
         parser.faults.push(fault);
     }
     if !parser.faults.is_empty() {
-        return Err(Faults(parser.faults));
+        let mut faults = parser.faults;
+        sort(&mut faults);
+        return Err(Faults(faults));
     }
     parser.set.sort();
     Ok(parser.set)
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -388,3 +388,24 @@
         Ok(())
     }
 }
+
+impl Record {
+    /// Writes records as JSON, one a line.
+    pub fn to_json_lines<'a>(
+        records: impl IntoIterator<Item = &'a Self>,
+    ) -> Result<String, serde_json::Error> {
+        let mut lines = String::new();
+        for record in records {
+            lines.push_str(&serde_json::to_string(record)?);
+            lines.push('\n');
+        }
+        Ok(lines)
+    }
+
+    /// Reads records that stand as JSON, one a line.
+    pub fn from_json_lines(lines: &[u8]) -> Result<Vec<Self>, serde_json::Error> {
+        serde_json::Deserializer::from_slice(lines)
+            .into_iter()
+            .collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! programs `cardamomroad` and `cardamomroad-entry` are thin.
 
 pub mod cli;
+pub mod command;
 pub mod config;
 pub mod error;
 pub mod explain;
