--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -1,7 +1,10 @@
 //! The compiled form of a configuration set, as the hosts use it.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::IpAddr,
     sync::Arc, //
 };
@@ -60,6 +63,8 @@
     generation: Generation,
     set: Set,
     routes: HashMap<String, Vec<usize>>,
+    route_names: HashMap<ObjectName, usize>,
+    services: HashSet<ServiceName>,
     organisations: HashMap<OrganisationName, usize>,
     keys: HashMap<KeyDigest, usize>,
     pools: HashMap<ServiceName, Vec<usize>>,
@@ -139,6 +144,7 @@
         }
     }
 
+<<<<<<< HEAD
     /// Returns the route of a name.
     pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
         self.set.routes.iter().find(|r| r.name == *name)
@@ -147,6 +153,17 @@
     /// Returns whether the set has a service.
     pub fn has_service(&self, name: &ServiceName) -> bool {
         self.set.services.iter().any(|s| s.name == *name)
+=======
+    /// Returns the route with a name.
+    pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
+        let &i = self.route_names.get(name)?;
+        self.set.routes.get(i)
+    }
+
+    /// Returns whether a service is configured.
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        self.services.contains(name)
+>>>>>>> config
     }
 
     /// Returns an organisation.
@@ -239,6 +256,7 @@
         for (i, route) in set.routes.iter().enumerate() {
             let routes = index.routes.entry(route.prefix.clone()).or_default();
             routes.push(i);
+            index.route_names.insert(route.name.clone(), i);
         }
         for (i, key) in set.keys.iter().enumerate() {
             if !index.organisations.contains_key(&key.organisation) {
@@ -253,6 +271,7 @@
             let pools = index.pools.entry(pool.service.clone()).or_default();
             pools.push(i);
         }
+        index.services = set.services.iter().map(|s| s.name.clone()).collect();
         index.set = set;
         Ok(index)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod chart;
 pub mod cli;
+pub mod command;
 pub mod config;
 pub mod connection;
 pub mod control;
