--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -11,7 +11,7 @@
         IpAddr,
         Ipv6Addr, //
     },
-    sync::Arc,
+    sync::Arc, //
 };
 
 use ipnet::IpNet;
--- a/src/lookup.rs
+++ b/src/lookup.rs
@@ -11,7 +11,7 @@
         SocketAddr, //
     },
     sync::Arc,
-    time::Duration,
+    time::Duration, //
 };
 
 use serde::{
--- a/src/planner/target.rs
+++ b/src/planner/target.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     planner::{
-        LINK_PART, ZONE_PART,
         room::{
             Load,
             Room, //
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -20,8 +20,10 @@
 use tokio::time::Instant;
 
 use crate::{
+    budget::PAUSE_MAX,
     chart::upstream::UpstreamState,
     config::object,
+    ledger::Ledger,
     pool::upstream::{
         Outcome,
         Reported,
@@ -37,9 +39,6 @@
 
 /// The age after which a peer's report of spare slots is no longer used.
 const PEER_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
-/// The longest time between two calls of [`Pool::tick`] after which the shares
-/// still hold. A process that was paused for longer asks again first.
-pub const PAUSE_MAX: Duration = Duration::from_secs(3);
 
 /// The gateways that divide the upstreams' slots, from the zone's ledger.
 ///
@@ -54,6 +53,17 @@
     pub lists: SmallVec<[Vec<HostName>; 2]>,
 }
 
+impl From<&Ledger> for Members {
+    fn from(ledger: &Ledger) -> Self {
+        let lists = ledger.members.iter();
+        let names = lists.map(|list| list.hosts.iter().map(|m| m.name.clone()).collect());
+        Self {
+            revision: ledger.revision.0,
+            lists: names.collect(),
+        }
+    }
+}
+
 impl Members {
     /// Returns a host's share of the `whole` slots of one upstream.
     fn share(&self, host: &HostName, upstream: SocketAddr, whole: u32) -> u32 {
@@ -199,7 +209,7 @@
         self.members.revision >= revision && self.upstreams.iter().all(|u| u.running() <= u.share())
     }
 
-    /// Notes that the process runs; a gap above [`PAUSE_MAX`] stops picks until
+    /// Notes that the process runs; call it several times a second. A gap above [`PAUSE_MAX`] stops picks until
     /// [`Pool::set_members`] confirms the shares.
     pub fn tick(&mut self, now: Instant) {
         self.confirmed &= now.saturating_duration_since(self.ticked) <= PAUSE_MAX;
@@ -287,6 +297,14 @@
         self.upstreams.iter().map(|u| u.free(now)).sum()
     }
 
+    /// Returns the slots that are free in the zone: the own ones, and those that
+    /// its other gateways reported lately.
+    pub fn zone_free(&self, now: Instant) -> u32 {
+        let young = |p: &&Peer| now.saturating_duration_since(p.heard) <= PEER_REPORT_MAX_AGE;
+        let peers: u32 = self.peers.iter().filter(young).map(|p| p.free).sum();
+        self.free_slots(now) + peers
+    }
+
     /// Returns the slots that this gateway may use now, taken ones included.
     pub fn capacity(&self, now: Instant) -> u32 {
         self.upstreams.iter().map(|u| u.limit(now)).sum()
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,132 @@
+//! Requests that wait at a gateway for a slot, and which of them goes next.
+//!
+//! When slots are short, the next one goes to the organisation that is
+//! furthest below its weighted max-min part ([`crate::fairness`]); within an
+//! organisation the oldest request goes first. A request waits for a bounded
+//! time, so that a refusal still leaves the caller time to go elsewhere.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration, //
+};
+
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    fairness::Slots,
+    util::id::OrganisationName, //
+};
+
+/// The longest time that a request waits for a slot.
+pub const WAIT_MAX: Duration = Duration::from_secs(1);
+/// The most requests of one organisation that wait at one gateway for one service.
+pub const WAITING_MAX: usize = 64;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+struct Waiting<T> {
+    ticket: T,
+    until: Instant,
+}
+
+/// The requests of one service that wait at one gateway.
+#[derive(Clone, Debug)]
+pub struct Queue<T> {
+    slots: Slots,
+    waiting: BTreeMap<OrganisationName, VecDeque<Waiting<T>>>,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            slots: Slots::new(u64::MAX),
+            waiting: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// Creates an empty queue.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts a request at once where no other organisation that waits is
+    /// further below its part; its slot is counted until [`Queue::finish`].
+    /// Returns whether it started.
+    pub fn start(&mut self, organisation: &OrganisationName, weight: u32) -> bool {
+        if self.waiting.contains_key(organisation) {
+            return false;
+        }
+        self.slots.wait(organisation, weight);
+        if self.slots.start(organisation) {
+            return true;
+        }
+        self.slots.give_up(organisation);
+        false
+    }
+
+    /// Lets a request wait until a slot is free, [`WAIT_MAX`] has passed or its
+    /// deadline has. Gives the ticket back where too many wait already.
+    pub fn push(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationName,
+        weight: u32,
+        deadline: Instant,
+        ticket: T,
+    ) -> Result<(), T> {
+        let line = self.waiting.entry(organisation.clone()).or_default();
+        if line.len() >= WAITING_MAX {
+            return Err(ticket);
+        }
+        let until = deadline.min(now + WAIT_MAX);
+        line.push_back(Waiting { ticket, until });
+        self.slots.wait(organisation, weight);
+        Ok(())
+    }
+
+    /// Takes the request that goes next and counts its slot.
+    pub fn pop(&mut self) -> Option<T> {
+        let next = self.slots.next()?.clone();
+        let line = self.waiting.get_mut(&next)?;
+        let first = line.pop_front()?;
+        if line.is_empty() {
+            self.waiting.remove(&next);
+        }
+        self.slots.start(&next);
+        Some(first.ticket)
+    }
+
+    /// Takes out the requests that have waited for too long.
+    pub fn expire(&mut self, now: Instant) -> SmallVec<[T; 4]> {
+        let mut late = SmallVec::new();
+        for (organisation, line) in &mut self.waiting {
+            while line.front().is_some_and(|w| w.until <= now) {
+                late.extend(line.pop_front().map(|w| w.ticket));
+                self.slots.give_up(organisation);
+            }
+        }
+        self.waiting.retain(|_, line| !line.is_empty());
+        late
+    }
+
+    /// Gives back the slot of a request that ended.
+    pub fn finish(&mut self, organisation: &OrganisationName) {
+        self.slots.finish(organisation);
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiting.values().map(VecDeque::len).sum()
+    }
+
+    /// Returns whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -6,10 +6,11 @@
 };
 
 use cardamomroad::{
+    budget::PAUSE_MAX,
     chart::upstream::UpstreamState as State,
     config::object,
     pool::{
-        Members, PAUSE_MAX, Pick, Pool, Reason,
+        Members, Pick, Pool, Reason,
         upstream::{
             Outcome,
             Reported,
