--- a/src/chart/lease.rs
+++ b/src/chart/lease.rs
@@ -49,6 +49,8 @@
     Granted,
     /// Another record took its place.
     Refused,
+    /// The renewal was not written; the holding before it goes on.
+    NotRenewed,
     /// The lease ran out on the holder's clock.
     Lapsed,
     /// The holder gave it up.
@@ -59,10 +61,11 @@
 
 impl LeaseEvent {
     /// All of them.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Asked,
         Self::Granted,
         Self::Refused,
+        Self::NotRenewed,
         Self::Lapsed,
         Self::Released,
         Self::Observed,
