--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -144,16 +144,6 @@
         }
     }
 
-<<<<<<< HEAD
-    /// Returns the route of a name.
-    pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
-        self.set.routes.iter().find(|r| r.name == *name)
-    }
-
-    /// Returns whether the set has a service.
-    pub fn has_service(&self, name: &ServiceName) -> bool {
-        self.set.services.iter().any(|s| s.name == *name)
-=======
     /// Returns the route with a name.
     pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
         let &i = self.route_names.get(name)?;
@@ -163,7 +153,6 @@
     /// Returns whether a service is configured.
     pub fn has_service(&self, name: &ServiceName) -> bool {
         self.services.contains(name)
->>>>>>> config
     }
 
     /// Returns an organisation.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -139,7 +139,8 @@
     let keys = Arc::new(Keys::new());
     let table = Arc::new(ArcSwapOption::empty());
     let (errands, errands_rx) = mpsc::unbounded_channel();
-    let secret = FleetSecret::new(cfg.fleet_secret.as_bytes()).ok_or(EntryError::FleetSecret)?;
+    let secret =
+        FleetSecret::new(cfg.fleet_secret.expose().as_bytes()).ok_or(EntryError::FleetSecret)?;
     let connections = Connections::new();
     let host = Host::new(HostConfig {
         name: cfg.name.clone(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -372,7 +372,7 @@
             Target::Gateway { .. } => outcome_of(&parts.headers),
         };
         let reason =
-            head::text(&parts.headers, wire::REASON).and_then(|t| t.parse::<Reason>().ok());
+            head::text(&parts.headers, wire::REASON).and_then(|t| Reason::from_bytes(t.as_bytes()));
         head::remove_hop_by_hop(&mut parts.headers);
         head::remove_own(&mut parts.headers);
         head::set_answer_headers(&mut parts.headers, &f.call.id, &self.name, outcome);
@@ -428,7 +428,8 @@
         if may_have_run {
             refusal.outcome = Outcome::Unknown;
         }
-        f.permit.ended(refusal.outcome, refusal.reason.status());
+        f.permit
+            .ended(refusal.outcome, refusal.reason.status().as_u16());
         self.refusal(&f.call, &refusal)
     }
 }
@@ -448,7 +449,7 @@
 /// Returns the outcome that an entry host told; an answer without one may have run.
 fn outcome_of(headers: &hyper::HeaderMap) -> Outcome {
     let text = head::text(headers, wire::OUTCOME);
-    text.and_then(|t| t.parse().ok())
+    text.and_then(|t| Outcome::from_bytes(t.as_bytes()))
         .unwrap_or(Outcome::Unknown)
 }
 
@@ -458,7 +459,7 @@
     if outcome_of(headers) != Outcome::NotRun {
         return None;
     }
-    let reason = head::text(headers, wire::REASON)?.parse::<Reason>().ok()?;
+    let reason = Reason::from_bytes(head::text(headers, wire::REASON)?.as_bytes())?;
     match reason {
         Reason::Overload
         | Reason::Stopping
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -145,8 +145,7 @@
 pub fn refusal(refusal: &Refusal, id: Option<&RequestId>, host: &HostName) -> Response<ProxyBody> {
     let text = format!("{refusal}\n");
     let mut res = Response::new(crate::body::full(text));
-    *res.status_mut() =
-        StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    *res.status_mut() = refusal.reason.status();
     let headers = res.headers_mut();
     set(headers, wire::REASON, refusal.reason);
     set(headers, wire::OUTCOME, refusal.outcome);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,7 +45,6 @@
 pub mod publish;
 pub mod quarantine;
 pub mod queue;
-pub mod reason;
 pub mod refusal;
 pub mod retry;
 pub mod route;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -1,29 +1,13 @@
-<<<<<<< HEAD
-//! A refusal: why a request was refused, whether it ran, when to come back.
-
-use std::{
-    fmt,
-    time::Duration, //
-};
-
-=======
 //! Why a request was refused, and whether it ran.
 
 use std::fmt;
 
 use hyper::StatusCode;
->>>>>>> config
 use serde::{
     Deserialize,
     Serialize, //
 };
 
-<<<<<<< HEAD
-pub use crate::reason::{
-    Outcome,
-    Reason, //
-};
-=======
 /// What is known about the run of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -191,7 +175,6 @@
         f.pad(self.as_str())
     }
 }
->>>>>>> config
 
 /// A refusal: its reason, what is known of the run, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -201,11 +184,7 @@
     /// Whether an upstream ran it.
     pub outcome: Outcome,
     /// When a retry makes sense.
-<<<<<<< HEAD
-    pub retry_after: Option<Duration>,
-=======
     pub retry_after: Option<std::time::Duration>,
->>>>>>> config
 }
 
 impl Refusal {
@@ -228,11 +207,7 @@
     }
 
     /// Adds the time after which a retry makes sense.
-<<<<<<< HEAD
-    pub const fn with_retry_after(mut self, after: Duration) -> Self {
-=======
     pub const fn with_retry_after(mut self, after: std::time::Duration) -> Self {
->>>>>>> config
         self.retry_after = Some(after);
         self
     }
