Adopt only higher generations, and start only on a proved one

src/adoption.rs: a host in force takes whatever is higher. A new process takes the highest of what store and peers offer; where it hears no peer with a configuration it writes the head back unchanged at the version it read, which succeeds only on the current one. A conflict's version fences the same stale answer out.

Ruled out: confirming on every start.

--- a/src/adoption.rs
+++ b/src/adoption.rs
@@ -1,7 +1,14 @@
 //! Which configuration a host adopts, and what it asks before its first one.
+//!
+//! A host in force adopts whatever is higher, whoever offers it. A new process
+//! has nothing to compare with, so it first takes offers from the store and its
+//! peers. Where it hears no peer, it makes sure that the store's answer is
+//! current: a conditional write of the unchanged head succeeds only on the
+//! current version.
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::util::id::{
@@ -12,6 +19,12 @@
 
 /// How long a new process waits for peers after it first asked.
 pub const PEER_WAIT: Duration = Duration::from_secs(2);
+/// Peers that a new process need not wait beyond, once the store answered too.
+pub const PEERS_ENOUGH: usize = 2;
+/// How long a fetch may take before it is asked again.
+pub const FETCH_AGAIN: Duration = Duration::from_secs(3);
+/// Offers that are remembered at most.
+const OFFERS_MAX: usize = 8;
 /// How long a question may stay unanswered before it is asked again.
 pub const ASK_AGAIN: Duration = Duration::from_secs(1);
 
@@ -48,6 +61,21 @@
     },
 }
 
+/// The answer to [`Step::Confirm`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// The write took effect, so the read before it was current.
+    Current {
+        /// The version that it gave.
+        new: Version,
+    },
+    /// The head is at another version, where the store told it.
+    Moved {
+        /// The head's version.
+        current: Option<Version>,
+    },
+}
+
 /// What became of a fetched generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Adopted {
@@ -66,15 +94,31 @@
 #[derive(Clone, Debug)]
 pub struct Adoption {
     current: Option<Generation>,
-    started: Instant,
+    /// Offers above the generation in force, highest first.
+    offers: SmallVec<[(Generation, Source); OFFERS_MAX]>,
+    /// The highest version of the head object that was seen.
+    head: Option<Version>,
+    /// Whether the head was proved current by a write.
+    confirmed: bool,
+    /// The peers that offered a generation, up to [`PEERS_ENOUGH`].
+    heard: SmallVec<[HostName; PEERS_ENOUGH]>,
+    first_asked: Option<Instant>,
+    asked: Option<Instant>,
+    fetching: Option<(Generation, Instant)>,
 }
 
 impl Adoption {
     /// Creates the choice of a process that has no configuration.
-    pub fn new(now: Instant) -> Self {
+    pub fn new() -> Self {
         Self {
             current: None,
-            started: now,
+            offers: SmallVec::new(),
+            head: None,
+            confirmed: false,
+            heard: SmallVec::new(),
+            first_asked: None,
+            asked: None,
+            fetching: None,
         }
     }
 
@@ -83,33 +127,149 @@
         self.current
     }
 
-    /// Takes in an offer. `None` from a peer that has no configuration itself.
-    pub fn offer(&mut self, now: Instant, source: Source, generation: Option<Generation>) {
-        let _ = (now, source, generation, self.started);
-        todo!("offer")
+    /// Takes in an offer. `None` comes from a peer or a store without configuration.
+    ///
+    /// A store's answer is stale if a higher version of the head was seen before.
+    pub fn offer(&mut self, source: Source, generation: Option<Generation>) {
+        if let Source::Store(version) = source {
+            if self.head.is_some_and(|seen| version < seen) {
+                return;
+            }
+            self.head = Some(version);
+        }
+        let Some(generation) = generation else {
+            return;
+        };
+        self.note_peer(&source);
+        if self.current.is_some_and(|c| generation <= c) {
+            return;
+        }
+        self.remember(generation, source);
     }
 
-    /// Takes in that the store did not answer.
-    pub fn store_failed(&mut self, now: Instant) {
-        let _ = now;
-        todo!("store_failed")
+    /// Takes in the answer to [`Step::Confirm`].
+    ///
+    /// An answer that was lost is not reported; the question is asked again.
+    pub fn confirm(&mut self, asked: Version, answer: Confirmation) {
+        if self.head != Some(asked) {
+            return;
+        }
+        match answer {
+            Confirmation::Current { new } => {
+                self.head = Some(new);
+                self.confirmed = true;
+                for (_, source) in &mut self.offers {
+                    if *source == Source::Store(asked) {
+                        *source = Source::Store(new);
+                    }
+                }
+            }
+            Confirmation::Moved { current } => {
+                self.head = self.head.max(current);
+                self.offers.retain(|(_, s)| !matches!(s, Source::Store(_)));
+                self.asked = None;
+            }
+        }
     }
 
-    /// Takes in the answer to [`Step::Confirm`]: the new version, or `None` on a conflict.
-    pub fn confirmed(&mut self, now: Instant, asked: Version, new: Option<Version>) {
-        let _ = (now, asked, new);
-        todo!("confirmed")
+    /// Takes in that a source could not deliver what it offered.
+    pub fn fetch_failed(&mut self, source: &Source) {
+        self.offers.retain(|(_, s)| s != source);
+        self.fetching = None;
     }
 
     /// Returns what to do next.
     pub fn next_step(&mut self, now: Instant) -> Step {
-        let _ = now;
-        todo!("next_step")
+        if self.current.is_some() || self.is_proved(now) {
+            return self.fetch_or_wait(now);
+        }
+        let first = *self.first_asked.get_or_insert(now);
+        if self.asked.is_none_or(|t| now >= t + ASK_AGAIN) {
+            self.asked = Some(now);
+            return self.ask(now, first);
+        }
+        Step::Wait {
+            until: self.asked.unwrap_or(now) + ASK_AGAIN,
+        }
     }
 
     /// Decides on a fetched generation.
     pub fn adopt(&mut self, now: Instant, generation: Generation) -> Adopted {
-        let _ = (now, generation);
-        todo!("adopt")
+        if let Some(current) = self.current.filter(|c| generation <= *c) {
+            return Adopted::Stale { current };
+        }
+        if self.current.is_none() && !self.is_first_choice(now, generation) {
+            return Adopted::Unproved;
+        }
+        self.current = Some(generation);
+        self.offers.retain(|(g, _)| *g > generation);
+        self.fetching = None;
+        Adopted::InForce
+    }
+
+    /// A new process takes nothing below the highest offer that can be delivered.
+    fn is_first_choice(&self, now: Instant, generation: Generation) -> bool {
+        let lower = self.offers.first().is_some_and(|(g, _)| generation < *g);
+        self.is_proved(now) && !lower
+    }
+
+    /// Whether the offers of a new process suffice to choose from.
+    fn is_proved(&self, now: Instant) -> bool {
+        let waited = self.first_asked.is_some_and(|t| now >= t + PEER_WAIT);
+        let all_heard = self.head.is_some() && self.heard.len() >= PEERS_ENOUGH;
+        self.confirmed || all_heard || (waited && !self.heard.is_empty())
+    }
+
+    fn note_peer(&mut self, source: &Source) {
+        let Source::Peer(peer) = source else {
+            return;
+        };
+        if self.heard.len() < PEERS_ENOUGH && !self.heard.contains(peer) {
+            self.heard.push(peer.clone());
+        }
+    }
+
+    fn ask(&self, now: Instant, first: Instant) -> Step {
+        let alone = self.heard.is_empty() && now >= first + PEER_WAIT;
+        match self.offers.first() {
+            Some((_, Source::Store(version))) if alone => Step::Confirm { version: *version },
+            _ => Step::Ask,
+        }
+    }
+
+    fn fetch_or_wait(&mut self, now: Instant) -> Step {
+        let wait = Step::Wait {
+            until: now + ASK_AGAIN,
+        };
+        let Some((generation, source)) = self.offers.first().cloned() else {
+            return wait;
+        };
+        let under_way = |(g, t): (Generation, Instant)| g >= generation && now < t + FETCH_AGAIN;
+        if self.fetching.is_some_and(under_way) {
+            return wait;
+        }
+        self.fetching = Some((generation, now));
+        Step::Fetch { generation, source }
+    }
+
+    /// Keeps the highest offers; of equal ones a peer's goes first, for the store's sake.
+    fn remember(&mut self, generation: Generation, source: Source) {
+        if let Source::Store(_) = source {
+            self.offers.retain(|(_, s)| !matches!(s, Source::Store(_)));
+        }
+        let offer = (generation, source);
+        if self.offers.contains(&offer) {
+            return;
+        }
+        self.offers.push(offer);
+        let rank = |(g, s): &(Generation, Source)| (*g, matches!(s, Source::Peer(_)));
+        self.offers.sort_by_key(|o| std::cmp::Reverse(rank(o)));
+        self.offers.truncate(OFFERS_MAX);
+    }
+}
+
+impl Default for Adoption {
+    fn default() -> Self {
+        Self::new()
     }
 }
