--- a/src/agent.rs
+++ b/src/agent.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     adoption::{
+        Confirmation,
         Source,
         Step, //
     },
@@ -39,6 +40,7 @@
         ControlRequest,
         SET_TIMEOUT, //
     },
+    error::StoreError,
     gateway::{
         Gateway,
         head, //
@@ -46,6 +48,7 @@
     host::{
         configuration::{
             Adopt,
+            FetchFailed,
             HeadConfirmed,
             HeadSeen, //
         },
@@ -61,6 +64,7 @@
         self,
         head::HEAD_KEY, //
     },
+    relay,
     store::{
         Condition,
         ObjectStore, //
@@ -68,7 +72,8 @@
     util::id::{
         Generation,
         HostName,
-        Version, //
+        Version,
+        ZoneName, //
     },
 };
 
@@ -79,11 +84,13 @@
 pub fn spawn<S: ObjectStore>(
     gw: Arc<Gateway>,
     store: Arc<S>,
+    zone: ZoneName,
     seeds: Vec<SocketAddr>,
     errands: UnboundedReceiver<Errand>,
 ) {
     tokio::spawn(keep_time(gw.clone()));
     tokio::spawn(meet_seeds(gw.clone(), seeds));
+    relay::spawn(gw.clone(), store.clone(), zone);
     tokio::spawn(run_errands(gw, store, errands));
 }
 
@@ -189,30 +196,42 @@
     }
 }
 
-async fn see_head<S: ObjectStore>(gw: &Gateway, store: &S) {
+/// Reads the store's head, and tells the actor where it was read.
+pub async fn see_head<S: ObjectStore>(gw: &Gateway, store: &S) {
     gw.metrics.store_calls.inc();
-    let seen = match publish::read_head(store).await {
-        Ok(Some(head)) => Some((head.version, head.head.generation())),
-        Ok(None) => None,
-        Err(e) => {
-            log::warn!(event = "head-not-read", cause:% = e; "");
-            None
+    match publish::read_head(store).await {
+        Ok(Some(head)) => {
+            let msg = HeadSeen {
+                version: head.version,
+                generation: Some(head.head.generation()),
+            };
+            let _ = gw.host.send(msg).await;
         }
-    };
-    let _ = gw.host.send(HeadSeen(seen)).await;
+        Ok(None) => log::debug!(event = "nothing-published"; ""),
+        Err(e) => log::warn!(event = "head-not-read", cause:% = e; ""),
+    }
 }
 
 /// Writes the head back unchanged: that succeeds only on the current version.
 async fn confirm<S: ObjectStore>(gw: &Gateway, store: &S, asked: Version) {
     gw.metrics.store_calls.inc_by(2);
-    let new = match store.get(HEAD_KEY).await {
-        Ok(Some(object)) if object.version == asked => store
-            .put(HEAD_KEY, object.value, Condition::At(asked))
-            .await
-            .ok(),
-        _ => None,
+    let answer = match store.get(HEAD_KEY).await {
+        Ok(Some(object)) if object.version == asked => {
+            match store
+                .put(HEAD_KEY, object.value, Condition::At(asked))
+                .await
+            {
+                Ok(new) => Confirmation::Current { new },
+                Err(StoreError::Conflict { current, .. }) => Confirmation::Moved { current },
+                Err(_) => return,
+            }
+        }
+        Ok(Some(object)) => Confirmation::Moved {
+            current: Some(object.version),
+        },
+        Ok(None) | Err(_) => return,
     };
-    let _ = gw.host.send(HeadConfirmed { asked, new }).await;
+    let _ = gw.host.send(HeadConfirmed { asked, answer }).await;
 }
 
 async fn fetch<S: ObjectStore>(gw: &Gateway, store: &S, wanted: Generation, source: Source) {
@@ -223,6 +242,7 @@
     };
     let Some((set, deltas, generation)) = found else {
         log::warn!(event = "generation-not-fetched", generation:% = wanted; "");
+        let _ = gw.host.send(FetchFailed(source)).await;
         return;
     };
     // A large set takes a while to compile; requests go on meanwhile.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -168,13 +168,14 @@
         table,
         keys,
         connections,
-        tracing: Tracing::new(&cfg.name, None)?,
+        tracing: Tracing::new(&cfg.name, cfg.collector.as_deref())?,
         metrics,
         fleet_secret: Arc::new(secret),
         region,
     });
     let store = HttpStore::new(cfg.store, cfg.name.as_str());
-    agent::spawn(gw.clone(), Arc::new(store), cfg.seeds.clone(), errands_rx);
+    let (zone, seeds) = (cfg.zone.clone(), cfg.seeds.clone());
+    agent::spawn(gw.clone(), Arc::new(store), zone, seeds, errands_rx);
     log::info!(
         event = "started",
         host:% = cfg.name,
--- a/src/host.rs
+++ b/src/host.rs
@@ -9,6 +9,7 @@
 pub mod loads;
 pub mod message;
 pub mod news;
+pub mod roles;
 pub mod start;
 pub mod status;
 
@@ -72,6 +73,7 @@
         Suspect, //
     },
     retry,
+    store::ListedHost,
     util::{
         id::{
             HostName,
@@ -153,6 +155,7 @@
     loads: Loads,
     ledger: Option<Ledger>,
     others: BTreeMap<ZoneName, Ledger>,
+    listed: Vec<ListedHost>,
     plans: BTreeMap<RegionName, Plan>,
     running: HashMap<Ticket, Running>,
     last_ticket: Ticket,
@@ -184,7 +187,7 @@
             membership: Membership::new(name.clone(), contact, incarnation, now),
             credentials: Credentials::new(cfg.zone.clone(), Quorum::default(), cfg.when_stale),
             keys_revision: u64::MAX,
-            adoption: Adoption::new(now),
+            adoption: Adoption::new(),
             deltas: Vec::new(),
             once: Once::new(name.clone(), incarnation, now),
             quarantine: Quarantine::new(&name, incarnation),
@@ -195,6 +198,7 @@
             loads: Loads::new(),
             ledger: None,
             others: BTreeMap::new(),
+            listed: Vec::new(),
             plans: BTreeMap::new(),
             running: HashMap::new(),
             last_ticket: Ticket::default(),
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -14,6 +14,7 @@
 use crate::{
     adoption::{
         Adopted,
+        Confirmation,
         Source,
         Step, //
     },
@@ -88,19 +89,28 @@
 #[derive(Debug)]
 pub struct GetIndex;
 
-/// What the store's head says, or that the store did not answer.
+/// What the store's head says; no generation where nothing was published yet.
 #[derive(Debug)]
-pub struct HeadSeen(pub Option<(Version, Generation)>);
+pub struct HeadSeen {
+    /// The head's version.
+    pub version: Version,
+    /// The generation.
+    pub generation: Option<Generation>,
+}
 
 /// The answer of the store to a write that changes nothing.
 #[derive(Debug)]
 pub struct HeadConfirmed {
     /// The version that the write named.
     pub asked: Version,
-    /// The new version, or none on a conflict.
-    pub new: Option<Version>,
+    /// The answer.
+    pub answer: Confirmation,
 }
 
+/// Tells that a source could not deliver what it offered.
+#[derive(Debug)]
+pub struct FetchFailed(pub Source);
+
 /// Ledgers from the store.
 #[derive(Debug)]
 pub struct StoredLedgers {
@@ -144,15 +154,17 @@
     type Return = ();
 
     async fn handle(&mut self, msg: HeadSeen, _cx: &mut Context<Self>) {
-        let now = Instant::now();
-        match msg.0 {
-            Some((version, generation)) => {
-                let source = Source::Store(version);
-                self.adoption.offer(now, source, Some(generation));
-            }
-            None => self.adoption.store_failed(now),
-        }
-        self.ask_for_generation(now);
+        self.adoption
+            .offer(Source::Store(msg.version), msg.generation);
+        self.ask_for_generation(Instant::now());
+    }
+}
+
+impl Handler<FetchFailed> for Host {
+    type Return = ();
+
+    async fn handle(&mut self, msg: FetchFailed, _cx: &mut Context<Self>) {
+        self.adoption.fetch_failed(&msg.0);
     }
 }
 
@@ -160,9 +172,8 @@
     type Return = ();
 
     async fn handle(&mut self, msg: HeadConfirmed, _cx: &mut Context<Self>) {
-        let now = Instant::now();
-        self.adoption.confirmed(now, msg.asked, msg.new);
-        self.ask_for_generation(now);
+        self.adoption.confirm(msg.asked, msg.answer);
+        self.ask_for_generation(Instant::now());
     }
 }
 
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -160,6 +160,7 @@
 
     async fn handle(&mut self, msg: Listed, _cx: &mut Context<Self>) {
         self.membership.on_list(Instant::now(), &msg.0);
+        self.listed = msg.0;
     }
 }
 
@@ -294,11 +295,9 @@
     }
 
     fn set_facts(&mut self, now: Instant) {
-        let counts = self.pools_are_shrunk();
-        let acknowledged = self.budgets.acknowledged(now).filter(|_| counts);
         let facts = Facts {
             generation: self.adoption.current(),
-            ledger: acknowledged.unwrap_or_default().0,
+            ledger: self.acknowledged(now).0,
             withdrawn: self.credentials.summary(),
             news: self.credentials.news(now),
             suspects: self.quarantine.summary(),
@@ -442,7 +441,7 @@
         }
         self.loads.report(&h.from, report);
         let source = Source::Peer(h.from.clone());
-        self.adoption.offer(now, source, h.facts.generation);
+        self.adoption.offer(source, h.facts.generation);
         let (to, address) = (h.from.clone(), h.contact.peers);
         let ask = |msg| Errand::Control {
             to: to.clone(),
--- /dev/null
+++ b/src/host/roles.rs
@@ -0,0 +1,170 @@
+//! What the actor decides for the roles of relay and planner.
+
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    host::Host,
+    ledger::{
+        self,
+        Heard,
+        Ledger,
+        Member,
+        Observed,
+        Revision, //
+    },
+    membership::PeerState,
+    role::Role,
+    util::id::{
+        HostName,
+        ZoneName, //
+    },
+};
+
+/// Hosts that stand for a role at once.
+const CANDIDATES: usize = 2;
+
+/// Asks whether this host stands for a role.
+#[derive(Debug)]
+pub struct MayHold(pub Role);
+
+/// Asks for the zone's next ledger.
+#[derive(Debug)]
+pub struct ProposeLedger {
+    /// The ledger in the store, if any.
+    pub held: Option<Ledger>,
+    /// Since when this host has been the relay.
+    pub since: Instant,
+}
+
+/// The answer to [`ProposeLedger`].
+#[derive(Debug)]
+pub struct Proposal {
+    /// The ledger to write; none where nothing changes.
+    pub next: Option<Ledger>,
+    /// Whether this host waits for proof that the stored ledger is the current one.
+    pub needs_proof: bool,
+}
+
+impl Handler<MayHold> for Host {
+    type Return = bool;
+
+    async fn handle(&mut self, msg: MayHold, _cx: &mut Context<Self>) -> bool {
+        self.may_hold(Instant::now(), &msg.0)
+    }
+}
+
+impl Handler<ProposeLedger> for Host {
+    type Return = Proposal;
+
+    async fn handle(&mut self, msg: ProposeLedger, _cx: &mut Context<Self>) -> Proposal {
+        self.propose(Instant::now(), msg)
+    }
+}
+
+impl Host {
+    /// Returns whether this host is among the few of its zone or region that stand for a role.
+    fn may_hold(&self, now: Instant, role: &Role) -> bool {
+        if self.leaving {
+            return false;
+        }
+        let zones: Vec<ZoneName> = match role {
+            Role::Relay(zone) => vec![zone.clone()],
+            Role::Planner(region) => match &self.index {
+                Some(index) => index.zones_in(region).to_vec(),
+                None => return false,
+            },
+        };
+        let text = role.to_string();
+        let rank = |host: &HostName| xxh3_64_with_seed(host.as_str().as_bytes(), seed(&text));
+        let own = rank(&self.cfg.name);
+        let mut before = 0;
+        for zone in &zones {
+            for peer in self.membership.zone_hosts(zone) {
+                let usable = self.membership.state(now, &peer.name) == Some(PeerState::Live);
+                before += usize::from(usable && rank(&peer.name) < own);
+            }
+        }
+        before < CANDIDATES
+    }
+
+    fn propose(&mut self, now: Instant, msg: ProposeLedger) -> Proposal {
+        let needs_proof = self.ledger_due || self.budgets.needs_validation();
+        let Some(index) = self.index.clone() else {
+            return Proposal {
+                next: None,
+                needs_proof: false,
+            };
+        };
+        let held = msg
+            .held
+            .unwrap_or_else(|| Ledger::new(self.cfg.zone.clone()));
+        let heard = self.heard(now, &held, msg.since);
+        let others: Vec<Ledger> = self.others.values().cloned().collect();
+        let observed = Observed {
+            generation: index.generation(),
+            zones: &index.set().zones,
+            listed: &self.listed,
+            heard: &heard,
+            others: &others,
+        };
+        Proposal {
+            next: ledger::propose(&held, &observed),
+            needs_proof,
+        }
+    }
+
+    /// Returns what this relay heard of the hosts of its zone.
+    fn heard(&mut self, now: Instant, ledger: &Ledger, since: Instant) -> Vec<Heard> {
+        let mut members: Vec<Member> = Vec::new();
+        for member in ledger.members.iter().flat_map(|m| &m.hosts) {
+            if !members.contains(member) {
+                members.push(member.clone());
+            }
+        }
+        let own = self.acknowledged(now);
+        let mut heard = Vec::new();
+        for member in members {
+            if member.name == self.cfg.name && member.peers == self.cfg.peers {
+                heard.push(Heard {
+                    member,
+                    revision: own,
+                    silent_for: std::time::Duration::ZERO,
+                    released: false,
+                });
+                continue;
+            }
+            heard.push(self.heard_of(now, member, since));
+        }
+        heard
+    }
+
+    fn heard_of(&self, now: Instant, member: Member, since: Instant) -> Heard {
+        let peer = self.membership.peer(&member.name);
+        let peer = peer.filter(|p| p.contact.peers == member.peers);
+        let facts = peer.and_then(|p| p.facts.as_ref());
+        let last = peer.and_then(|p| p.heard).map_or(since, |t| t.max(since));
+        let report = self.loads.of_host(&member.name);
+        Heard {
+            revision: facts.map_or(Revision(0), |f| Revision(f.ledger)),
+            silent_for: now.saturating_duration_since(last),
+            released: peer.is_some() && report.is_some_and(|r| r.released),
+            member,
+        }
+    }
+
+    /// Returns the ledger revision that this host counts by.
+    pub(super) fn acknowledged(&mut self, now: Instant) -> Revision {
+        let shrunk = self.pools_are_shrunk();
+        let revision = self.budgets.acknowledged(now).filter(|_| shrunk);
+        revision.unwrap_or_default()
+    }
+}
+
+fn seed(text: &str) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), 0)
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,300 @@
+//! The relay's work: it watches the store for its zone and writes the zone's ledger.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    agent,
+    error::StoreError,
+    gateway::Gateway,
+    host::{
+        configuration::{
+            StoreIsFresh,
+            StoredLedgers,
+            StoredPlans,
+            StoredWithdrawn, //
+        },
+        news::Listed,
+        roles::ProposeLedger,
+    },
+    ledger::Ledger,
+    plan::Plan,
+    publish::{
+        head::HEAD_KEY,
+        withdrawn::{
+            WITHDRAWN_KEY,
+            read_withdrawn, //
+        },
+    },
+    role::{
+        Holding,
+        Role,
+        keep, //
+    },
+    store::{
+        Change,
+        Condition,
+        ObjectStore, //
+    },
+    util::id::{
+        Version,
+        ZoneName, //
+    },
+};
+
+/// The prefix of everything that a relay watches.
+const WATCH_PREFIX: &str = "cardamomroad/";
+/// The prefix of the ledgers.
+pub const LEDGER_PREFIX: &str = "cardamomroad/ledger/";
+/// The prefix of the plans.
+pub const PLAN_PREFIX: &str = "cardamomroad/plan/";
+/// How long a watch waits for a change; its end proves how fresh the store's news is.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// How often the platform's list is read and a ledger is proposed.
+const LEDGER_PERIOD: Duration = Duration::from_secs(1);
+/// How long to pause after a failure of the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// How often a host that is no relay looks whether it has become one.
+const IDLE_PERIOD: Duration = Duration::from_millis(200);
+
+/// Starts the relay's tasks; they work only while this host holds the lease.
+pub fn spawn<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>, zone: ZoneName) {
+    let holding = keep(gw.clone(), store.clone(), Role::Relay(zone.clone()));
+    let relay = Arc::new(Relay {
+        gw,
+        store,
+        zone,
+        holding,
+    });
+    tokio::spawn(watch(relay.clone()));
+    tokio::spawn(keep_ledger(relay));
+}
+
+struct Relay<S> {
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    zone: ZoneName,
+    holding: Holding,
+}
+
+impl<S: ObjectStore> Relay<S> {
+    fn holds(&self) -> bool {
+        self.holding.term().is_some()
+    }
+
+    fn ledger_key(&self) -> String {
+        format!("{LEDGER_PREFIX}{}", self.zone)
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<(Version, T, Bytes)>, StoreError> {
+        self.gw.metrics.store_calls.inc();
+        let Some(object) = self.store.get(key).await? else {
+            return Ok(None);
+        };
+        let value = rmp_serde::from_slice(&object.value).map_err(|e| StoreError::Malformed {
+            key: key.to_owned(),
+            cause: e.to_string(),
+        })?;
+        Ok(Some((object.version, value, object.value)))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        condition: Condition,
+    ) -> Result<Version, StoreError> {
+        self.gw.metrics.store_calls.inc();
+        self.store.put(key, value, condition).await
+    }
+
+    /// Fetches one changed object and hands it to the actor.
+    async fn fetch(&self, key: &str) -> Result<(), StoreError> {
+        if key == HEAD_KEY {
+            agent::see_head(&self.gw, &*self.store).await;
+        } else if key == WITHDRAWN_KEY {
+            self.fetch_withdrawn().await?;
+        } else if key.starts_with(LEDGER_PREFIX) {
+            let asked = Instant::now();
+            if let Some((_, ledger, _)) = self.get::<Ledger>(key).await? {
+                let msg = StoredLedgers {
+                    asked,
+                    ledgers: vec![ledger],
+                    proved: false,
+                };
+                let _ = self.gw.host.send(msg).await;
+            }
+        } else if key.starts_with(PLAN_PREFIX)
+            && let Some((_, plan, _)) = self.get::<Plan>(key).await?
+        {
+            let _ = self.gw.host.send(StoredPlans(vec![plan])).await;
+        }
+        Ok(())
+    }
+
+    async fn fetch_withdrawn(&self) -> Result<(), StoreError> {
+        self.gw.metrics.store_calls.inc();
+        match read_withdrawn(&*self.store).await {
+            Ok(withdrawn) => {
+                let _ = self.gw.host.send(StoredWithdrawn(withdrawn)).await;
+                Ok(())
+            }
+            Err(e) => Err(StoreError::Malformed {
+                key: WITHDRAWN_KEY.to_owned(),
+                cause: e.to_string(),
+            }),
+        }
+    }
+}
+
+/// Watches the store while this host holds the lease.
+async fn watch<S: ObjectStore>(relay: Arc<Relay<S>>) {
+    let mut seen = Seen::default();
+    loop {
+        if !relay.holds() {
+            seen = Seen::default();
+            sleep(IDLE_PERIOD).await;
+            continue;
+        }
+        if let Err(e) = watch_once(&relay, &mut seen).await {
+            log::warn!(event = "watch-failed", zone:% = relay.zone, cause:% = e; "");
+            sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// What a relay has seen of the store.
+#[derive(Debug, Default)]
+struct Seen {
+    /// The store's version up to which everything was fetched; none before the first list.
+    upto: Option<Version>,
+    /// The fetched version of each object.
+    fetched: HashMap<String, Version>,
+}
+
+impl Seen {
+    /// Returns whether a change was not fetched yet.
+    fn is_new(&self, change: &Change) -> bool {
+        self.fetched
+            .get(&change.key)
+            .is_none_or(|v| *v < change.version)
+    }
+}
+
+async fn watch_once<S: ObjectStore>(relay: &Relay<S>, seen: &mut Seen) -> Result<(), StoreError> {
+    relay.gw.metrics.store_calls.inc();
+    let (changes, version) = match seen.upto {
+        Some(upto) => {
+            let answer = relay.store.watch(WATCH_PREFIX, upto, WATCH_WAIT).await?;
+            (answer.changes, answer.version)
+        }
+        None => {
+            // The version is read before the list, so that nothing between the two is missed.
+            let zero = Duration::ZERO;
+            let answer = relay
+                .store
+                .watch(WATCH_PREFIX, Version(u64::MAX >> 1), zero)
+                .await?;
+            (relay.store.list(WATCH_PREFIX).await?, answer.version)
+        }
+    };
+    // An answer older than one before comes from a store that lags.
+    if seen.upto.is_some_and(|upto| version < upto) {
+        return Ok(());
+    }
+    for change in &changes {
+        if !seen.is_new(change) {
+            continue;
+        }
+        relay.fetch(&change.key).await?;
+        seen.fetched.insert(change.key.clone(), change.version);
+    }
+    seen.upto = Some(version);
+    // A watch that reaches the version of an own write saw all that was before that write.
+    if let Some(proof) = relay.holding.proof()
+        && version >= proof.version
+    {
+        let _ = relay.gw.host.send(StoreIsFresh(proof.asked)).await;
+    }
+    Ok(())
+}
+
+/// Writes the zone's ledger while this host holds the lease.
+async fn keep_ledger<S: ObjectStore>(relay: Arc<Relay<S>>) {
+    let mut since = None;
+    loop {
+        if !relay.holds() {
+            since = None;
+            sleep(IDLE_PERIOD).await;
+            continue;
+        }
+        let began = *since.get_or_insert_with(Instant::now);
+        if let Err(e) = ledger_once(&relay, began).await {
+            log::warn!(event = "ledger-not-written", zone:% = relay.zone, cause:% = e; "");
+            sleep(FAILURE_PAUSE).await;
+        }
+        sleep(LEDGER_PERIOD).await;
+    }
+}
+
+async fn ledger_once<S: ObjectStore>(relay: &Relay<S>, since: Instant) -> Result<(), StoreError> {
+    relay.gw.metrics.store_calls.inc();
+    let hosts = relay.store.hosts().await?;
+    let _ = relay.gw.host.send(Listed(hosts)).await;
+    let key = relay.ledger_key();
+    let asked = Instant::now();
+    let stored = relay.get::<Ledger>(&key).await?;
+    let held = stored.as_ref().map(|(_, ledger, _)| ledger.clone());
+    let proposal = relay
+        .gw
+        .host
+        .send(ProposeLedger {
+            held: held.clone(),
+            since,
+        })
+        .await;
+    let Ok(answer) = proposal else {
+        return Ok(());
+    };
+    // The lease is looked at again right before the write; the condition fences the rest.
+    if !relay.holds() {
+        return Ok(());
+    }
+    let (ledger, value) = match (answer.next, &stored) {
+        (Some(next), _) => {
+            let value = rmp_serde::to_vec(&next).map_err(|e| StoreError::Malformed {
+                key: key.clone(),
+                cause: e.to_string(),
+            })?;
+            (next, Bytes::from(value))
+        }
+        (None, Some((_, ledger, value))) if answer.needs_proof => (ledger.clone(), value.clone()),
+        (None, _) => return Ok(()),
+    };
+    let condition = match &stored {
+        Some((version, ..)) => Condition::At(*version),
+        None => Condition::Absent,
+    };
+    relay.put(&key, value, condition).await?;
+    log::debug!(event = "ledger-written", zone:% = relay.zone, revision = ledger.revision.0; "");
+    let msg = StoredLedgers {
+        asked,
+        ledgers: vec![ledger],
+        proved: true,
+    };
+    let _ = relay.gw.host.send(msg).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/role.rs
@@ -0,0 +1,209 @@
+//! Roles that one host at a time holds by a lease in the platform's store.
+
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::time::{
+    Instant,
+    sleep,
+    sleep_until, //
+};
+
+use crate::{
+    error::StoreError,
+    gateway::Gateway,
+    host::roles::MayHold,
+    lease::{
+        Action,
+        Lease,
+        LeaseRecord,
+        Term, //
+    },
+    store::{
+        Condition,
+        ObjectStore, //
+    },
+    util::id::{
+        RegionName,
+        Version,
+        ZoneName, //
+    },
+};
+
+/// How often a host that is no candidate looks again.
+const CANDIDATE_PERIOD: Duration = Duration::from_secs(2);
+/// The shortest pause between two looks at a lease.
+const PAUSE_MIN: Duration = Duration::from_millis(50);
+/// The prefix of all leases, apart from what relays watch.
+const LEASE_PREFIX: &str = "cardamomroad.lease/";
+
+/// A role that one host at a time holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Watches the store for a zone.
+    Relay(ZoneName),
+    /// Plans for a region.
+    Planner(RegionName),
+}
+
+impl Role {
+    /// Returns the key of the role's lease in the store.
+    pub fn key(&self) -> String {
+        format!("{LEASE_PREFIX}{self}")
+    }
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Relay(zone) => write!(f, "relay/{zone}"),
+            Self::Planner(region) => write!(f, "planner/{region}"),
+        }
+    }
+}
+
+/// A successful write of the lease: the store's version then, and when it was asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Proof {
+    /// The version that the write gave.
+    pub version: Version,
+    /// When the write was asked for.
+    pub asked: Instant,
+}
+
+/// One host's part in a role, shared by the task that keeps the lease and the
+/// one that does the work.
+#[derive(Clone, Debug)]
+pub struct Holding {
+    lease: Arc<Mutex<Lease>>,
+    proof: Arc<Mutex<Option<Proof>>>,
+}
+
+impl Holding {
+    /// Returns the term under which the role may act at this very instant.
+    pub fn term(&self) -> Option<Term> {
+        let lease = self.lease.lock().ok()?;
+        lease.may_act(Instant::now())
+    }
+
+    /// Returns the latest successful write of the lease.
+    pub fn proof(&self) -> Option<Proof> {
+        *self.proof.lock().ok()?
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Lease) -> T) -> T {
+        let mut lease = self.lease.lock().unwrap_or_else(|e| e.into_inner());
+        f(&mut lease)
+    }
+}
+
+/// Starts the task that keeps a role's lease while this host is a candidate.
+pub fn keep<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>, role: Role) -> Holding {
+    let lease = Lease::new(gw.name.clone(), gw.incarnation);
+    let holding = Holding {
+        lease: Arc::new(Mutex::new(lease)),
+        proof: Arc::default(),
+    };
+    tokio::spawn(keep_lease(gw, store, role, holding.clone()));
+    holding
+}
+
+async fn keep_lease<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>, role: Role, holding: Holding) {
+    let key = role.key();
+    loop {
+        let Ok(may_hold) = gw.host.send(MayHold(role.clone())).await else {
+            return;
+        };
+        if !may_hold {
+            give_up(&gw, &*store, &key, &holding).await;
+            sleep(CANDIDATE_PERIOD).await;
+            continue;
+        }
+        let action = holding.with(|lease| lease.decide(Instant::now()));
+        match action {
+            Action::Wait { until } | Action::Hold { until } => {
+                let pause = until.saturating_duration_since(Instant::now());
+                sleep_until(Instant::now() + pause.max(PAUSE_MIN)).await;
+            }
+            Action::Read => read(&gw, &*store, &key, &holding).await,
+            Action::Acquire { record, condition } | Action::Renew { record, condition } => {
+                write(&gw, &*store, &key, &holding, record, condition).await;
+            }
+            Action::Lost => log::warn!(event = "lease-lost", role:%; ""),
+        }
+    }
+}
+
+async fn give_up<S: ObjectStore>(gw: &Gateway, store: &S, key: &str, holding: &Holding) {
+    if holding.term().is_none() {
+        return;
+    }
+    let release = holding.with(|lease| lease.release(Instant::now()));
+    let Some((record, condition)) = release else {
+        return;
+    };
+    gw.metrics.store_calls.inc();
+    if let Err(e) = put(store, key, &record, condition).await {
+        log::debug!(event = "lease-not-released", key:%, cause:% = e; "");
+    }
+}
+
+async fn read<S: ObjectStore>(gw: &Gateway, store: &S, key: &str, holding: &Holding) {
+    gw.metrics.store_calls.inc();
+    match store.get(key).await {
+        Ok(object) => {
+            let found = object.and_then(|o| {
+                let record = rmp_serde::from_slice(&o.value).ok()?;
+                Some((o.version, record))
+            });
+            holding.with(|lease| lease.observe(Instant::now(), found));
+        }
+        Err(e) => {
+            log::debug!(event = "lease-not-read", key:%, cause:% = e; "");
+            sleep(PAUSE_MIN).await;
+        }
+    }
+}
+
+async fn write<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    key: &str,
+    holding: &Holding,
+    record: LeaseRecord,
+    condition: Condition,
+) {
+    let asked = Instant::now();
+    let held = holding.term().is_some();
+    gw.metrics.store_calls.inc();
+    let result = put(store, key, &record, condition).await;
+    if let Ok(version) = result {
+        let proof = Proof { version, asked };
+        *holding.proof.lock().unwrap_or_else(|e| e.into_inner()) = Some(proof);
+        if !held {
+            log::info!(event = "lease-acquired", key:%, term = record.term.0; "");
+        }
+    }
+    let now = Instant::now();
+    holding.with(|lease| lease.answer(now, record.write, result));
+}
+
+async fn put<S: ObjectStore>(
+    store: &S,
+    key: &str,
+    record: &LeaseRecord,
+    condition: Condition,
+) -> Result<Version, StoreError> {
+    let value = rmp_serde::to_vec(record).map_err(|e| StoreError::Malformed {
+        key: key.to_owned(),
+        cause: e.to_string(),
+    })?;
+    store.put(key, Bytes::from(value), condition).await
+}
