--- /dev/null
+++ b/tests/support/sets.rs
@@ -0,0 +1,44 @@
+//! Configuration sets for tests.
+
+use std::path::Path;
+
+use cardamomroad::config::{
+    object::{
+        Block,
+        Set, //
+    },
+    parse::{
+        parse,
+        read, //
+    },
+};
+use ipnet::IpNet;
+
+/// Returns one of the example deployments.
+pub fn example(name: &str) -> Set {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let sources = read(&folder.join("examples").join(name)).unwrap();
+    parse(&sources).unwrap()
+}
+
+/// Returns an example with so many client blocks, which do not overlap.
+pub fn with_blocks(count: u32) -> Set {
+    let mut set = example("skyglass");
+    set.blocks.clear();
+    for i in 0..count {
+        let addr = std::net::Ipv4Addr::from_bits(0x1000_0000 + (i << 8));
+        let a = set.zones[i as usize % 6].name.clone();
+        let b = set.zones[(i as usize / 6 + 1) % 6].name.clone();
+        let net: IpNet = format!("{addr}/24").parse().unwrap();
+        let mut near = vec![a];
+        if !near.contains(&b) {
+            near.push(b);
+        }
+        set.blocks.push(Block {
+            net,
+            near: near.into(),
+        });
+    }
+    set.sort();
+    set
+}
