--- a/src/agent.rs
+++ b/src/agent.rs
@@ -60,6 +60,7 @@
             Tick, //
         },
     },
+    planning,
     publish::{
         self,
         head::HEAD_KEY, //
@@ -91,6 +92,7 @@
     tokio::spawn(keep_time(gw.clone()));
     tokio::spawn(meet_seeds(gw.clone(), seeds));
     relay::spawn(gw.clone(), store.clone(), zone);
+    planning::spawn(gw.clone(), store.clone());
     tokio::spawn(run_errands(gw, store, errands));
 }
 
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -16,6 +16,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    plan::Steer,
     refusal::{
         Outcome,
         Reason, //
@@ -207,6 +208,8 @@
         /// Why the step was not larger.
         bound: StepBound,
     },
+    /// The planner set where the requests of one zone and service are served.
+    Steered(Steer),
     /// The planner held the last plan.
     Held {
         /// The region.
@@ -341,6 +344,18 @@
                     bound.as_str()
                 )
             }
+            Self::Steered(steer) => {
+                write!(
+                    f,
+                    "serves {} that enters in {} in",
+                    steer.service, steer.origin
+                )?;
+                for w in &steer.weights {
+                    let (whole, part) = (w.weight / 10, w.weight % 10);
+                    write!(f, " {} {whole}.{part}%", w.zone)?;
+                }
+                write!(f, ": {}", steer.reason)
+            }
             Self::Held { region, why } => {
                 write!(f, "keeps the plan of {region}: {}", why.as_str())
             }
--- a/src/explain/journal.rs
+++ b/src/explain/journal.rs
@@ -78,7 +78,10 @@
     pub fn plan(&self) -> impl Iterator<Item = &Record> {
         self.records.iter().filter(|record| {
             let decision = &record.decision;
-            matches!(decision, Decision::Planned { .. } | Decision::Held { .. })
+            matches!(
+                decision,
+                Decision::Planned { .. } | Decision::Steered(_) | Decision::Held { .. }
+            )
         })
     }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,8 +49,7 @@
         Host,
         message::{
             Start,
-            Started,
-            Ticket, //
+            Started, //
         },
     },
     lookup::Table,
@@ -153,9 +152,8 @@
         match started {
             Ok(Started::Run {
                 organisation,
-                ticket,
+                permit,
             }) => {
-                let permit = self.permit(Some(ticket));
                 let f = Forwarding {
                     call,
                     upload,
@@ -168,7 +166,7 @@
             }
             Ok(Started::Home { organisation, home }) => {
                 log::debug!(event = "sent-home", id:% = call.id, host:% = call.id.host; "");
-                let permit = self.permit(None);
+                let permit = Permit::new(None, None, self.metrics.clone());
                 let f = Forwarding {
                     call,
                     upload,
@@ -184,10 +182,6 @@
         }
     }
 
-    fn permit(&self, ticket: Option<Ticket>) -> Permit {
-        Permit::new(self.host.clone(), ticket, self.metrics.clone())
-    }
-
     async fn start(&self, call: &Call, suspect: Suspect) -> Result<Started, Refusal> {
         let own_region = self.region.load_full();
         let mut first_try = None;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -109,7 +109,7 @@
 /// Holds a started request open in the host's state until it is dropped.
 #[derive(Debug)]
 pub struct Permit {
-    host: Address<Host>,
+    host: Option<Address<Host>>,
     ticket: Option<Ticket>,
     outcome: Outcome,
     status: u16,
@@ -120,7 +120,7 @@
     /// Returns the permit of a request of which nothing has left yet.
     ///
     /// A request that another host runs as its home has no ticket here.
-    pub fn new(host: Address<Host>, ticket: Option<Ticket>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(host: Option<Address<Host>>, ticket: Option<Ticket>, metrics: Arc<Metrics>) -> Self {
         metrics.in_flight.inc();
         Self {
             host,
@@ -151,7 +151,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         self.metrics.in_flight.dec();
-        let Some(ticket) = self.ticket else {
+        let (Some(host), Some(ticket)) = (&self.host, self.ticket) else {
             return;
         };
         let msg = Finish {
@@ -159,44 +159,52 @@
             outcome: self.outcome,
             status: self.status,
         };
-        post(&self.host, msg);
+        post(host, msg);
     }
 }
 
 /// One try that is open at its target until it is dropped.
 #[derive(Debug)]
 pub struct OpenTry {
-    host: Address<Host>,
+    host: Option<Address<Host>>,
     service: ServiceName,
     target: Target,
+    organisation: Option<OrganisationName>,
     suspect: Suspect,
     end: TryEnd,
     draining: bool,
-    upload: Progress,
+    upload: Option<Progress>,
     answer: Progress,
 }
 
 impl OpenTry {
     /// Returns a try that was sent, or is about to be; without news it was abandoned.
     pub fn new(
-        host: Address<Host>,
+        host: Option<Address<Host>>,
         service: ServiceName,
         target: Target,
+        organisation: Option<OrganisationName>,
         suspect: Suspect,
-        upload: Progress,
     ) -> Self {
         Self {
             host,
             service,
             target,
+            organisation,
             suspect,
             end: TryEnd::Abandoned,
             draining: false,
-            upload,
+            upload: None,
             answer: Progress::new(Instant::now()),
         }
     }
 
+    /// Adds the progress of the request's body.
+    pub fn with_upload(mut self, upload: Progress) -> Self {
+        self.upload = Some(upload);
+        self
+    }
+
     /// Returns where it was sent.
     pub fn target(&self) -> &Target {
         &self.target
@@ -220,15 +228,19 @@
 
 impl Drop for OpenTry {
     fn drop(&mut self) {
+        let Some(host) = &self.host else {
+            return;
+        };
         let msg = TryFinished {
             service: self.service.clone(),
             target: self.target.clone(),
+            organisation: self.organisation.clone(),
             end: self.end,
             draining: self.draining,
             suspect: self.suspect,
-            bytes_out: self.upload.passed(),
+            bytes_out: self.upload.as_ref().map_or(0, Progress::passed),
             bytes_in: self.answer.passed(),
         };
-        post(&self.host, msg);
+        post(host, msg);
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,9 +10,12 @@
     body::Incoming, //
 };
 use smallvec::SmallVec;
-use tokio::time::{
-    Instant,
-    sleep_until, //
+use tokio::{
+    sync::oneshot,
+    time::{
+        Instant,
+        sleep_until, //
+    },
 };
 
 use crate::{
@@ -137,11 +140,11 @@
         let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
         let mut may_have_run = false;
         loop {
-            let target = match self.choose(&f, &tried).await {
-                Ok(target) => target,
+            let mut open = match self.choose(&f, &tried).await {
+                Ok(open) => open.with_upload(f.passage.progress.clone()),
                 Err(refusal) => return self.refuse(f, refusal, may_have_run),
             };
-            let mut open = self.open_try(&f, target.clone());
+            let target = open.target().clone();
             let failed = match self.send_once(&mut f, &target, Forward::Run).await {
                 Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
                 Tried::Failed(failed) => failed,
@@ -163,12 +166,6 @@
         }
     }
 
-    fn open_try(&self, f: &Forwarding, target: Target) -> OpenTry {
-        let service = f.call.route.service.clone();
-        let upload = f.passage.progress.clone();
-        OpenTry::new(self.host.clone(), service, target, f.suspect, upload)
-    }
-
     /// Asks whether a failed request may be sent again, and waits for its turn.
     async fn may_send_again(&self, f: &Forwarding, failed: Failed, tries: usize) -> bool {
         if !f.upload.can_be_sent() {
@@ -195,7 +192,8 @@
         mut f: Forwarding,
         home: Target,
     ) -> Response<ProxyBody> {
-        let mut open = self.open_try(&f, home.clone());
+        let service = f.call.route.service.clone();
+        let mut open = OpenTry::new(None, service, home.clone(), None, f.suspect);
         let failed = match self.send_once(&mut f, &home, Forward::Home).await {
             Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
             Tried::Failed(failed) => failed,
@@ -210,32 +208,43 @@
         &self,
         f: &Forwarding,
         tried: &SmallVec<[Target; 2]>,
-    ) -> Result<Target, Refusal> {
+    ) -> Result<OpenTry, Refusal> {
         let mut first_try = None;
         loop {
             let msg = Choose {
                 service: f.call.route.service.clone(),
                 organisation: f.organisation.clone(),
                 id: f.call.id.clone(),
+                deadline: f.call.deadline,
                 local_only: f.call.is_local_only(),
                 tried: tried.clone(),
+                suspect: f.suspect,
                 route: f.call.route.name.clone(),
                 length: f.upload.length(),
                 first_try,
             };
             first_try = first_try.or(Some(Instant::now()));
-            match self.host.send(msg).await {
-                Ok(Choice::Send(target)) => return Ok(target),
-                Ok(Choice::Refused(refusal)) => return Err(refusal),
-                Ok(Choice::Wait(until)) if until >= f.call.deadline => {
+            let choice = match self.host.send(msg).await {
+                Ok(Choice::Queued(rx)) => self.wait_in_queue(rx).await,
+                choice => choice.ok(),
+            };
+            match choice {
+                Some(Choice::Send(open)) => return Ok(*open),
+                Some(Choice::Refused(refusal)) => return Err(refusal),
+                Some(Choice::Wait(until)) if until >= f.call.deadline => {
                     return Err(Refusal::not_run(Reason::Deadline));
                 }
-                Ok(Choice::Wait(until)) => sleep_until(until).await,
-                Err(_) => return Err(Refusal::not_run(Reason::Stopping)),
+                Some(Choice::Wait(until)) => sleep_until(until).await,
+                Some(Choice::Queued(_)) | None => return Err(Refusal::not_run(Reason::Stopping)),
             }
         }
     }
 
+    /// Waits for the choice of a request that waits for a slot.
+    async fn wait_in_queue(&self, rx: oneshot::Receiver<Choice>) -> Option<Choice> {
+        rx.await.ok()
+    }
+
     async fn send_once(
         self: &Arc<Self>,
         f: &mut Forwarding,
--- a/src/host.rs
+++ b/src/host.rs
@@ -9,6 +9,8 @@
 pub mod loads;
 pub mod message;
 pub mod news;
+pub mod planning;
+pub mod queueing;
 pub mod roles;
 pub mod start;
 pub mod status;
@@ -32,6 +34,12 @@
     time::Instant, //
 };
 
+use xtra::{
+    Actor,
+    Address,
+    Mailbox, //
+};
+
 use crate::{
     adoption::Adoption,
     budget::Budgets,
@@ -52,7 +60,9 @@
     host::{
         errand::Errand,
         loads::Loads,
-        message::Ticket, //
+        message::Ticket,
+        planning::Planning,
+        queueing::Waiter, //
     },
     ledger::Ledger,
     link::Links,
@@ -72,6 +82,7 @@
         Quarantine,
         Suspect, //
     },
+    queue::Queue,
     retry,
     store::ListedHost,
     util::{
@@ -136,8 +147,9 @@
 }
 
 /// The state of an entry host.
-#[derive(Debug, xtra::Actor)]
+#[derive(Debug)]
 pub struct Host {
+    me: Option<Address<Host>>,
     cfg: HostConfig,
     index: Option<Arc<Index>>,
     region: Option<RegionName>,
@@ -152,11 +164,13 @@
     links: Links,
     retries: retry::Budget,
     pools: HashMap<ServiceName, Pool>,
+    queues: HashMap<ServiceName, Queue<Waiter>>,
     loads: Loads,
     ledger: Option<Ledger>,
     others: BTreeMap<ZoneName, Ledger>,
     listed: Vec<ListedHost>,
     plans: BTreeMap<RegionName, Plan>,
+    planning: Option<Planning>,
     running: HashMap<Ticket, Running>,
     last_ticket: Ticket,
     journal: Journal,
@@ -182,6 +196,7 @@
         };
         let (name, incarnation) = (cfg.name.clone(), cfg.incarnation);
         Self {
+            me: None,
             index: None,
             region: None,
             membership: Membership::new(name.clone(), contact, incarnation, now),
@@ -195,11 +210,13 @@
             links: Links::new(),
             retries: retry::Budget::new(),
             pools: HashMap::new(),
+            queues: HashMap::new(),
             loads: Loads::new(),
             ledger: None,
             others: BTreeMap::new(),
             listed: Vec::new(),
             plans: BTreeMap::new(),
+            planning: None,
             running: HashMap::new(),
             last_ticket: Ticket::default(),
             journal: Journal::new(JOURNAL_RECORDS),
@@ -221,3 +238,14 @@
         let _ = self.cfg.errands.send(errand);
     }
 }
+
+impl Actor for Host {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.me = mailbox.address().try_upgrade();
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -16,6 +16,7 @@
         Measurement,
         Subject, //
     },
+    gateway::call::OpenTry,
     host::{
         Host,
         message::{
@@ -34,10 +35,7 @@
     },
     membership::PeerState,
     plan::WEIGHT_WHOLE,
-    pool::{
-        Pick,
-        upstream::Outcome, //
-    },
+    pool::upstream::Outcome,
     refusal::{
         Reason,
         Refusal, //
@@ -105,7 +103,7 @@
             self.retries.earn();
         }
         let choice = match msg.local_only {
-            true => self.choose_upstream(now, msg, true, explain::Choice::OwnZone, Basis::new()),
+            true => self.choose_upstream(now, msg, explain::Choice::OwnZone, Basis::new()),
             false => self.choose_zone(now, msg),
         };
         if let Choice::Refused(refusal) = &choice {
@@ -140,56 +138,20 @@
             _ => explain::Choice::OwnZone,
         };
         match decision.to {
-            route::Target::Own => self.choose_upstream(now, msg, false, why, basis),
+            route::Target::Own => self.choose_upstream(now, msg, why, basis),
             route::Target::Zone(zone) => self.choose_gateway(now, msg, &zone, why, basis),
-            route::Target::Nowhere => {
-                let reason = match decision.reason {
-                    route::Reason::NoLink => Reason::Link,
-                    _ => Reason::Overload,
-                };
-                let after = self.retry_after(now, &msg.service);
-                Choice::Refused(Refusal::not_run(reason).with_retry_after(after))
-            }
-        }
-    }
-
-    fn choose_upstream(
-        &mut self,
-        now: Instant,
-        msg: &Choose,
-        passed: bool,
-        why: explain::Choice,
-        basis: Basis,
-    ) -> Choice {
-        let Some(pool) = self.pools.get_mut(&msg.service) else {
-            return Choice::Refused(Refusal::not_run(Reason::Overload));
-        };
-        let decision = pool.pick(now, passed, &mut self.rng);
-        match decision.pick {
-            Pick::Upstream { address, .. } => {
-                pool.started(now, address);
-                let target = explain::Target::Upstream(address);
-                self.record_route(now, msg, target, why, basis);
-                Choice::Send(Target::Upstream(address))
-            }
-            Pick::Pass { host } => self.pass(now, msg, host),
-            Pick::Busy { retry_after } => {
-                let refusal = Refusal::not_run(Reason::Overload);
-                Choice::Refused(refusal.with_retry_after(retry_after))
-            }
+            route::Target::Nowhere => self.nowhere(now, msg, decision.reason),
         }
     }
 
-    /// Passes a request to a gateway of the own zone that has free slots.
-    fn pass(&mut self, now: Instant, msg: &Choose, host: HostName) -> Choice {
-        let zone = self.cfg.zone.clone();
-        match self.gateway(host, zone) {
-            Some(target) if !msg.tried.contains(&target) => {
-                self.record_gateway(now, msg, &target, explain::Choice::OwnZone, Basis::new());
-                Choice::Send(target)
-            }
-            _ => Choice::Refused(Refusal::not_run(Reason::Overload)),
+    /// Lets a request wait that finds no room anywhere.
+    fn nowhere(&mut self, now: Instant, msg: &Choose, reason: route::Reason) -> Choice {
+        if reason == route::Reason::NoLink && !self.pools.contains_key(&msg.service) {
+            let after = self.retry_after(now, &msg.service);
+            return Choice::Refused(Refusal::not_run(Reason::Link).with_retry_after(after));
         }
+        let (name, weight) = self.claimant(msg.organisation.as_ref());
+        self.wait_for_slot(now, msg, &name, weight)
     }
 
     fn choose_gateway(
@@ -212,7 +174,7 @@
         self.loads.use_slot(&host, &msg.service);
         self.loads.spilled(&msg.service, zone);
         self.record_gateway(now, msg, &target, why, basis);
-        Choice::Send(target)
+        self.open_try(msg, target)
     }
 
     /// Holds the expected bytes of a request on the link that it would cross.
@@ -246,6 +208,17 @@
         }
     }
 
+    /// Returns the choice of a target, as a try that is open until it is dropped.
+    pub(super) fn open_try(&self, msg: &Choose, target: Target) -> Choice {
+        Choice::Send(Box::new(OpenTry::new(
+            self.me.clone(),
+            msg.service.clone(),
+            target,
+            msg.organisation.clone(),
+            msg.suspect,
+        )))
+    }
+
     fn pay(&mut self, now: Instant, msg: &Pay) -> Option<Instant> {
         let link = self.link_to(&msg.to)?;
         let attempt = match msg.first_try {
@@ -299,6 +272,9 @@
         if let Some(pool) = self.pools.get_mut(&msg.service) {
             pool.finished(now, address, outcome);
         }
+        let (name, _) = self.claimant(msg.organisation.as_ref());
+        self.finish_claim(&msg.service, &name);
+        self.serve_queue(now, &msg.service);
         match msg.end {
             TryEnd::Whole => self.quarantine.on_answer(now, msg.suspect),
             TryEnd::Lost | TryEnd::Broken => {
@@ -440,7 +416,7 @@
         }
     }
 
-    fn gateway(&self, host: HostName, zone: ZoneName) -> Option<Target> {
+    pub(super) fn gateway(&self, host: HostName, zone: ZoneName) -> Option<Target> {
         let peer = self.membership.peer(&host)?;
         Some(Target::Gateway {
             peers: peer.contact.peers,
@@ -466,12 +442,12 @@
         u32::try_from(n).unwrap_or(u32::MAX)
     }
 
-    fn retry_after(&self, now: Instant, service: &ServiceName) -> std::time::Duration {
+    pub(super) fn retry_after(&self, now: Instant, service: &ServiceName) -> std::time::Duration {
         let pool = self.pools.get(service);
         pool.map_or(retry::RETRY_AFTER_MIN, |p| p.retry_after(now))
     }
 
-    fn record_route(
+    pub(super) fn record_route(
         &mut self,
         now: Instant,
         msg: &Choose,
@@ -489,7 +465,7 @@
         self.record(now, Some(&msg.id), decision, basis);
     }
 
-    fn record_gateway(
+    pub(super) fn record_gateway(
         &mut self,
         now: Instant,
         msg: &Choose,
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -3,9 +3,16 @@
 use std::net::SocketAddr;
 
 use smallvec::SmallVec;
-use tokio::time::Instant;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
 
 use crate::{
+    gateway::call::{
+        OpenTry,
+        Permit, //
+    },
     quarantine::Suspect,
     refusal::{
         Outcome,
@@ -57,14 +64,14 @@
 }
 
 /// The answer to [`Start`].
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Started {
     /// It may run; its permit is open until [`Finish`].
     Run {
         /// The organisation that it runs for.
         organisation: Option<OrganisationName>,
-        /// The number by which [`Finish`] names it.
-        ticket: Ticket,
+        /// Its permit; dropping it sends [`Finish`].
+        permit: Permit,
     },
     /// Another host is its home.
     Home {
@@ -88,8 +95,12 @@
     pub organisation: Option<OrganisationName>,
     /// The request's id, for the journal.
     pub id: RequestId,
+    /// When its answer must have started.
+    pub deadline: Instant,
     /// Whether only upstreams of the own zone may be chosen.
     pub local_only: bool,
+    /// What tells repeated requests apart.
+    pub suspect: Suspect,
     /// The route that it matched.
     pub route: ObjectName,
     /// The places that were tried before.
@@ -123,12 +134,14 @@
 }
 
 /// The answer to [`Choose`].
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Choice {
-    /// Send it there.
-    Send(Target),
+    /// Send it to this try's target; dropping the try sends [`TryFinished`].
+    Send(Box<OpenTry>),
     /// Ask again at this instant.
     Wait(Instant),
+    /// It waits for a slot; the choice comes later.
+    Queued(oneshot::Receiver<Choice>),
     /// No place is left.
     Refused(Refusal),
 }
@@ -159,6 +172,8 @@
     pub service: ServiceName,
     /// Where it was sent.
     pub target: Target,
+    /// The organisation that it ran for.
+    pub organisation: Option<OrganisationName>,
     /// How it ended.
     pub end: TryEnd,
     /// Whether its upstream said that it drains.
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -224,6 +224,7 @@
         for pool in self.pools.values_mut() {
             pool.tick(now);
         }
+        self.serve_queues(now);
         self.ask_for_generation(now);
         self.publish_keys();
         if self.ticks.is_multiple_of(TICKS_PER_PERIOD) {
--- /dev/null
+++ b/src/host/planning.rs
@@ -0,0 +1,286 @@
+//! What the planner of a region decides from: loads, drains and caps.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+use xtra::{
+    Context,
+    Handler, //
+};
+
+use crate::{
+    config::{
+        index::Index,
+        object::{
+            Drain,
+            DrainTarget,
+            Pool, //
+        },
+    },
+    control::ServiceLoad,
+    drain::Progress,
+    explain::{
+        Basis,
+        Decision,
+        HoldReason,
+        Measurement,
+        Subject, //
+    },
+    host::Host,
+    lease::Term,
+    membership::PeerState,
+    plan::{
+        self,
+        Plan, //
+    },
+    planner::{
+        Planner,
+        view::{
+            Capacity,
+            Demand,
+            LinkLoad,
+            Place,
+            Standing,
+            View, //
+        },
+    },
+    util::id::{
+        HostName,
+        ObjectName,
+        RegionName,
+        ZoneName, //
+    },
+};
+
+/// Asks for the next plan of a region.
+#[derive(Debug)]
+pub struct MakePlan {
+    /// The region.
+    pub region: RegionName,
+    /// The planner's lease term.
+    pub term: Term,
+    /// The plan in the store, if any.
+    pub stored: Option<Plan>,
+}
+
+/// A planner at work, and the drains that it follows.
+#[derive(Debug)]
+pub struct Planning {
+    term: Term,
+    planner: Planner,
+    drains: BTreeMap<ObjectName, Progress>,
+}
+
+impl Handler<MakePlan> for Host {
+    type Return = Option<Plan>;
+
+    async fn handle(&mut self, msg: MakePlan, _cx: &mut Context<Self>) -> Option<Plan> {
+        self.make_plan(Instant::now(), msg)
+    }
+}
+
+impl Host {
+    /// Returns the plan to publish; none where it is the stored one still.
+    fn make_plan(&mut self, now: Instant, msg: MakePlan) -> Option<Plan> {
+        let index = self.index.clone()?;
+        let generation = index.generation();
+        let stored = msg.stored.as_ref().filter(|p| p.term <= msg.term.0);
+        let mut planning = match self.planning.take() {
+            Some(planning) if planning.term == msg.term => planning,
+            _ => Planning {
+                term: msg.term,
+                planner: match stored {
+                    Some(plan) => Planner::with_plan(plan.clone(), msg.term.0),
+                    None => Planner::new(msg.region.clone(), generation, msg.term.0),
+                },
+                drains: BTreeMap::new(),
+            },
+        };
+        follow_drains(now, &index, &mut planning.drains);
+        let view = self.view(now, &index, &planning.drains);
+        let plan = planning.planner.step(now, generation, &view).clone();
+        self.planning = Some(planning);
+        self.record_plan(now, &plan);
+        let same = msg.stored.as_ref().is_some_and(|s| is_same(s, &plan));
+        (!same).then_some(plan)
+    }
+
+    /// Returns all that this host knows of loads, drains and caps.
+    fn view(
+        &mut self,
+        now: Instant,
+        index: &Index,
+        drains: &BTreeMap<ObjectName, Progress>,
+    ) -> View {
+        let mut view = View::default();
+        for zone in &index.set().zones {
+            view.zones.insert(zone.name.clone(), zone.region.clone());
+        }
+        for pool in &index.set().pools {
+            let place = (pool.zone.clone(), pool.service.clone());
+            let standing = self.standing(now, index, drains, pool);
+            view.capacities.insert(
+                place,
+                Capacity {
+                    usable: 0.0,
+                    used: 0.0,
+                    foreign: 0.0,
+                    standing,
+                    at: now,
+                },
+            );
+        }
+        self.add_loads(now, &mut view);
+        for link in &index.set().links {
+            let cap = link.cap.bytes_per_second().0;
+            let left = self.headroom.get(&link.name).map_or(cap, |l| l.0.min(cap));
+            view.links.insert(
+                (link.from.clone(), link.to.clone()),
+                LinkLoad {
+                    cap: cap as f64,
+                    used: (cap - left) as f64,
+                    delay: link.delay,
+                    at: now,
+                },
+            );
+        }
+        view
+    }
+
+    fn add_loads(&mut self, now: Instant, view: &mut View) {
+        let own = self.own_loads(now);
+        let zone = self.cfg.zone.clone();
+        for load in &own {
+            add_load(view, &zone, load, now);
+        }
+        for (zone, _) in view.zones.clone() {
+            let reports: Vec<(HostName, Instant, Vec<ServiceLoad>)> = self
+                .loads
+                .of_zone(&zone)
+                .map(|(host, r)| (host.clone(), r.heard, r.loads.to_vec()))
+                .collect();
+            for (host, heard, loads) in reports {
+                if !self.counts_for_plan(now, &host) {
+                    continue;
+                }
+                for load in &loads {
+                    add_load(view, &zone, load, heard);
+                }
+            }
+        }
+    }
+
+    fn counts_for_plan(&self, now: Instant, host: &HostName) -> bool {
+        matches!(
+            self.membership.state(now, host),
+            Some(PeerState::Live | PeerState::Suspect)
+        )
+    }
+
+    fn standing(
+        &self,
+        now: Instant,
+        index: &Index,
+        drains: &BTreeMap<ObjectName, Progress>,
+        pool: &Pool,
+    ) -> Standing {
+        let drained = index.set().drains.iter().find(|d| match &d.target {
+            DrainTarget::Zone(zone) => *zone == pool.zone,
+            DrainTarget::Pool(name) => *name == pool.name,
+            DrainTarget::Upstream(_) | DrainTarget::Host(_) => false,
+        });
+        if let Some(drain) = drained {
+            let left = drains.get(&drain.name).map(|p| p.shift_left(now));
+            return Standing::Draining(left.unwrap_or(Duration::ZERO));
+        }
+        match self.is_zone_lost(now, &pool.zone) {
+            true => Standing::Lost,
+            false => Standing::Open,
+        }
+    }
+
+    /// Returns whether no host of a zone can be reached.
+    fn is_zone_lost(&self, now: Instant, zone: &ZoneName) -> bool {
+        if *zone == self.cfg.zone {
+            return false;
+        }
+        !self
+            .membership
+            .zone_hosts(zone)
+            .any(|p| self.counts_for_plan(now, &p.name))
+    }
+
+    fn record_plan(&mut self, now: Instant, plan: &Plan) {
+        if plan.steers.is_empty() {
+            let why = match plan.basis {
+                plan::Basis::Measured => HoldReason::Steady,
+                plan::Basis::Held | plan::Basis::Fallback => HoldReason::MeasurementsTooOld,
+            };
+            let decision = Decision::Held {
+                region: plan.region.clone(),
+                why,
+            };
+            self.record(now, None, decision, Basis::new());
+            return;
+        }
+        for steer in &plan.steers {
+            let mut basis = Basis::new();
+            basis.push(Measurement {
+                subject: Subject::FreeSlots(steer.origin.clone()),
+                value: i64::try_from(steer.weights.len()).unwrap_or(i64::MAX),
+                age: Duration::from_millis(steer.age_ms),
+            });
+            let decision = Decision::Steered(steer.clone());
+            self.record(now, None, decision, basis);
+        }
+    }
+}
+
+/// Starts to follow new drains, and forgets those that were taken back.
+fn follow_drains(now: Instant, index: &Index, drains: &mut BTreeMap<ObjectName, Progress>) {
+    let configured = &index.set().drains;
+    let is_configured = |name: &ObjectName| configured.iter().any(|d: &Drain| d.name == *name);
+    drains.retain(|name, _| is_configured(name));
+    for drain in configured {
+        drains
+            .entry(drain.name.clone())
+            .or_insert_with(|| Progress::new(now, drain.within));
+    }
+}
+
+fn add_load(view: &mut View, zone: &ZoneName, load: &ServiceLoad, at: Instant) {
+    let place: Place = (zone.clone(), load.service.clone());
+    if let Some(c) = view.capacities.get_mut(&place) {
+        c.usable += f64::from(load.usable);
+        c.used += f64::from(load.usable.saturating_sub(load.free));
+        c.foreign += f64::from(load.foreign);
+        c.at = c.at.min(at);
+    }
+    let demand = view.demands.entry(place).or_insert(Demand {
+        slots: 0.0,
+        bytes_in: 0.0,
+        bytes_out: 0.0,
+        at,
+    });
+    demand.slots += f64::from(load.entered);
+    demand.bytes_in += load.bytes_in as f64;
+    demand.bytes_out += load.bytes_out as f64;
+    demand.at = demand.at.min(at);
+}
+
+/// Returns whether a plan says the same as the stored one.
+fn is_same(stored: &Plan, plan: &Plan) -> bool {
+    stored.term == plan.term
+        && stored.generation == plan.generation
+        && stored.basis == plan.basis
+        && stored.closed == plan.closed
+        && stored.steers.len() == plan.steers.len()
+        && stored
+            .steers
+            .iter()
+            .zip(&plan.steers)
+            .all(|(a, b)| a.origin == b.origin && a.service == b.service && a.weights == b.weights)
+}
--- /dev/null
+++ b/src/host/queueing.rs
@@ -0,0 +1,195 @@
+//! Requests that wait for a slot of their zone's upstreams, by fairness.
+
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use crate::{
+    explain::{
+        self,
+        Basis, //
+    },
+    host::{
+        Host,
+        message::{
+            Choice,
+            Choose,
+            Target, //
+        },
+    },
+    pool::Pick,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+    util::id::{
+        OrganisationName,
+        ServiceName, //
+    },
+};
+
+/// The name under which requests of routes open to all wait. It cannot be configured
+/// as an organisation's, since names of objects hold no digit before a dot.
+const OPEN_ROUTES: &str = "0.open";
+
+/// A request that waits, and where its place is sent.
+#[derive(Debug)]
+pub struct Waiter {
+    msg: Choose,
+    tx: oneshot::Sender<Choice>,
+}
+
+impl Host {
+    /// Returns the organisation that a request waits as, and its weight.
+    pub(super) fn claimant(
+        &self,
+        organisation: Option<&OrganisationName>,
+    ) -> (OrganisationName, u32) {
+        let Some(name) = organisation else {
+            let open = OPEN_ROUTES.parse();
+            return (
+                open.unwrap_or_else(|_| unreachable!("the name is valid")),
+                1,
+            );
+        };
+        let index = self.index.as_ref();
+        let weight = index
+            .and_then(|i| i.organisation(name))
+            .map_or(1, |o| o.weight);
+        (name.clone(), weight)
+    }
+
+    /// Sends a request to an upstream of the own zone, or lets it wait for one.
+    pub(super) fn choose_upstream(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        why: explain::Choice,
+        basis: Basis,
+    ) -> Choice {
+        let (name, weight) = self.claimant(msg.organisation.as_ref());
+        let queue = self.queues.entry(msg.service.clone()).or_default();
+        if !queue.start(&name, weight) {
+            return self.wait_for_slot(now, msg, &name, weight);
+        }
+        match self.take_slot(now, msg, why, basis) {
+            Some(choice) => choice,
+            None => {
+                self.finish_claim(&msg.service, &name);
+                self.wait_for_slot(now, msg, &name, weight)
+            }
+        }
+    }
+
+    /// Takes a free slot; none where no slot is free.
+    fn take_slot(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        why: explain::Choice,
+        basis: Basis,
+    ) -> Option<Choice> {
+        let pool = self.pools.get_mut(&msg.service)?;
+        let decision = pool.pick(now, msg.local_only, &mut self.rng);
+        match decision.pick {
+            Pick::Upstream { address, .. } => {
+                pool.started(now, address);
+                let target = explain::Target::Upstream(address);
+                self.record_route(now, msg, target, why, basis);
+                Some(self.open_try(msg, Target::Upstream(address)))
+            }
+            Pick::Pass { host } => {
+                let target = self.gateway(host, self.cfg.zone.clone())?;
+                if msg.tried.contains(&target) {
+                    return None;
+                }
+                let (name, _) = self.claimant(msg.organisation.as_ref());
+                self.finish_claim(&msg.service, &name);
+                self.record_gateway(now, msg, &target, why, basis);
+                Some(self.open_try(msg, target))
+            }
+            Pick::Busy { .. } => None,
+        }
+    }
+
+    /// Lets a request wait for a slot, for a bounded time.
+    pub(super) fn wait_for_slot(
+        &mut self,
+        now: Instant,
+        msg: &Choose,
+        name: &OrganisationName,
+        weight: u32,
+    ) -> Choice {
+        if !self.pools.contains_key(&msg.service) {
+            return self.overload(now, &msg.service);
+        }
+        let (tx, rx) = oneshot::channel();
+        let waiter = Waiter {
+            msg: msg.clone(),
+            tx,
+        };
+        let queue = self.queues.entry(msg.service.clone()).or_default();
+        match queue.push(now, name, weight, msg.deadline, waiter) {
+            Ok(()) => Choice::Queued(rx),
+            Err(_) => self.overload(now, &msg.service),
+        }
+    }
+
+    pub(super) fn overload(&self, now: Instant, service: &ServiceName) -> Choice {
+        let after = self.retry_after(now, service);
+        Choice::Refused(Refusal::not_run(Reason::Overload).with_retry_after(after))
+    }
+
+    /// Gives the claim of a request back that no longer has a slot.
+    pub(super) fn finish_claim(&mut self, service: &ServiceName, name: &OrganisationName) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.finish(name);
+        }
+    }
+
+    /// Gives free slots to those that wait, and refuses those that waited too long.
+    pub(super) fn serve_queues(&mut self, now: Instant) {
+        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.serve_queue(now, &service);
+        }
+    }
+
+    pub(super) fn serve_queue(&mut self, now: Instant, service: &ServiceName) {
+        let Some(queue) = self.queues.get_mut(service) else {
+            return;
+        };
+        for late in queue.expire(now) {
+            let refusal = self.overload(now, service);
+            // A caller that went away needs no answer.
+            let _ = late.tx.send(refusal);
+        }
+        loop {
+            let free = self.pools.get(service).map_or(0, |p| p.free_slots(now));
+            let Some(queue) = self.queues.get_mut(service).filter(|_| free > 0) else {
+                return;
+            };
+            let Some(waiter) = queue.pop() else {
+                return;
+            };
+            self.serve_waiter(now, service, waiter);
+        }
+    }
+
+    fn serve_waiter(&mut self, now: Instant, service: &ServiceName, waiter: Waiter) {
+        let Waiter { msg, tx } = waiter;
+        let (name, _) = self.claimant(msg.organisation.as_ref());
+        if tx.is_closed() {
+            self.finish_claim(service, &name);
+            return;
+        }
+        let choice = self.take_slot(now, &msg, explain::Choice::OwnZone, Basis::new());
+        let choice = choice.unwrap_or_else(|| {
+            self.finish_claim(service, &name);
+            self.overload(now, service)
+        });
+        // An unsent choice drops its try, which gives the slot back.
+        let _ = tx.send(choice);
+    }
+}
--- a/src/host/start.rs
+++ b/src/host/start.rs
@@ -17,6 +17,7 @@
     },
     credential::Standing,
     explain::Decision,
+    gateway::call,
     host::{
         Host, Running,
         message::{
@@ -92,7 +93,7 @@
             let ticket = self.remember(msg, route, None);
             return Ok(Started::Run {
                 organisation,
-                ticket,
+                permit: self.permit(ticket),
             });
         }
         let permit = match route.idempotent {
@@ -104,7 +105,7 @@
                 let ticket = self.remember(msg, route, permit);
                 Ok(Started::Run {
                     organisation,
-                    ticket,
+                    permit: self.permit(ticket),
                 })
             }
             Ok(Some(until)) => {
@@ -275,6 +276,10 @@
         self.last_ticket
     }
 
+    fn permit(&self, ticket: Ticket) -> call::Permit {
+        call::Permit::new(self.me.clone(), Some(ticket), self.cfg.metrics.clone())
+    }
+
     fn finish(&mut self, msg: &Finish) {
         let Some(running) = self.running.remove(&msg.ticket) else {
             return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod options;
 pub mod plan;
 pub mod planner;
+pub mod planning;
 pub mod pool;
 pub mod post;
 pub mod publish;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -122,3 +122,18 @@
     /// No zone has room; the excess will be refused with a time to come back.
     Short,
 }
+
+impl std::fmt::Display for StepReason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Settled => "the weights are where they should be",
+            Self::Whole => "the whole step was taken",
+            Self::LinkHeadroom => "the link's headroom limits the step",
+            Self::TargetCapacity => "the target's capacity or warm-up limits the step",
+            Self::Unseen => "traffic of earlier steps has not arrived yet",
+            Self::Stale => "measurements are too old for a step",
+            Self::Lost => "a serving zone is lost",
+            Self::Short => "no zone has room for the rest",
+        })
+    }
+}
--- /dev/null
+++ b/src/planning.rs
@@ -0,0 +1,98 @@
+//! The planner's task: it publishes its region's steering plan.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use crate::{
+    error::StoreError,
+    gateway::Gateway,
+    host::{
+        configuration::StoredPlans,
+        planning::MakePlan, //
+    },
+    lease::Term,
+    plan::Plan,
+    planner::PLAN_PERIOD,
+    relay::PLAN_PREFIX,
+    role::{
+        Holding,
+        Role,
+        keep, //
+    },
+    store::{
+        Condition,
+        ObjectStore, //
+    },
+    util::id::RegionName,
+};
+
+/// How often a host whose region is not known yet looks again.
+const REGION_PERIOD: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Starts the planner's task; it works only while this host holds the lease.
+pub fn spawn<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>) {
+    tokio::spawn(plan(gw, store));
+}
+
+async fn plan<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>) {
+    let region = loop {
+        if let Some(region) = gw.region.load_full() {
+            break RegionName::clone(&region);
+        }
+        sleep(REGION_PERIOD).await;
+    };
+    let role = Role::Planner(region.clone());
+    let holding = keep(gw.clone(), store.clone(), role);
+    loop {
+        sleep(PLAN_PERIOD).await;
+        let Some(term) = holding.term() else {
+            continue;
+        };
+        if let Err(e) = plan_once(&gw, &*store, &region, &holding, term).await {
+            log::warn!(event = "plan-not-published", region:%, cause:% = e; "");
+        }
+    }
+}
+
+async fn plan_once<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    region: &RegionName,
+    holding: &Holding,
+    term: Term,
+) -> Result<(), StoreError> {
+    let key = format!("{PLAN_PREFIX}{region}");
+    gw.metrics.store_calls.inc();
+    let object = store.get(&key).await?;
+    let stored: Option<Plan> = object
+        .as_ref()
+        .and_then(|o| rmp_serde::from_slice(&o.value).ok());
+    let msg = MakePlan {
+        region: region.clone(),
+        term,
+        stored,
+    };
+    let Ok(Some(plan)) = gw.host.send(msg).await else {
+        return Ok(());
+    };
+    let value = rmp_serde::to_vec(&plan).map_err(|e| StoreError::Malformed {
+        key: key.clone(),
+        cause: e.to_string(),
+    })?;
+    let condition = match &object {
+        Some(object) => Condition::At(object.version),
+        None => Condition::Absent,
+    };
+    // A planner that was paused past its lease publishes nothing; the condition
+    // refuses what a successor has overtaken.
+    if holding.term() != Some(term) {
+        return Ok(());
+    }
+    gw.metrics.store_calls.inc();
+    store.put(&key, Bytes::from(value), condition).await?;
+    log::info!(event = "plan-published", region:%, term = plan.term, number = plan.number; "");
+    let _ = gw.host.send(StoredPlans(vec![plan])).await;
+    Ok(())
+}
