--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::{
-    HeaderMap, Request, Response, StatusCode, Uri, Version,
+    HeaderMap, Request, Response, Uri, Version,
     header::{
         self,
         HeaderName,
