--- a/src/config/check/limit.rs
+++ b/src/config/check/limit.rs
@@ -166,7 +166,7 @@
         );
         if pool.slots > pool.connections {
             let problem = Problem::OverCap {
-                what: "slots of one upstream, each on a connection",
+                what: "one upstream's slots, each on its own connection,",
                 sum: pool.slots.into(),
                 cap: pool.connections.into(),
             };
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,516 @@
+//! The operators' program, run as a process, and the checked settings.
+
+#[path = "support/server.rs"]
+mod server;
+#[allow(dead_code, reason = "each test program uses a part of it")]
+#[path = "support/sets.rs"]
+mod sets;
+#[allow(dead_code, reason = "each test program uses a part of it")]
+#[path = "support/store.rs"]
+mod store;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{
+        Command,
+        Output, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cardamomroad::{
+    cli::EntryArguments,
+    error::StoreError,
+    explain::{
+        Basis,
+        Choice,
+        Decision,
+        Measurement,
+        Record,
+        Subject,
+        Target,
+        journal::Journal, //
+    },
+    options::EntryOptions,
+    publish::head::HEAD_KEY,
+    refusal::{
+        Outcome,
+        Reason, //
+    },
+    store::{
+        Condition,
+        ObjectStore,
+        http::HttpStore, //
+    },
+    util::id::{
+        Generation,
+        RequestId,
+        Version, //
+    },
+};
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use store::{
+    FakeStore,
+    Fault, //
+};
+use tokio::{
+    net::TcpListener,
+    runtime::Runtime, //
+};
+
+/// A store behind HTTP, and the program that talks to it.
+struct Bench {
+    runtime: Runtime,
+    store: Arc<FakeStore>,
+    address: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Bench {
+    fn new(test: &str) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let store = Arc::new(FakeStore::new());
+        let address = runtime.block_on(server::serve(store.clone()));
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        fs::create_dir_all(&folder).unwrap();
+        Self {
+            runtime,
+            store,
+            address,
+            folder,
+        }
+    }
+
+    /// Runs the program.
+    fn run(&self, args: &[&str]) -> Ran {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cardamomroad"));
+        command
+            .env_clear()
+            .env("CARDAMOMROAD_STORE", self.address.to_string());
+        Ran(command.args(args).output().unwrap())
+    }
+
+    /// Writes a set with another burst and returns its file.
+    fn file(&self, burst: u32) -> String {
+        let mut set = sets::example("skyglass");
+        set.organisations[0].burst = burst;
+        let path = self.folder.join(format!("{burst}.toml"));
+        fs::write(&path, toml::to_string(&set).unwrap()).unwrap();
+        path.display().to_string()
+    }
+
+    /// Returns the number of generations that were in force.
+    fn generations(&self) -> usize {
+        self.store.history(HEAD_KEY).len()
+    }
+}
+
+/// What the program printed, and its exit code.
+struct Ran(Output);
+
+impl Ran {
+    fn code(&self) -> i32 {
+        self.0.status.code().unwrap()
+    }
+
+    fn out(&self) -> String {
+        String::from_utf8(self.0.stdout.clone()).unwrap()
+    }
+
+    fn err(&self) -> String {
+        String::from_utf8(self.0.stderr.clone()).unwrap()
+    }
+
+    /// Demands success and returns what was printed.
+    fn done(self) -> String {
+        assert_eq!(self.code(), 0, "{}", self.err());
+        self.out()
+    }
+
+    /// Demands an exit code and returns the error.
+    fn failed(self, code: i32) -> String {
+        assert_eq!(self.code(), code, "{}{}", self.out(), self.err());
+        self.err()
+    }
+}
+
+#[test]
+fn set_is_checked_applied_compared_and_read_back() {
+    let bench = Bench::new("applied");
+    let (one, two) = (bench.file(1), bench.file(2));
+    assert_eq!(
+        bench.run(&["check", &one]).done(),
+        "62 objects, no faults\n"
+    );
+    let printed = bench.run(&["apply", &one]).done();
+    assert!(
+        printed.starts_with("published generation 1 (write "),
+        "{printed}"
+    );
+    let changes = bench.run(&["diff", &two]).done();
+    assert_eq!(changes, "~ organisation central-counters burst: 1 -> 2\n");
+    assert_eq!(bench.run(&["diff", &two, "--from", &one]).done(), changes);
+    bench.run(&["apply", &two, "--expect", "1"]).done();
+    let got = bench.run(&["get"]).done();
+    assert_eq!(got, fs::read_to_string(&two).unwrap());
+    let got = bench.run(&["get", "--generation", "1"]).done();
+    assert_eq!(got, fs::read_to_string(&one).unwrap());
+    let status = bench.run(&["status"]).done();
+    assert!(status.starts_with("generation 2 (write "), "{status}");
+}
+
+#[test]
+fn exit_codes_tell_what_happened() {
+    let bench = Bench::new("codes");
+    let (one, two) = (bench.file(1), bench.file(2));
+    let faulty = bench.folder.join("faulty.toml");
+    fs::write(
+        &faulty,
+        "schema = 1\n[[zone]]\nname = \"a\"\nregion = \"b\"\n",
+    )
+    .unwrap();
+    let e = bench.run(&["check", faulty.to_str().unwrap()]).failed(1);
+    assert!(
+        e.contains("faulty.toml:2: zone a: region: no region is named \"b\""),
+        "{e}"
+    );
+    bench.run(&["check", "nowhere.toml"]).failed(1);
+    bench.run(&["get"]).failed(1);
+    bench.run(&["apply"]).failed(2);
+    bench.run(&["get", "--store", "nowhere"]).failed(2);
+    bench
+        .run(&["drain", "add", "x", "--within", "1m"])
+        .failed(2);
+    bench.run(&["apply", &one]).done();
+    bench.run(&["apply", &two]).done();
+    let e = bench.run(&["apply", &one, "--expect", "1"]).failed(3);
+    assert!(
+        e.contains("organisation central-counters burst: 1 -> 2"),
+        "{e}"
+    );
+    bench.store.set_down(true);
+    bench.run(&["apply", &one]).failed(1);
+    assert_eq!(bench.generations(), 2);
+}
+
+#[test]
+fn unknown_outcome_has_its_code_and_the_same_write_id_settles_it() {
+    let bench = Bench::new("unknown");
+    let one = bench.file(1);
+    bench.store.plan_put(HEAD_KEY, Fault::LostAfter);
+    for _ in 0..20 {
+        bench.store.plan_put(HEAD_KEY, Fault::Refused);
+    }
+    let ran = bench.run(&["--output", "json", "apply", &one]);
+    let error: Value = serde_json::from_str(&ran.failed(4)).unwrap();
+    let id = error["write_id"].as_str().unwrap();
+    let printed = bench.run(&["apply", &one, "--write-id", id]).done();
+    assert!(printed.starts_with("published generation 1 "), "{printed}");
+    assert_eq!(bench.generations(), 1);
+}
+
+#[test]
+fn json_answers_can_be_read_by_programs() {
+    let bench = Bench::new("json");
+    let one = bench.file(1);
+    let read = |ran: Ran| serde_json::from_str::<Value>(&ran.done()).unwrap();
+    let applied = read(bench.run(&["--output", "json", "apply", &one]));
+    assert_eq!(applied["generation"], 1);
+    let two = bench.file(2);
+    let changes = read(bench.run(&["diff", &two, "--output", "json"]));
+    assert_eq!(changes[0]["kind"], "organisation");
+    assert_eq!(changes[0]["fields"][0]["new"], 2);
+    let set = read(bench.run(&["get", "--output", "json"]));
+    assert_eq!(set["zone"].as_array().unwrap().len(), 6);
+    let faulty = bench.folder.join("faulty.toml");
+    fs::write(&faulty, "schema = 1\n[[zone]]\nname = \"a\"\n").unwrap();
+    let e = bench
+        .run(&["check", faulty.to_str().unwrap(), "--output", "json"])
+        .failed(1);
+    let e: Value = serde_json::from_str(&e).unwrap();
+    assert_eq!(e["faults"][0]["problem"], "missing-field");
+    assert_eq!(e["faults"][0]["place"]["line"], 2);
+}
+
+#[test]
+fn drains_change_the_set_in_force() {
+    let bench = Bench::new("drain");
+    bench.run(&["apply", &bench.file(1)]).done();
+    let add = [
+        "drain",
+        "add",
+        "works",
+        "--zone",
+        "central-a",
+        "--within",
+        "10m",
+    ];
+    bench.run(&add).done();
+    bench.run(&add).failed(1);
+    assert_eq!(
+        bench.run(&["drain", "list"]).done(),
+        "works: zone central-a within 10m\n"
+    );
+    let elsewhere = [
+        "drain", "add", "other", "--zone", "nowhere", "--within", "10m",
+    ];
+    let e = bench.run(&elsewhere).failed(1);
+    assert!(
+        e.contains("drain other: target: no zone is named \"nowhere\""),
+        "{e}"
+    );
+    bench.run(&["drain", "remove", "works"]).done();
+    assert_eq!(bench.run(&["drain", "list"]).done(), "");
+    bench.run(&["drain", "remove", "works"]).failed(1);
+    assert_eq!(bench.generations(), 3);
+}
+
+#[test]
+fn key_is_made_and_withdrawn() {
+    let bench = Bench::new("key");
+    bench.run(&["apply", &bench.file(1)]).done();
+    let made = bench
+        .run(&["--output", "json", "key", "new", "schools-2", "schools"])
+        .done();
+    let made: Value = serde_json::from_str(&made).unwrap();
+    let digest = made["object"]["digest"].as_str().unwrap();
+    let key = made["key"].as_str().unwrap();
+    assert_eq!(
+        cardamomroad::util::id::KeyDigest::of(key.as_bytes()).to_string(),
+        digest
+    );
+    bench
+        .run(&["key", "withdraw", "--name", "schools-1"])
+        .done();
+    bench.run(&["key", "withdraw", "--digest", digest]).done();
+    let again = bench.run(&["key", "withdraw", "--digest", digest]).done();
+    assert_eq!(again, format!("key {digest} was withdrawn before\n"));
+    assert_eq!(bench.run(&["key", "withdrawn"]).done().lines().count(), 2);
+    bench
+        .run(&["key", "withdraw", "--name", "nobody"])
+        .failed(1);
+}
+
+#[test]
+fn completions_name_the_commands() {
+    let script = Bench::new("completions")
+        .run(&["completions", "bash"])
+        .done();
+    assert!(script.contains("withdraw"));
+}
+
+fn request() -> RequestId {
+    "bac-a-1/1718/42/9f3c".parse().unwrap()
+}
+
+fn records() -> Vec<Record> {
+    let record = |decision, basis: Vec<Measurement>| Record {
+        host: "bac-a-1".parse().unwrap(),
+        at: Duration::from_millis(1500),
+        request: Some(request()),
+        generation: Generation(7),
+        decision,
+        basis: Basis::from_vec(basis),
+    };
+    let upstream = "127.0.0.1:21000".parse().unwrap();
+    let routed = Decision::Routed {
+        service: "dispatch".parse().unwrap(),
+        organisation: Some("hue-stations".parse().unwrap()),
+        route: "bookings".parse().unwrap(),
+        target: Target::Upstream(upstream),
+        choice: Choice::OwnZone,
+    };
+    let measured = Measurement {
+        subject: Subject::InFlight(upstream),
+        value: 2,
+        age: Duration::ZERO,
+    };
+    let refused = Decision::Refused {
+        reason: Reason::Rate,
+        outcome: Outcome::NotRun,
+        organisation: Some("hue-stations".parse().unwrap()),
+        service: None,
+    };
+    vec![record(routed, vec![measured]), record(refused, Vec::new())]
+}
+
+/// Answers operators' questions as an entry host does.
+async fn host() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(|req: Request<Incoming>| async move {
+                let question = req.uri().to_string();
+                let answer = match question.as_str() {
+                    "/status" => "{\"generation\":7,\"zone\":\"bac-a\"}".to_owned(),
+                    "/explain?request=bac-a-1/1718/42/9f3c" | "/explain?refusals" => {
+                        Record::to_json_lines(&records()).unwrap()
+                    }
+                    _ => String::new(),
+                };
+                Ok::<_, hyper::Error>(Response::new(Full::new(Bytes::from(answer))))
+            });
+            let connection = http1::Builder::new();
+            let _ = connection
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        }
+    });
+    address
+}
+
+#[test]
+fn host_explains_its_decisions() {
+    let bench = Bench::new("explain");
+    let host = bench.runtime.block_on(host()).to_string();
+    let id = request().to_string();
+    let account = bench
+        .run(&["explain", "--host", &host, "--request", &id])
+        .done();
+    let expected = "\
+bac-a-1 at 1.500s, generation 7: sent dispatch by route bookings to upstream 127.0.0.1:21000 \
+for hue-stations: best in the own zone
+    from requests in flight at 127.0.0.1:21000 = 2 (0s old)
+bac-a-1 at 1.500s, generation 7: refused as rate (not-run) for hue-stations
+";
+    assert_eq!(account, expected);
+    let refusals = bench
+        .run(&["explain", "--host", &host, "--refusals"])
+        .done();
+    assert!(refusals.ends_with("1 refused as rate\n"), "{refusals}");
+    let plan = bench.run(&["explain", "--host", &host, "--plan"]).done();
+    assert!(plan.starts_with("nothing is recorded"), "{plan}");
+    let status = bench.run(&["status", "--host", &host]).done();
+    assert_eq!(status, "generation: 7\nzone: bac-a\n");
+    bench.run(&["explain", "--host", &host]).failed(2);
+    bench.run(&["status", "--host", "127.0.0.1:1"]).failed(1);
+}
+
+#[test]
+fn journal_keeps_the_latest_records_of_each_request() {
+    let mut journal = Journal::new(3);
+    for _ in 0..2 {
+        records()
+            .into_iter()
+            .for_each(|record| journal.push(record));
+    }
+    assert_eq!(journal.len(), 3);
+    assert_eq!(journal.request(&request()).count(), 3);
+    assert_eq!(journal.refusals().count(), 2);
+    assert_eq!(journal.refusal_count(Reason::Rate), 2);
+    for mut record in records().into_iter().cycle().take(3) {
+        record.request = None;
+        journal.push(record);
+    }
+    assert_eq!(journal.request(&request()).count(), 0);
+}
+
+#[test]
+fn store_client_tells_refused_unanswered_and_conflict_apart() {
+    let bench = Bench::new("client");
+    let client = HttpStore::new(bench.address, "test").with_timeout(Duration::from_millis(300));
+    bench.runtime.block_on(async {
+        let value = Bytes::from_static(b"one");
+        assert_eq!(client.get("a/b").await, Ok(None));
+        let version = client
+            .put("a/b", value.clone(), Condition::Absent)
+            .await
+            .unwrap();
+        let read = client.get("a/b").await.unwrap().unwrap();
+        assert_eq!((read.version, read.value), (version, value.clone()));
+        let conflict = client.put("a/b", value.clone(), Condition::Absent).await;
+        let current = Some(version);
+        let key = "a/b".to_owned();
+        assert_eq!(conflict, Err(StoreError::Conflict { key, current }));
+        bench.store.plan([Fault::Refused, Fault::LostAfter]);
+        let refused = client
+            .put("a/b", value.clone(), Condition::At(version))
+            .await;
+        assert!(matches!(
+            refused,
+            Err(StoreError::Refused { status: 503, .. })
+        ));
+        let lost = client
+            .put("a/b", value.clone(), Condition::At(version))
+            .await;
+        assert!(
+            matches!(lost, Err(StoreError::Unanswered { .. })),
+            "{lost:?}"
+        );
+        let listed = client.list("a/").await.unwrap();
+        assert_eq!(listed[0].version, Version(2));
+        let changes = client.watch("a/", version, Duration::ZERO).await.unwrap();
+        assert_eq!(changes.changes, listed);
+        assert_eq!(client.hosts().await, Ok(Vec::new()));
+        bench.store.plan_pauses([Duration::from_secs(9)]);
+        let slow = client.get("a/b").await;
+        assert!(
+            matches!(slow, Err(StoreError::Unanswered { .. })),
+            "{slow:?}"
+        );
+    });
+}
+
+#[test]
+fn settings_are_checked_together() {
+    let text = |text: &str| Some(text.to_owned());
+    let good = EntryArguments {
+        name: text("bac-a-1"),
+        zone: text("bac-a"),
+        callers: text("127.0.0.1:8001"),
+        peers: text("127.0.0.1:8002"),
+        operators: text("127.0.0.1:8003"),
+        store: text("127.0.0.1:7000"),
+        fleet_secret: text("0123456789abcdef"),
+        seeds: text("127.0.0.1:8102, 127.0.0.1:8202"),
+        collector: text("http://127.0.0.1:4318"),
+    };
+    let options = EntryOptions::new(&good).unwrap();
+    assert_eq!(options.seeds.len(), 2);
+    assert!(!format!("{options:?}").contains("0123456789abcdef"));
+    let bad = EntryArguments {
+        name: text("BAC"),
+        zone: None,
+        peers: text("127.0.0.1:8001"),
+        operators: text("8003"),
+        store: text("127.0.0.1:0"),
+        fleet_secret: text("short secret"),
+        seeds: text("127.0.0.1:8102,x"),
+        collector: text("ftp://x"),
+        ..good
+    };
+    let errors = EntryOptions::new(&bad).unwrap_err();
+    let text = errors.to_string();
+    assert_eq!(errors.0.len(), 8, "{text}");
+    for expected in [
+        "--name (or CARDAMOMROAD_NAME) is \"BAC\"",
+        "--zone is missing; give it or set CARDAMOMROAD_ZONE",
+        "--peers and --callers are both 127.0.0.1:8001; give each its own port",
+        "--operators (or CARDAMOMROAD_OPERATORS) is \"8003\"",
+        "--store (or CARDAMOMROAD_STORE) is \"127.0.0.1:0\": port 0 cannot be reached",
+        "--fleet-secret has 12 bytes; use at least 16",
+        "--seeds (or CARDAMOMROAD_SEEDS) is \"x\"",
+        "--collector (or CARDAMOMROAD_COLLECTOR) is \"ftp://x/\": it is not an http address",
+    ] {
+        assert!(text.contains(expected), "{expected:?} is not in {text}");
+    }
+    assert!(!text.contains("short secret"));
+}
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -1,7 +1,9 @@
 //! Publication under lost answers, stale reads, races and a store that is down.
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
 #[path = "support/sets.rs"]
 mod sets;
+#[allow(dead_code, reason = "each test program uses a part of it")]
 #[path = "support/store.rs"]
 mod store;
 
