--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,471 @@
+//! Sends one started request to the places that the host chooses, until one
+//! answers or none is left.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    Response,
+    body::Incoming, //
+};
+use smallvec::SmallVec;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+
+use crate::{
+    body::{
+        PassingBody,
+        ProxyBody, //
+    },
+    connection::{
+        ConnectionLease,
+        Exchange,
+        SendError, //
+    },
+    gateway::{
+        Gateway,
+        call::{
+            Call,
+            OpenTry,
+            Permit, //
+        },
+        head,
+        upload::{
+            Passage,
+            Upload, //
+        },
+    },
+    host::message::{
+        AskRetry,
+        Choice,
+        Choose,
+        Target,
+        TryEnd, //
+    },
+    quarantine::Suspect,
+    refusal::{
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    retry::{
+        Failure,
+        Retry, //
+    },
+    trace,
+    util::id::OrganisationName,
+    wire,
+};
+
+/// Bytes that a head takes on a link beside its headers.
+const HEAD_BASE_BYTES: usize = 64;
+/// The reason of an upstream that refuses new work because it drains.
+const DRAINING: &[u8] = b"draining";
+
+/// What an entry host is asked to do with a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Forward {
+    /// Treat it as its home.
+    Home,
+    /// Run it on an upstream of the own zone.
+    Run,
+}
+
+impl Forward {
+    /// Returns the text of the forward header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Home => "home",
+            Self::Run => "run",
+        }
+    }
+}
+
+/// A started request and what it needs to be sent.
+#[derive(Debug)]
+pub struct Forwarding {
+    /// The request.
+    pub call: Call,
+    /// Its body.
+    pub upload: Upload,
+    /// The organisation that it runs for.
+    pub organisation: Option<OrganisationName>,
+    /// What tells repeated requests apart.
+    pub suspect: Suspect,
+    /// Its permit.
+    pub permit: Permit,
+    /// How its body passes.
+    pub passage: Passage,
+}
+
+/// How one try went, as the loop over the tries sees it.
+enum Tried {
+    /// An answer to hand on.
+    Answer(Box<Exchange>),
+    /// No answer, or one that says that the request did not start.
+    Failed(Failed),
+}
+
+/// A try without an answer to hand on.
+#[derive(Clone, Copy, Debug)]
+struct Failed {
+    end: TryEnd,
+    refusal: Refusal,
+    draining: bool,
+}
+
+impl Failed {
+    const fn new(end: TryEnd, refusal: Refusal) -> Self {
+        Self {
+            end,
+            refusal,
+            draining: false,
+        }
+    }
+
+    const fn may_have_run(&self) -> bool {
+        !matches!(self.end, TryEnd::NotStarted | TryEnd::NotSent)
+    }
+}
+
+impl Gateway {
+    /// Sends a request until it is answered or refused.
+    pub async fn forward(self: &Arc<Self>, mut f: Forwarding) -> Response<ProxyBody> {
+        let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
+        let mut may_have_run = false;
+        loop {
+            let target = match self.choose(&f, &tried).await {
+                Ok(target) => target,
+                Err(refusal) => return self.refuse(f, refusal, may_have_run),
+            };
+            let mut open = self.open_try(&f, target.clone());
+            let failed = match self.send_once(&mut f, &target, Forward::Run).await {
+                Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
+                Tried::Failed(failed) => failed,
+            };
+            open.ended(failed.end);
+            if failed.draining {
+                open.drains();
+            }
+            drop(open);
+            may_have_run |= failed.may_have_run();
+            if !may_have_run {
+                f.permit.came_back();
+            }
+            tried.push(target);
+            if !self.may_send_again(&f, failed, tried.len()).await {
+                return self.refuse(f, failed.refusal, may_have_run);
+            }
+            self.metrics.retries.inc();
+        }
+    }
+
+    fn open_try(&self, f: &Forwarding, target: Target) -> OpenTry {
+        let service = f.call.route.service.clone();
+        let upload = f.passage.progress.clone();
+        OpenTry::new(self.host.clone(), service, target, f.suspect, upload)
+    }
+
+    /// Asks whether a failed request may be sent again, and waits for its turn.
+    async fn may_send_again(&self, f: &Forwarding, failed: Failed, tries: usize) -> bool {
+        if !f.upload.can_be_sent() {
+            return false;
+        }
+        let failure = Failure {
+            idempotent: f.call.route.idempotent,
+            not_started: !failed.may_have_run(),
+            tries: u32::try_from(tries).unwrap_or(u32::MAX),
+            deadline: f.call.deadline,
+        };
+        match self.host.send(AskRetry(failure)).await {
+            Ok(Retry::After(pause)) => {
+                tokio::time::sleep(pause).await;
+                true
+            }
+            Ok(Retry::No(_)) | Err(_) => false,
+        }
+    }
+
+    /// Sends a request to its home, which alone may run it.
+    pub async fn send_home(
+        self: &Arc<Self>,
+        mut f: Forwarding,
+        home: Target,
+    ) -> Response<ProxyBody> {
+        let mut open = self.open_try(&f, home.clone());
+        let failed = match self.send_once(&mut f, &home, Forward::Home).await {
+            Tried::Answer(exchange) => return self.hand_on(f, open, *exchange),
+            Tried::Failed(failed) => failed,
+        };
+        open.ended(failed.end);
+        // Where nothing left, an earlier copy may still have reached the home.
+        let may_have_run = failed.end != TryEnd::NotStarted;
+        self.refuse(f, failed.refusal, may_have_run)
+    }
+
+    async fn choose(
+        &self,
+        f: &Forwarding,
+        tried: &SmallVec<[Target; 2]>,
+    ) -> Result<Target, Refusal> {
+        let mut first_try = None;
+        loop {
+            let msg = Choose {
+                service: f.call.route.service.clone(),
+                organisation: f.organisation.clone(),
+                id: f.call.id.clone(),
+                local_only: f.call.is_local_only(),
+                tried: tried.clone(),
+                route: f.call.route.name.clone(),
+                length: f.upload.length(),
+                first_try,
+            };
+            first_try = first_try.or(Some(Instant::now()));
+            match self.host.send(msg).await {
+                Ok(Choice::Send(target)) => return Ok(target),
+                Ok(Choice::Refused(refusal)) => return Err(refusal),
+                Ok(Choice::Wait(until)) if until >= f.call.deadline => {
+                    return Err(Refusal::not_run(Reason::Deadline));
+                }
+                Ok(Choice::Wait(until)) => sleep_until(until).await,
+                Err(_) => return Err(Refusal::not_run(Reason::Stopping)),
+            }
+        }
+    }
+
+    async fn send_once(
+        self: &Arc<Self>,
+        f: &mut Forwarding,
+        target: &Target,
+        forward: Forward,
+    ) -> Tried {
+        let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
+        let body = f.upload.take(&f.passage, cutoff);
+        let mut req = head::outgoing(&f.call.parts, body);
+        let left = f.call.left(Instant::now());
+        head::set_upstream_headers(req.headers_mut(), &f.call.id, f.organisation.as_ref(), left);
+        let name = match target {
+            Target::Upstream(_) => "upstream",
+            Target::Gateway { .. } => "gateway",
+        };
+        let span = self.tracing.send(name, &f.call.span, req.headers_mut());
+        let address = self.address(&mut req, f, target, forward).await;
+        trace::annotate(&span, "server.address", address.to_string());
+        f.permit.left();
+        let send = self.connections.send(address, req);
+        let result = tokio::select! {
+            biased;
+            result = send => result,
+            () = self.out_of_time(f) => {
+                trace::fail(&span, "deadline");
+                return failed(TryEnd::TimedOut, Refusal::unknown(Reason::Deadline));
+            }
+            () = self.withdrawn(f) => {
+                trace::fail(&span, "key withdrawn");
+                return failed(TryEnd::Abandoned, Refusal::unknown(Reason::KeyUnknown));
+            }
+        };
+        match result {
+            Ok(exchange) => self.judge(exchange, target),
+            Err(SendError::NotSent { req, .. }) => {
+                trace::fail(&span, "not sent");
+                if let Some(req) = req {
+                    f.upload.give_back(req.into_body());
+                }
+                failed(TryEnd::NotSent, Refusal::not_run(Reason::Unreachable))
+            }
+            Err(SendError::Lost { cause, .. }) => {
+                trace::fail(&span, "lost");
+                log::debug!(event = "try-lost", id:% = f.call.id, address:%, cause:%; "");
+                failed(TryEnd::Lost, Refusal::unknown(Reason::UpstreamLost))
+            }
+        }
+    }
+
+    /// Completes the request for its target and returns the address to send it to.
+    async fn address(
+        &self,
+        req: &mut Request<ProxyBody>,
+        f: &Forwarding,
+        target: &Target,
+        forward: Forward,
+    ) -> std::net::SocketAddr {
+        match target {
+            Target::Upstream(address) => {
+                f.passage.link.store(None);
+                *address
+            }
+            Target::Gateway {
+                peers,
+                over_link_to,
+                ..
+            } => {
+                self.set_fleet_headers(req.headers_mut(), forward, f);
+                f.passage.link.store(over_link_to.clone().map(Arc::new));
+                if let Some(region) = over_link_to {
+                    let bytes = head_bytes(req.headers());
+                    super::upload::pay(self.host.clone(), region.clone(), bytes).await;
+                }
+                *peers
+            }
+        }
+    }
+
+    /// Decides whether an answer ends the request or says that it did not start.
+    fn judge(&self, exchange: Exchange, target: &Target) -> Tried {
+        let headers = exchange.res.headers();
+        match target {
+            Target::Upstream(_) => match headers.get(wire::NOT_STARTED) {
+                Some(why) => Tried::Failed(Failed {
+                    draining: why.as_bytes() == DRAINING,
+                    ..Failed::new(TryEnd::NotStarted, Refusal::not_run(Reason::Overload))
+                }),
+                None => Tried::Answer(Box::new(exchange)),
+            },
+            Target::Gateway { .. } => match not_started(headers) {
+                Some(refusal) => failed(TryEnd::NotStarted, refusal),
+                None => Tried::Answer(Box::new(exchange)),
+            },
+        }
+    }
+
+    /// Resolves when the request must not wait for its answer any longer.
+    ///
+    /// A body that still moves prolongs the wait, so that long uploads are not cut.
+    async fn out_of_time(&self, f: &Forwarding) {
+        let patience = f.call.route.deadline;
+        loop {
+            let limit = match f.upload {
+                Upload::Held(_) => f.call.deadline,
+                _ => f.call.deadline.max(f.passage.progress.last() + patience),
+            };
+            if limit <= Instant::now() {
+                return;
+            }
+            sleep_until(limit).await;
+        }
+    }
+
+    async fn withdrawn(&self, f: &Forwarding) {
+        match f.call.key {
+            Some(key) => {
+                self.keys.cutoff(key).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Hands an answer on to the caller or to the entry host that asked.
+    fn hand_on(
+        self: &Arc<Self>,
+        mut f: Forwarding,
+        open: OpenTry,
+        exchange: Exchange,
+    ) -> Response<ProxyBody> {
+        let Exchange { res, lease } = exchange;
+        let (mut parts, body) = res.into_parts();
+        let outcome = match open.target() {
+            Target::Upstream(_) => Outcome::Ran,
+            Target::Gateway { .. } => outcome_of(&parts.headers),
+        };
+        let reason =
+            head::text(&parts.headers, wire::REASON).and_then(|t| Reason::from_bytes(t.as_bytes()));
+        head::remove_hop_by_hop(&mut parts.headers);
+        head::remove_own(&mut parts.headers);
+        head::set_answer_headers(&mut parts.headers, &f.call.id, &self.name, outcome);
+        if let Some(reason) = reason {
+            head::set(&mut parts.headers, wire::REASON, reason);
+        }
+        f.permit.ended(outcome, parts.status.as_u16());
+        self.record_answer(&f.call, outcome, parts.status);
+        trace::annotate(
+            &f.call.span,
+            "http.response.status_code",
+            i64::from(parts.status.as_u16()),
+        );
+        Response::from_parts(parts, self.answer_body(f, open, body, lease))
+    }
+
+    fn answer_body(
+        self: &Arc<Self>,
+        f: Forwarding,
+        mut open: OpenTry,
+        body: Incoming,
+        lease: ConnectionLease,
+    ) -> ProxyBody {
+        let cutoff = f.call.key.map(|key| self.keys.cutoff(key));
+        let pacer = self.answer_pacer(&f.call);
+        let progress = open.answer();
+        let at_end = move |whole: bool| {
+            open.ended(match whole {
+                true => TryEnd::Whole,
+                false => TryEnd::Broken,
+            });
+            if whole {
+                lease.give_back();
+            }
+            drop(open);
+            // The request's permit and span end with its answer.
+            drop(f);
+        };
+        PassingBody::new(body)
+            .with_pacer(pacer)
+            .with_cutoff(cutoff)
+            .with_progress(progress)
+            .with_at_end(Box::new(at_end))
+            .boxed_unsync()
+    }
+
+    fn refuse(
+        &self,
+        mut f: Forwarding,
+        mut refusal: Refusal,
+        may_have_run: bool,
+    ) -> Response<ProxyBody> {
+        if may_have_run {
+            refusal.outcome = Outcome::Unknown;
+        }
+        f.permit
+            .ended(refusal.outcome, refusal.reason.status().as_u16());
+        self.refusal(&f.call, &refusal)
+    }
+}
+
+fn failed(end: TryEnd, refusal: Refusal) -> Tried {
+    Tried::Failed(Failed::new(end, refusal))
+}
+
+/// Returns the bytes that a head takes on a link.
+fn head_bytes(headers: &hyper::HeaderMap) -> usize {
+    let fields = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    fields.sum::<usize>() + HEAD_BASE_BYTES
+}
+
+/// Returns the outcome that an entry host told; an answer without one may have run.
+fn outcome_of(headers: &hyper::HeaderMap) -> Outcome {
+    let text = head::text(headers, wire::OUTCOME);
+    text.and_then(|t| Outcome::from_bytes(t.as_bytes()))
+        .unwrap_or(Outcome::Unknown)
+}
+
+/// Returns the refusal of an entry host that did not run a request, where
+/// another place may still run it.
+fn not_started(headers: &hyper::HeaderMap) -> Option<Refusal> {
+    if outcome_of(headers) != Outcome::NotRun {
+        return None;
+    }
+    let reason = Reason::from_bytes(head::text(headers, wire::REASON)?.as_bytes())?;
+    match reason {
+        Reason::Overload
+        | Reason::Stopping
+        | Reason::NotReady
+        | Reason::Unreachable
+        | Reason::Link => Some(Refusal::not_run(reason)),
+        _ => None,
+    }
+}
