--- a/src/queue.rs
+++ b/src/queue.rs
@@ -90,6 +90,12 @@
         Ok(())
     }
 
+    /// Returns the request that goes next.
+    pub fn peek(&self) -> Option<&T> {
+        let line = self.waiting.get(self.slots.next()?)?;
+        line.front().map(|w| &w.ticket)
+    }
+
     /// Takes the request that goes next and counts its slot.
     pub fn pop(&mut self) -> Option<T> {
         let next = self.slots.next()?.clone();
--- /dev/null
+++ b/standins/src/bin/cardamomroad-policy.rs
@@ -0,0 +1,125 @@
+//! Runs the policy benchmark and writes its tables, CSV and plots.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    thread, //
+};
+
+use cardamomroad_standins::policy::{
+    Run,
+    deployment::{
+        Deployment,
+        SKYGLASS,
+        THANH, //
+    },
+    report::{
+        self,
+        Source, //
+    },
+    run_all,
+    scenario::{
+        Policy,
+        Scenario, //
+    }, //
+};
+use clap::{
+    Parser,
+    ValueEnum, //
+};
+use eyre::Result;
+
+/// Measures the steering decisions against simple policies, under virtual time.
+///
+/// Exits with 1 where the library's own policy misses a bound.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    /// Seed of all random numbers; the same seed gives the same figures.
+    #[arg(long, env = "CARDAMOMROAD_SEED", default_value_t = 1)]
+    seed: u64,
+    /// Runs only this scenario; all where it is absent.
+    #[arg(long, value_enum)]
+    scenario: Vec<Scenario>,
+    /// Runs only this policy; all where it is absent.
+    #[arg(long, value_enum)]
+    policy: Vec<Policy>,
+    /// Runs only this deployment; both where it is absent.
+    #[arg(long)]
+    deployment: Option<String>,
+    /// Folder for policy.md, policy.csv and the plots.
+    #[arg(long, env = "CARDAMOMROAD_OUT")]
+    out: Option<PathBuf>,
+    /// Commit that the report names.
+    #[arg(long, env = "CARDAMOMROAD_COMMIT", default_value = "unknown")]
+    commit: String,
+    /// Threads to use; one a core where it is absent.
+    #[arg(long, env = "CARDAMOMROAD_THREADS")]
+    threads: Option<usize>,
+}
+
+impl Cli {
+    fn runs(&self) -> Vec<Run> {
+        let mut runs = Vec::new();
+        for deployment in [&THANH, &SKYGLASS] {
+            if !self.wants(deployment) {
+                continue;
+            }
+            for &scenario in chosen(&self.scenario) {
+                for &policy in chosen(&self.policy) {
+                    runs.push(Run {
+                        deployment,
+                        scenario,
+                        policy,
+                    });
+                }
+            }
+        }
+        runs
+    }
+
+    fn wants(&self, deployment: &Deployment) -> bool {
+        let named = self.deployment.as_deref();
+        named.is_none_or(|name| name == deployment.name)
+    }
+}
+
+/// Returns what was named on the command line, or all there is.
+fn chosen<T: ValueEnum>(named: &[T]) -> &[T] {
+    match named.is_empty() {
+        true => T::value_variants(),
+        false => named,
+    }
+}
+
+fn run(cli: &Cli) -> Result<ExitCode> {
+    let cores = thread::available_parallelism().map_or(1, |n| n.get());
+    let figured = run_all(&cli.runs(), cli.seed, cli.threads.unwrap_or(cores));
+    print!("{}", report::tables(&figured));
+    if let Some(folder) = &cli.out {
+        let source = Source {
+            seed: cli.seed,
+            commit: cli.commit.clone(),
+        };
+        report::write(folder, &source, &figured)?;
+    }
+    let red = report::red(&figured);
+    for (run, misses) in &red {
+        let scenario = report::name(run.scenario);
+        println!("red: {} {scenario}: {misses:?}", run.deployment.name);
+    }
+    Ok(match red.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
+fn main() -> ExitCode {
+    match run(&Cli::parse()) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins.
+
+pub mod policy;
--- /dev/null
+++ b/standins/src/policy/flow.rs
@@ -0,0 +1,269 @@
+//! A request's way once it has a place: over links, at the upstream, and back.
+
+use std::time::Duration;
+
+use cardamomroad::{
+    budget::Attempt,
+    link::{
+        CHUNK_BYTES,
+        Pay,
+        Payer, //
+    },
+    pool::upstream::Outcome,
+    util::units::ByteSize, //
+};
+
+use crate::policy::{
+    deployment::{
+        ZONE_DELAY,
+        region_of,
+        server_address, //
+    },
+    scenario::FAULT_AT,
+    setup::link_index,
+    world::{
+        Event,
+        Req,
+        World, //
+    },
+};
+
+/// The rate that a long upload keeps on a link, in bytes a second.
+const RESERVED_RATE: ByteSize = ByteSize(250_000);
+
+/// Which way bytes go over a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// From the entry host to the upstream's region.
+    There,
+    /// Back.
+    Back,
+}
+
+impl World {
+    /// Starts a request at an upstream; false where its slots are all taken.
+    pub(super) fn begin(&mut self, id: usize, gateway: usize, zone: usize, i: usize) -> bool {
+        let Some(req) = &self.reqs[id] else {
+            return true;
+        };
+        let (service, host) = (req.service, req.host);
+        let own = self.hosts[host].zone;
+        let region = region_of(own);
+        if self.is_dead(zone) {
+            return false;
+        }
+        if !self.servers[zone][service][i].start(region) {
+            self.tally.overloads += 1;
+            return false;
+        }
+        let crosses = region_of(zone) != region;
+        let hop = match (crosses, zone != own) {
+            (true, _) => self.d.delay,
+            (false, true) => ZONE_DELAY,
+            (false, false) => Duration::ZERO,
+        };
+        self.hosts[host].spilled[zone][service] += 1;
+        let size = self.d.services[service].request + req.size as u64;
+        let transfer = self.transfer(service, req.size);
+        let now = self.now;
+        let work = self.work(id, zone, i);
+        let Some(req) = &mut self.reqs[id] else {
+            return true;
+        };
+        req.gateway = gateway;
+        req.server = (zone, i);
+        req.runs = true;
+        req.crosses = crosses;
+        req.way += hop * 2;
+        req.left = size;
+        req.work = work;
+        req.began = now;
+        req.since = None;
+        if crosses {
+            self.reserve(id);
+            self.at(Duration::ZERO, Event::Send(id));
+        } else {
+            self.at(transfer + work, Event::Served(id));
+        }
+        true
+    }
+
+    fn transfer(&self, service: usize, bytes: f64) -> Duration {
+        let upload = self.d.services[service].upload.as_ref();
+        Duration::from_secs_f64(upload.map_or(0.0, |u| bytes / u.uplink))
+    }
+
+    fn work(&self, id: usize, zone: usize, i: usize) -> Duration {
+        let Some(req) = &self.reqs[id] else {
+            return Duration::ZERO;
+        };
+        let region = region_of(self.hosts[req.host].zone);
+        let server = &self.servers[zone][req.service][i];
+        req.work.mul_f64(server.slowness(self.now, region))
+    }
+
+    /// Keeps a rate on the link for an upload.
+    fn reserve(&mut self, id: usize) {
+        let Some(req) = &mut self.reqs[id] else {
+            return;
+        };
+        if req.size == 0.0 || !self.policy.is_ours() {
+            return;
+        }
+        let (from, to) = (self.hosts[req.host].zone, req.server.0);
+        let link = &self.set.links[link_index(region_of(from), region_of(to))].name;
+        let h = &mut self.hosts[req.host];
+        req.reserved = h
+            .links
+            .reserve(self.now, &mut h.budgets, link, RESERVED_RATE);
+    }
+
+    /// Sends the next bytes of a request over the link.
+    pub(super) fn send(&mut self, id: usize) {
+        if self.is_broken(id) {
+            self.lose(id);
+            return;
+        }
+        let Some(req) = &self.reqs[id] else {
+            return;
+        };
+        let bytes = req.left.min(CHUNK_BYTES);
+        let service = req.service;
+        let work = req.work;
+        if !self.pay(id, Way::There, bytes, Event::Send(id)) {
+            return;
+        }
+        let Some(req) = &mut self.reqs[id] else {
+            return;
+        };
+        req.left -= bytes;
+        let wait = if req.left > 0 { Duration::ZERO } else { work };
+        let next = if req.left > 0 {
+            Event::Send(id)
+        } else {
+            Event::Served(id)
+        };
+        let transfer = self.transfer(service, bytes as f64);
+        self.at(transfer + wait, next);
+    }
+
+    /// Pays for bytes on a link; where they have to wait, `again` happens later.
+    fn pay(&mut self, id: usize, way: Way, bytes: u64, again: Event) -> bool {
+        let Some(req) = &self.reqs[id] else {
+            return false;
+        };
+        let (here, there) = (self.hosts[req.host].zone, req.server.0);
+        let (payer, from, to) = match way {
+            Way::There => (req.host, region_of(here), region_of(there)),
+            Way::Back => (req.gateway, region_of(there), region_of(here)),
+        };
+        let link = link_index(from, to);
+        if self.policy.is_ours() {
+            let attempt = match req.since {
+                None => Attempt::First,
+                Some(since) => Attempt::Again { since },
+            };
+            let by = match (way, req.reserved) {
+                (Way::There, Some(id)) => Payer::Reserved(id),
+                _ => Payer::Shared,
+            };
+            let name = self.set.links[link].name.clone();
+            let h = &mut self.hosts[payer];
+            let size = ByteSize(bytes);
+            let paid = h
+                .links
+                .pay(self.now, &mut h.budgets, &name, by, size, attempt);
+            if let Pay::Wait { until } = paid {
+                if let Some(req) = &mut self.reqs[id] {
+                    req.since.get_or_insert(self.now);
+                }
+                self.at(until - self.now, again);
+                return false;
+            }
+        }
+        if let Some(req) = &mut self.reqs[id] {
+            req.since = None;
+        }
+        let at = self.offset();
+        self.links[link].add(at, bytes);
+        true
+    }
+
+    /// An upstream has finished a request.
+    pub(super) fn served(&mut self, id: usize) {
+        if self.is_broken(id) {
+            self.lose(id);
+            return;
+        }
+        let Some(req) = self.reqs[id].clone() else {
+            return;
+        };
+        self.release(&req);
+        if let Some(req) = &mut self.reqs[id] {
+            req.runs = false;
+        }
+        match req.crosses {
+            true => self.at(Duration::ZERO, Event::Answer(id)),
+            false => self.done(id),
+        }
+        for host in [req.gateway, req.host] {
+            self.pump(host, req.service);
+        }
+    }
+
+    /// Sends an answer back over the link.
+    pub(super) fn answer(&mut self, id: usize) {
+        if self.is_broken(id) {
+            self.lose(id);
+            return;
+        }
+        let Some(req) = &self.reqs[id] else {
+            return;
+        };
+        let bytes = self.d.services[req.service].answer;
+        if self.pay(id, Way::Back, bytes, Event::Answer(id)) {
+            self.done(id);
+        }
+    }
+
+    /// Returns whether the host, the gateway or the way between them is gone.
+    fn is_broken(&self, id: usize) -> bool {
+        let Some(req) = &self.reqs[id] else {
+            return false;
+        };
+        let own = self.hosts[req.host].zone;
+        !self.reaches(own, own) || !self.reaches(own, req.server.0)
+    }
+
+    /// Gives back all that a running request holds.
+    pub(super) fn release(&mut self, req: &Req) {
+        let (zone, i) = req.server;
+        let service = req.service;
+        self.servers[zone][service][i].end();
+        self.note_drained(zone);
+        let spilled = &mut self.hosts[req.host].spilled[zone][service];
+        *spilled = spilled.saturating_sub(1);
+        if !self.policy.is_ours() {
+            return;
+        }
+        let address = server_address(zone, service, i);
+        let pool = &mut self.hosts[req.gateway].pools[service];
+        pool.finished(self.now, address, Outcome::Answered);
+        let name = &self.set.organisations[req.organisation].name;
+        self.hosts[req.host].queues[service].finish(name);
+        if let Some(id) = req.reserved {
+            let here = region_of(self.hosts[req.host].zone);
+            let link = &self.set.links[link_index(here, region_of(zone))].name;
+            let h = &mut self.hosts[req.host];
+            h.links.end(self.now, &mut h.budgets, link, id);
+        }
+    }
+
+    /// Notes when the drained zone was last busy.
+    fn note_drained(&mut self, zone: usize) {
+        let at = self.offset();
+        if self.scenario.is_leaving(at, zone) {
+            self.tally.drained_at = Some(at - FAULT_AT);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/policy/planning.rs
@@ -0,0 +1,404 @@
+//! What hosts and planners do from time to time, and what they know by then.
+
+use std::time::Duration;
+
+use cardamomroad::{
+    config::object,
+    drain::Progress,
+    lookup,
+    planner::view::{
+        Capacity,
+        Demand,
+        LinkLoad,
+        Standing,
+        View, //
+    },
+    pool::upstream::{
+        Reported,
+        ReportedLoad,
+        ReportedState, //
+    },
+    util::id::Generation, //
+};
+use tokio::time::Instant;
+
+use crate::policy::{
+    deployment::{
+        HOSTS,
+        REGIONS,
+        SERVICES,
+        ZONES,
+        region_of,
+        server_address, //
+    },
+    scenario::{
+        DRAIN_WITHIN,
+        FAULT_AT,
+        Policy,
+        Scenario, //
+    },
+    setup::{
+        self,
+        link_index, //
+    },
+    tally::Refused,
+    world::{
+        Event,
+        World, //
+    },
+};
+
+/// How often hosts look after their state.
+pub const TICK: Duration = Duration::from_millis(50);
+/// How long a plan takes to reach the hosts.
+pub const PLAN_SPREAD: Duration = Duration::from_secs(2);
+/// Ticks between two reports to the peers of a zone.
+const PEER_TICKS: u64 = 4;
+/// Ticks between two reports to other zones, and of upstreams.
+const REPORT_TICKS: u64 = 20;
+/// How old a zone's report is when others have it.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+/// The span over which a link's load is measured.
+const LINK_SPAN: Duration = Duration::from_secs(10);
+/// The weight of a new sample of the demand.
+const SAMPLE_PART: f64 = 0.01;
+
+/// What is known beyond a host's own counts.
+#[derive(Clone, Debug)]
+pub struct Observed {
+    ticks: u64,
+    /// Free slots by zone and service: the last report and the one before it.
+    free: [[[u32; SERVICES]; ZONES]; 2],
+    free_at: Instant,
+    /// Slots that each upstream said are taken.
+    reported: Vec<[Vec<u32>; SERVICES]>,
+    /// Slots that the requests of each origin keep busy or wait for, on average.
+    demand: [[f64; SERVICES]; ZONES],
+    /// The view of each region's planner, kept when measurements stop.
+    views: Vec<View>,
+    drain: Option<Progress>,
+}
+
+impl Observed {
+    /// Creates what is known at the start.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            ticks: 0,
+            free: [[[0; SERVICES]; ZONES]; 2],
+            free_at: now,
+            reported: vec![[Vec::new(), Vec::new()]; ZONES],
+            demand: [[0.0; SERVICES]; ZONES],
+            views: vec![View::default(); REGIONS],
+            drain: None,
+        }
+    }
+
+    /// Returns the slots that a zone last reported as free, and how old that is.
+    pub fn free(&self, now: Instant, zone: usize, service: usize) -> (u32, Duration) {
+        let age = now.saturating_duration_since(self.free_at) + REPORT_LAG;
+        (self.free[1][zone][service], age)
+    }
+
+    /// Returns the slots that an upstream last reported as taken.
+    pub fn reported(&self, zone: usize, service: usize, i: usize) -> u32 {
+        self.reported[zone][service].get(i).copied().unwrap_or(0)
+    }
+}
+
+impl World {
+    pub(super) fn tick(&mut self) {
+        self.at(TICK, Event::Tick);
+        self.observed.ticks += 1;
+        let ticks = self.observed.ticks;
+        self.lend();
+        self.sample_demand();
+        if ticks.is_multiple_of(PEER_TICKS) {
+            self.tell_peers();
+        }
+        if ticks.is_multiple_of(REPORT_TICKS) {
+            self.report();
+            self.refresh_table();
+        }
+        for host in 0..HOSTS {
+            self.serve_queues(host);
+        }
+        self.start_fault();
+    }
+
+    /// Lets hosts borrow from one another.
+    fn lend(&mut self) {
+        for host in 0..HOSTS {
+            let zone = self.hosts[host].zone;
+            if self.is_dead(zone) {
+                continue;
+            }
+            self.hosts[host].budgets.on_tick(self.now);
+            if self.policy == Policy::StaticShares {
+                continue;
+            }
+            for (lender, req) in self.hosts[host].budgets.loan_requests(self.now) {
+                let Some(to) = self.hosts.iter().position(|h| h.name == lender) else {
+                    continue;
+                };
+                if !self.reaches(zone, self.hosts[to].zone) {
+                    continue;
+                }
+                let reply = self.hosts[to].budgets.on_loan_request(self.now, &req);
+                if let Some(reply) = reply {
+                    self.hosts[host].budgets.on_loan_reply(self.now, &reply);
+                }
+            }
+        }
+    }
+
+    fn tell_peers(&mut self) {
+        for host in 0..HOSTS {
+            for peer in Scenario::hosts(self.hosts[host].zone) {
+                if peer == host {
+                    continue;
+                }
+                for s in 0..SERVICES {
+                    let free = self.hosts[host].pools[s].free_slots(self.now);
+                    let name = self.hosts[host].name.clone();
+                    self.hosts[peer].pools[s].set_peer_free(self.now, &name, free);
+                }
+            }
+        }
+    }
+
+    /// Passes on what zones and upstreams report.
+    fn report(&mut self) {
+        let old = self.observed.free[0];
+        self.observed.free = [[[0; SERVICES]; ZONES], old];
+        self.observed.free_at = self.now;
+        for zone in 0..ZONES {
+            if self.is_dead(zone) {
+                continue;
+            }
+            for s in 0..SERVICES {
+                let free = |h: usize| self.hosts[h].pools[s].free_slots(self.now);
+                self.observed.free[0][zone][s] = Scenario::hosts(zone).map(free).sum();
+                self.report_servers(zone, s);
+            }
+        }
+    }
+
+    fn report_servers(&mut self, zone: usize, service: usize) {
+        let false_report = self.scenario.reports_falsely(self.offset(), zone);
+        let servers = self.servers[zone][service].iter();
+        let running: Vec<u32> = servers
+            .map(|s| if false_report { 0 } else { s.running() })
+            .collect();
+        let old = std::mem::replace(&mut self.observed.reported[zone][service], running);
+        let measured = self.now - REPORT_LAG;
+        for (i, in_flight) in old.into_iter().enumerate() {
+            let reported = Reported {
+                state: ReportedState::Ready,
+                load: Some(ReportedLoad {
+                    in_flight,
+                    slots: self.d.services[service].slots,
+                }),
+                measured,
+            };
+            for h in Scenario::hosts(zone) {
+                let address = server_address(zone, service, i);
+                self.hosts[h].pools[service].report(self.now, address, reported);
+            }
+        }
+    }
+
+    fn refresh_table(&mut self) {
+        let standing = |h: usize| {
+            let zone = self.hosts[h].zone;
+            let leaving = self.scenario.is_leaving(self.offset(), zone);
+            match leaving || self.is_known_dead(zone) {
+                true => lookup::Standing::Leaving,
+                false => lookup::Standing::Live,
+            }
+        };
+        let listed = setup::listed(self.d, standing);
+        self.table = self.table.with_hosts(&listed);
+    }
+
+    fn serve_queues(&mut self, host: usize) {
+        let dead = self.is_dead(self.hosts[host].zone);
+        for s in 0..SERVICES {
+            for pool in &mut self.hosts[host].pools {
+                pool.tick(self.now);
+            }
+            for id in self.hosts[host].queues[s].expire(self.now) {
+                self.refuse(id, Refused::Overload);
+            }
+            if !dead {
+                self.pump(host, s);
+            }
+        }
+    }
+
+    /// Samples how many slots the requests of each origin keep busy or wait for.
+    fn sample_demand(&mut self) {
+        let mut count = [[0.0; SERVICES]; ZONES];
+        for req in self.reqs.iter().flatten() {
+            count[self.hosts[req.host].zone][req.service] += 1.0;
+        }
+        for (mean, count) in self.observed.demand.iter_mut().zip(count) {
+            for (mean, count) in mean.iter_mut().zip(count) {
+                *mean += (count - *mean) * SAMPLE_PART;
+            }
+        }
+    }
+
+    /// Brings about what happens once at the time of the fault.
+    fn start_fault(&mut self) {
+        let at = self.offset();
+        if !(FAULT_AT..FAULT_AT + TICK).contains(&at) {
+            return;
+        }
+        if self.scenario == Scenario::ColdShift {
+            for zone in Scenario::zones(1) {
+                self.servers[zone][0]
+                    .iter_mut()
+                    .for_each(|s| s.restart(self.now));
+                let cold = self.now;
+                for h in Scenario::hosts(zone) {
+                    self.restart_pool(h, cold);
+                }
+            }
+        }
+        if self.scenario == Scenario::Drain {
+            self.observed.drain = Some(Progress::new(self.now, DRAIN_WITHIN));
+            self.tally.drain_bound = Some(self.longest_left());
+        }
+    }
+
+    /// Tells a host's pool that its upstreams started again.
+    fn restart_pool(&mut self, host: usize, at: Instant) {
+        let zone = self.hosts[host].zone;
+        for i in 0..self.servers[zone][0].len() {
+            let cold = Reported {
+                state: ReportedState::Cold,
+                load: None,
+                measured: at,
+            };
+            let address = server_address(zone, 0, i);
+            self.hosts[host].pools[0].report(at, address, cold);
+        }
+    }
+
+    /// Returns how long the uploads that run in the drained zone still take at
+    /// the clients' full rate, and the time that a plan takes to spread.
+    fn longest_left(&self) -> Duration {
+        let mut longest = Duration::ZERO;
+        for req in self.reqs.iter().flatten() {
+            if !req.runs || req.server.0 != 0 {
+                continue;
+            }
+            let upload = self.d.services[req.service].upload.as_ref();
+            let transfer = upload.map_or(0.0, |u| req.size / u.uplink);
+            let whole = Duration::from_secs_f64(transfer) + req.work;
+            longest = longest.max(whole.saturating_sub(self.now - req.began));
+        }
+        longest + PLAN_SPREAD
+    }
+
+    /// Takes a step of a region's planner; false where it cannot publish.
+    pub(super) fn step_planner(&mut self, region: usize) -> bool {
+        let at = self.offset();
+        if !self.policy.is_ours() || self.scenario.is_lost(at, region) {
+            return false;
+        }
+        if !self.scenario.has_store(at) {
+            return false;
+        }
+        self.look(region);
+        let view = &self.observed.views[region];
+        self.planners[region].step(self.now, Generation(1), view);
+        true
+    }
+
+    /// Renews a planner's view as far as measurements reach it.
+    fn look(&mut self, region: usize) {
+        let at = self.offset();
+        let mut view = std::mem::take(&mut self.observed.views[region]);
+        for zone in 0..ZONES {
+            let z: &object::Zone = &self.set.zones[zone];
+            view.zones.insert(z.name.clone(), z.region.clone());
+            for s in 0..SERVICES {
+                let place = (z.name.clone(), self.set.services[s].name.clone());
+                let cut = self.scenario.is_cut(at, zone, (zone + 1) % ZONES);
+                let heard = self.scenario.has_measurements(at) && !cut && !self.is_dead(zone);
+                if heard {
+                    view.demands.insert(place.clone(), self.demand(zone, s));
+                    view.capacities
+                        .insert(place.clone(), self.capacity(zone, s));
+                }
+                if let Some(c) = view.capacities.get_mut(&place) {
+                    c.standing = self.standing(zone, s, cut);
+                }
+            }
+        }
+        if self.scenario.has_measurements(at) {
+            self.look_at_links(&mut view);
+        }
+        self.observed.views[region] = view;
+    }
+
+    fn look_at_links(&self, view: &mut View) {
+        for from in 0..REGIONS {
+            for to in 0..REGIONS {
+                if from == to {
+                    continue;
+                }
+                let link = link_index(from, to);
+                let l = &self.set.links[link];
+                let load = LinkLoad {
+                    cap: self.d.link.bytes_per_second().0 as f64,
+                    used: self.links[link].recent(self.offset(), LINK_SPAN),
+                    delay: l.delay,
+                    at: self.now,
+                };
+                view.links.insert((l.from.clone(), l.to.clone()), load);
+            }
+        }
+    }
+
+    fn demand(&self, zone: usize, service: usize) -> Demand {
+        let sizing = &self.d.services[service];
+        let slots = self.observed.demand[zone][service];
+        let hold = sizing.mean_hold();
+        let size = sizing.upload.as_ref().map_or(0.0, |u| u.mean());
+        Demand {
+            slots,
+            bytes_in: slots / hold * (sizing.request as f64 + size),
+            bytes_out: slots / hold * sizing.answer as f64,
+            at: self.now,
+        }
+    }
+
+    fn capacity(&self, zone: usize, service: usize) -> Capacity {
+        let hosts = || Scenario::hosts(zone).map(|h| &self.hosts[h].pools[service]);
+        let foreign = self.reqs.iter().flatten().filter(|r| {
+            let from = region_of(self.hosts[r.host].zone);
+            r.runs && r.service == service && r.server.0 == zone && from != region_of(zone)
+        });
+        Capacity {
+            usable: hosts().map(|p| f64::from(p.capacity(self.now))).sum(),
+            used: hosts().map(|p| f64::from(p.running())).sum(),
+            foreign: foreign.count() as f64,
+            standing: Standing::Open,
+            at: self.now,
+        }
+    }
+
+    fn standing(&self, zone: usize, service: usize, cut: bool) -> Standing {
+        let at = self.offset();
+        if self.is_known_dead(zone) || cut {
+            return Standing::Lost;
+        }
+        if !self.scenario.is_drained(at, zone, service) {
+            return Standing::Open;
+        }
+        let left = self.observed.drain.as_ref().map(|p| p.shift_left(self.now));
+        Standing::Draining(left.unwrap_or(DRAIN_WITHIN))
+    }
+}
--- /dev/null
+++ b/standins/src/policy/setup.rs
@@ -0,0 +1,198 @@
+//! The state that a run starts from.
+
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr, //
+    },
+    sync::Arc,
+};
+
+use cardamomroad::{
+    budget::{
+        Budgets,
+        Holdings, //
+    },
+    config::object::Set,
+    ledger::{
+        Ledger,
+        Member,
+        Members,
+        Revision,
+        Zones, //
+    },
+    link::Links,
+    lookup,
+    pool::Pool,
+    queue::Queue,
+    share,
+    util::id::{
+        Generation,
+        HostName,
+        Incarnation,
+        Stamp,
+        ZoneName, //
+    },
+};
+use tokio::time::Instant;
+
+use crate::policy::{
+    deployment::{
+        Deployment,
+        HOSTS,
+        HOSTS_PER_ZONE,
+        ORGANISATIONS,
+        REGIONS,
+        SERVICES,
+        ZONES,
+        name_of,
+        region_of, //
+    },
+    fakes::{
+        Caller,
+        Server, //
+    },
+    scenario::Scenario,
+};
+
+/// Callers of one organisation in one zone.
+pub const CALLERS_PER_ZONE: usize = 10;
+/// One caller in this many overstays its answers.
+const OVERSTAYING: usize = 10;
+
+/// One entry host.
+pub struct Host {
+    /// Its name.
+    pub name: HostName,
+    /// Its zone.
+    pub zone: usize,
+    /// Its shares of rates and links.
+    pub budgets: Budgets,
+    /// Its use of links.
+    pub links: Links,
+    /// Its view of the upstreams of its zone, by service.
+    pub pools: [Pool; SERVICES],
+    /// Requests that wait, by service.
+    pub queues: [Queue<usize>; SERVICES],
+    /// Requests that it sent to other zones and that still run, by zone and service.
+    pub spilled: [[u32; SERVICES]; ZONES],
+}
+
+/// Returns the name of a host.
+pub fn host_name(d: &Deployment, host: usize) -> HostName {
+    let n = host % HOSTS_PER_ZONE + 1;
+    name_of(&format!("{}-{n}", d.zone(host / HOSTS_PER_ZONE)))
+}
+
+fn member(d: &Deployment, host: usize) -> Member {
+    let last = u8::try_from(host).unwrap_or(u8::MAX);
+    Member {
+        name: host_name(d, host),
+        peers: ([10, 100, 0, last], 7000).into(),
+    }
+}
+
+fn ledger(d: &Deployment, set: &Set, zone: usize) -> Ledger {
+    let members = Members {
+        since: Revision(1),
+        hosts: Scenario::hosts(zone).map(|h| member(d, h)).collect(),
+    };
+    let zones = Zones {
+        since: Revision(1),
+        generation: Generation(1),
+        zones: set.zones.clone(),
+    };
+    Ledger {
+        zone: name_of(&d.zone(zone)),
+        revision: Revision(1),
+        acked: Revision(1),
+        members: [members].into_iter().collect(),
+        zones: [zones].into_iter().collect(),
+    }
+}
+
+/// Returns the entry hosts.
+pub fn hosts(d: &Deployment, set: &Set, now: Instant) -> Vec<Host> {
+    let ledgers: Vec<Ledger> = (0..ZONES).map(|z| ledger(d, set, z)).collect();
+    let wholes = share::wholes(set);
+    let mut hosts = Vec::new();
+    for i in 0..HOSTS {
+        let zone = i / HOSTS_PER_ZONE;
+        let mut budgets = Budgets::new(host_name(d, i), Incarnation(1), now);
+        let mut others: Vec<usize> = (0..ZONES).filter(|z| *z != zone).collect();
+        others.sort_by_key(|z| region_of(*z) != region_of(zone));
+        let holdings = Holdings {
+            wholes: wholes.clone(),
+            member: member(d, i),
+            ledger: ledgers[zone].clone(),
+            others: others.into_iter().map(|z| ledgers[z].clone()).collect(),
+        };
+        if let Err(e) = budgets.adopt(now, now, Arc::new(holdings)) {
+            panic!("{e}");
+        }
+        let pool = |s: usize| {
+            let cfg = &set.pools[zone * SERVICES + s];
+            Pool::new(now, host_name(d, i), cfg, (&ledgers[zone]).into())
+        };
+        hosts.push(Host {
+            name: host_name(d, i),
+            zone,
+            budgets,
+            links: Links::new(),
+            pools: [pool(0), pool(1)],
+            queues: Default::default(),
+            spilled: [[0; SERVICES]; ZONES],
+        });
+    }
+    hosts
+}
+
+/// Returns the upstreams by zone and service.
+pub fn servers(d: &Deployment, now: Instant) -> Vec<[Vec<Server>; SERVICES]> {
+    let zone = |z: usize| {
+        let servers = |s: usize| {
+            let n = d.services[s].servers_per_zone();
+            vec![Server::new(now, region_of(z), d.services[s].slots); n]
+        };
+        [servers(0), servers(1)]
+    };
+    (0..ZONES).map(zone).collect()
+}
+
+/// Returns the callers by organisation and zone.
+pub fn callers() -> Vec<Caller> {
+    let mut callers = Vec::new();
+    for organisation in 0..ORGANISATIONS {
+        for zone in 0..ZONES {
+            for i in 0..CALLERS_PER_ZONE {
+                let byte = |n: usize| u8::try_from(n).unwrap_or(u8::MAX);
+                let address = Ipv4Addr::new(10, byte(zone), byte(organisation), byte(i));
+                let overstays = (organisation + zone + i) % OVERSTAYING == 0;
+                callers.push(Caller::new(IpAddr::V4(address), overstays));
+            }
+        }
+    }
+    callers
+}
+
+/// Returns the hosts as membership knows them.
+pub fn listed(d: &Deployment, standing: impl Fn(usize) -> lookup::Standing) -> Vec<lookup::Host> {
+    let host = |i: usize| {
+        let zone: ZoneName = name_of(&d.zone(i / HOSTS_PER_ZONE));
+        lookup::Host {
+            name: host_name(d, i),
+            zone,
+            callers: ([10, 100, 1, u8::try_from(i).unwrap_or(u8::MAX)], 8000).into(),
+            incarnation: Incarnation(1),
+            stamp: Stamp(1),
+            standing: standing(i),
+            spare: 1000,
+        }
+    };
+    (0..HOSTS).map(host).collect()
+}
+
+/// Returns the number of a link from one region to another, in the order of the set.
+pub fn link_index(from: usize, to: usize) -> usize {
+    from * (REGIONS - 1) + if to > from { to - 1 } else { to }
+}
--- /dev/null
+++ b/standins/src/policy/tally.rs
@@ -0,0 +1,216 @@
+//! What a run measures, and the bounds that follow from the promises.
+
+use std::time::Duration;
+
+use cardamomroad::fairness::{
+    Claim,
+    divide, //
+};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::policy::{
+    deployment::{
+        ORGANISATIONS,
+        SERVICES, //
+    },
+    scenario::Scenario,
+};
+
+/// Latencies are counted in these, up to [`LATENCY_MAX`].
+const LATENCY_UNIT: Duration = Duration::from_micros(100);
+/// The largest latency counted.
+const LATENCY_MAX: u64 = 10_000_000;
+/// The most that the drain may take over what the caps allow.
+const DRAIN_MAX: f64 = 1.25;
+/// The least part of its entitlement that the worst-served organisation gets.
+const SHARE_MIN: f64 = 0.95;
+/// The most wrongful refusals of a million requests.
+const WRONGFUL_MAX: f64 = 100.0;
+/// Requests in a million.
+const MILLION: f64 = 1e6;
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The organisation was thought to be over its rate.
+    Rate,
+    /// No slot was free.
+    Overload,
+    /// No entry host answered.
+    Unreachable,
+}
+
+/// Counts of one organisation at one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Count {
+    /// Requests inside the organisation's rate.
+    pub inside: u64,
+    /// Those that were refused.
+    pub refused: u64,
+}
+
+/// The running counts of a run.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Latency added over the best possible, by service.
+    pub added: Vec<Histogram<u64>>,
+    /// Counts by service and organisation.
+    pub counts: [[Count; ORGANISATIONS]; SERVICES],
+    /// Wrongful refusals by reason: rate, overload, unreachable.
+    pub wrongful: [u64; 3],
+    /// Requests that met an upstream whose slots were all taken.
+    pub overloads: u64,
+    /// Requests started beyond an organisation's rate and burst.
+    pub over_rate: u64,
+    /// Requests whose host, gateway or upstream died.
+    pub lost: u64,
+    /// When the drained target was last busy.
+    pub drained_at: Option<Duration>,
+    /// How long the caps make the drain take at least.
+    pub drain_bound: Option<Duration>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_max(LATENCY_MAX, 3).expect("bounds are valid");
+        Self {
+            added: (0..SERVICES).map(|_| histogram()).collect(),
+            counts: Default::default(),
+            wrongful: [0; 3],
+            overloads: 0,
+            over_rate: 0,
+            lost: 0,
+            drained_at: None,
+            drain_bound: None,
+        }
+    }
+}
+
+impl Tally {
+    /// Counts an answer by the latency added over the best possible.
+    pub fn answered(&mut self, service: usize, added: Duration) {
+        let units = added.as_nanos() / LATENCY_UNIT.as_nanos();
+        self.added[service].saturating_record(u64::try_from(units).unwrap_or(LATENCY_MAX));
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&mut self, service: usize, organisation: usize, inside: bool, why: Refused) {
+        if !inside {
+            return;
+        }
+        self.counts[service][organisation].refused += 1;
+        self.wrongful[why as usize] += 1;
+    }
+
+    /// Returns the figures of the run. `capacities` are the requests that each
+    /// service could serve; `link` is the busiest minute of all over its cap.
+    pub fn figures(&self, capacities: [f64; SERVICES], link: f64) -> Figures {
+        let ms = |service: usize, q: f64| {
+            let units = self.added[service].value_at_quantile(q) as f64;
+            units * LATENCY_UNIT.as_secs_f64() * 1e3
+        };
+        let inside: u64 = self.counts.iter().flatten().map(|c| c.inside).sum();
+        let per_million = |n: u64| n as f64 / inside.max(1) as f64 * MILLION;
+        let shares = (0..SERVICES).map(|s| worst_share(&self.counts[s], capacities[s]));
+        Figures {
+            short_p50_ms: ms(0, 0.5),
+            short_p99_ms: ms(0, 0.99),
+            upload_p50_ms: ms(1, 0.5),
+            upload_p99_ms: ms(1, 0.99),
+            link_peak: link,
+            drain_ratio: self.drain_ratio(),
+            worst_share: shares.fold(1.0, f64::min),
+            wrongful_ppm: per_million(self.wrongful.iter().sum()),
+            wrongful_rate_ppm: per_million(self.wrongful[0]),
+            overloads: self.overloads,
+            over_rate: self.over_rate,
+            lost: self.lost,
+            requests: inside,
+        }
+    }
+
+    fn drain_ratio(&self) -> Option<f64> {
+        let bound = self.drain_bound?;
+        let at = self.drained_at?;
+        Some(at.as_secs_f64() / bound.as_secs_f64())
+    }
+}
+
+/// Returns the least part of its max-min entitlement that an organisation got.
+fn worst_share(counts: &[Count; ORGANISATIONS], capacity: f64) -> f64 {
+    let claims: Vec<Claim> = counts.iter().map(|c| Claim::new(c.inside, 1)).collect();
+    let entitled = divide(capacity as u64, &claims);
+    let served = counts.iter().map(|c| c.inside - c.refused);
+    let parts = served.zip(entitled).filter(|(_, e)| *e > 0);
+    parts.map(|(s, e)| s as f64 / e as f64).fold(1.0, f64::min)
+}
+
+/// What one run came to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figures {
+    /// Latency added over the best possible for short requests, median.
+    pub short_p50_ms: f64,
+    /// The same at the 99th percentile.
+    pub short_p99_ms: f64,
+    /// Latency added for uploads, median.
+    pub upload_p50_ms: f64,
+    /// The same at the 99th percentile.
+    pub upload_p99_ms: f64,
+    /// The busiest minute of any link over its cap.
+    pub link_peak: f64,
+    /// The time of the drain over what the caps allow.
+    pub drain_ratio: Option<f64>,
+    /// The least part of its max-min entitlement that an organisation got.
+    pub worst_share: f64,
+    /// Refusals of requests inside their organisation's rate, of a million.
+    pub wrongful_ppm: f64,
+    /// Those that were refused for the rate.
+    pub wrongful_rate_ppm: f64,
+    /// Requests that met an upstream whose slots were all taken.
+    pub overloads: u64,
+    /// Requests started beyond an organisation's rate and burst.
+    pub over_rate: u64,
+    /// Requests whose host, gateway or upstream died.
+    pub lost: u64,
+    /// Requests inside their organisation's rate.
+    pub requests: u64,
+}
+
+/// A promise that a run did not keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// A link's minute went over its cap.
+    LinkCap,
+    /// A request met an upstream whose slots were all taken.
+    Overload,
+    /// An organisation got more than its rate and burst.
+    Rate,
+    /// Too many refusals of requests inside their organisation's rate.
+    Wrongful,
+    /// The drain took too long, or did not end.
+    Drain,
+    /// The worst-served organisation got too little.
+    Share,
+}
+
+impl Figures {
+    /// Returns the promises that a run of a scenario did not keep.
+    pub fn misses(&self, scenario: Scenario) -> Vec<Miss> {
+        let quiet = matches!(scenario, Scenario::Steady | Scenario::Skew);
+        let drain = scenario == Scenario::Drain;
+        let checks = [
+            (self.link_peak > 1.0, Miss::LinkCap),
+            (self.overloads > 0, Miss::Overload),
+            (self.over_rate > 0, Miss::Rate),
+            (quiet && self.wrongful_ppm > WRONGFUL_MAX, Miss::Wrongful),
+            (
+                drain && self.drain_ratio.is_none_or(|r| r > DRAIN_MAX),
+                Miss::Drain,
+            ),
+            (self.worst_share < SHARE_MIN, Miss::Share),
+        ];
+        let missed = checks.into_iter().filter(|(missed, _)| *missed);
+        missed.map(|(_, miss)| miss).collect()
+    }
+}
--- /dev/null
+++ b/standins/src/policy/world.rs
@@ -0,0 +1,513 @@
+//! One run: discrete events under virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::Duration, //
+};
+
+use cardamomroad::{
+    bucket::{
+        Bucket,
+        Quota, //
+    },
+    budget::{
+        Attempt,
+        Debit, //
+    },
+    config::object::Set,
+    lookup::{
+        Standing,
+        Table, //
+    },
+    plan::Plan,
+    planner::Planner,
+    share::MILLI_REQUESTS,
+    util::id::Generation, //
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use rand_distr::{
+    Distribution,
+    Exp,
+    LogNormal, //
+};
+use tokio::time::Instant;
+
+use crate::policy::{
+    Run,
+    deployment::{
+        CLIENT_DELAY,
+        Deployment,
+        HOSTS,
+        REGIONS,
+        SERVICES,
+        ZONES,
+        name_of,
+        region_of, //
+    },
+    fakes::{
+        Caller,
+        LinkMeter,
+        Server,
+        ask, //
+    },
+    planning::{
+        Observed,
+        PLAN_SPREAD,
+        TICK, //
+    },
+    scenario::{
+        FAULT_AT,
+        MEASURE_AT,
+        Policy,
+        SKEW,
+        Scenario,
+        organisations, //
+    },
+    setup::{
+        self,
+        CALLERS_PER_ZONE,
+        Host, //
+    },
+    tally::{
+        Figures,
+        Refused,
+        Tally, //
+    },
+};
+
+/// The spread of the work on short requests around its mean.
+const WORK_SIGMA: f64 = 0.5;
+/// How long the loss of a host goes unnoticed.
+pub const DETECT: Duration = Duration::from_secs(3);
+/// The time after the end of arrivals in which requests may finish.
+const TAIL: Duration = Duration::from_secs(5);
+
+/// What happens next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Event {
+    /// A request of a service leaves its caller.
+    Arrive(usize),
+    /// A request that was held back tries again.
+    Again(usize),
+    /// The next bytes of a request go over a link.
+    Send(usize),
+    /// An upstream has finished a request.
+    Served(usize),
+    /// An answer goes back over a link.
+    Answer(usize),
+    /// Hosts look after their state.
+    Tick,
+    /// Planners take a step.
+    Plan,
+    /// A region's plan is in force at its hosts.
+    Publish(usize),
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+pub struct Req {
+    /// Its organisation.
+    pub organisation: usize,
+    /// Its service.
+    pub service: usize,
+    /// The entry host.
+    pub host: usize,
+    /// The gateway whose upstream runs it.
+    pub gateway: usize,
+    /// The upstream's zone and index there.
+    pub server: (usize, usize),
+    /// Bytes of the upload.
+    pub size: f64,
+    /// Bytes that have still to cross a link.
+    pub left: u64,
+    /// The upstream's work when warm.
+    pub work: Duration,
+    /// When it left its caller.
+    pub born: Instant,
+    /// When the caller stops waiting for it to start.
+    pub deadline: Instant,
+    /// The least possible latency.
+    pub best: Duration,
+    /// Delays of the way that are not simulated as events.
+    pub way: Duration,
+    /// Whether it is inside its organisation's rate.
+    pub inside: bool,
+    /// Whether it counts.
+    pub measured: bool,
+    /// When it was held back first.
+    pub since: Option<Instant>,
+    /// The reservation on the link that it crosses.
+    pub reserved: Option<cardamomroad::link::ReservationId>,
+    /// Whether it crosses a link between regions.
+    pub crosses: bool,
+    /// Whether it runs.
+    pub runs: bool,
+    /// When it was taken for the last part of its way.
+    pub began: Instant,
+}
+
+/// The state of a run.
+pub struct World {
+    pub(super) d: &'static Deployment,
+    pub(super) scenario: Scenario,
+    pub(super) policy: Policy,
+    pub(super) set: Set,
+    pub(super) start: Instant,
+    pub(super) now: Instant,
+    pub(super) rng: StdRng,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    sequence: u64,
+    pub(super) hosts: Vec<Host>,
+    pub(super) servers: Vec<[Vec<Server>; SERVICES]>,
+    pub(super) links: Vec<LinkMeter>,
+    callers: Vec<Caller>,
+    pub(super) reqs: Vec<Option<Req>>,
+    free: Vec<usize>,
+    pub(super) table: Table,
+    pub(super) plans: Vec<Plan>,
+    pub(super) planners: Vec<Planner>,
+    pub(super) observed: Observed,
+    inside: Vec<Bucket>,
+    started: Vec<Bucket>,
+    pub(super) tally: Tally,
+}
+
+impl World {
+    /// Sets a run up.
+    pub fn new(run: Run, seed: u64) -> Self {
+        let d = run.deployment;
+        let start = Instant::now();
+        let set = d.set();
+        let own = set.zones[0].name.clone();
+        let listed = setup::listed(d, |_| Standing::Live);
+        let plan = |r: usize| Plan::new(name_of(d.regions[r]), Generation(1), 1);
+        let quota = |o: usize| {
+            let organisation = &set.organisations[o];
+            let burst = u64::from(organisation.burst) * MILLI_REQUESTS;
+            Bucket::new(Quota::new(organisation.rate.0, burst), start)
+        };
+        let mut world = Self {
+            d,
+            scenario: run.scenario,
+            policy: run.policy,
+            start,
+            now: start,
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            hosts: setup::hosts(d, &set, start),
+            servers: setup::servers(d, start),
+            links: vec![LinkMeter::default(); REGIONS * (REGIONS - 1)],
+            callers: setup::callers(),
+            reqs: Vec::new(),
+            free: Vec::new(),
+            table: Table::new(Generation(1), &set, &own, &listed),
+            plans: (0..REGIONS).map(plan).collect(),
+            planners: (0..REGIONS)
+                .map(|r| Planner::with_plan(plan(r), 1))
+                .collect(),
+            observed: Observed::new(start),
+            inside: organisations().map(quota).collect(),
+            started: organisations().map(quota).collect(),
+            tally: Tally::default(),
+            set,
+        };
+        world.at(TICK, Event::Tick);
+        world.at(cardamomroad::planner::PLAN_PERIOD, Event::Plan);
+        (0..SERVICES).for_each(|s| world.at(Duration::ZERO, Event::Arrive(s)));
+        world
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Figures {
+        let end = self.start + self.scenario.length() + TAIL;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.tally.figures(self.capacities(), self.link_peak())
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(service) => self.arrive(service),
+            Event::Again(id) => self.admit(id),
+            Event::Send(id) => self.send(id),
+            Event::Served(id) => self.served(id),
+            Event::Answer(id) => self.answer(id),
+            Event::Tick => self.tick(),
+            Event::Plan => self.plan(),
+            Event::Publish(region) => self.publish(region),
+        }
+    }
+
+    /// Lets an event happen after a while.
+    pub(super) fn at(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+        let key = (self.now + after, self.sequence, event);
+        self.events.push(Reverse(key));
+    }
+
+    /// Returns the time since the start.
+    pub(super) fn offset(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Returns whether a zone's hosts and upstreams are dead.
+    pub(super) fn is_dead(&self, zone: usize) -> bool {
+        self.scenario.is_lost(self.offset(), region_of(zone))
+    }
+
+    /// Returns whether a zone's loss has been noticed.
+    pub(super) fn is_known_dead(&self, zone: usize) -> bool {
+        let before = self.offset().saturating_sub(DETECT);
+        self.scenario.is_lost(before, region_of(zone))
+    }
+
+    /// Returns whether hosts of two zones reach each other.
+    pub(super) fn reaches(&self, a: usize, b: usize) -> bool {
+        !self.is_dead(a) && !self.is_dead(b) && !self.scenario.is_cut(self.offset(), a, b)
+    }
+
+    fn arrive(&mut self, service: usize) {
+        let at = self.offset();
+        if at > self.scenario.length() {
+            return;
+        }
+        let part = |o: usize, r: usize| self.scenario.part(at, service, o, r);
+        let parts: Vec<f64> = organisations()
+            .flat_map(|o| (0..REGIONS).map(move |r| (o, r)))
+            .map(|(o, r)| part(o, r))
+            .collect();
+        let whole: f64 = parts.iter().sum();
+        let rate = self.d.services[service].rate() * whole;
+        let wait = Exp::new(rate).map_or(1.0, |d| d.sample(&mut self.rng));
+        self.at(Duration::from_secs_f64(wait), Event::Arrive(service));
+        let mut point = self.rng.random::<f64>() * whole;
+        let drawn = parts.iter().position(|p| {
+            point -= p;
+            point <= 0.0
+        });
+        let drawn = drawn.unwrap_or(0);
+        self.request(service, drawn / REGIONS, drawn % REGIONS);
+    }
+
+    /// Sends one request on its way.
+    fn request(&mut self, service: usize, organisation: usize, region: usize) {
+        let zones = Scenario::zones(region);
+        let zone = self.rng.random_range(zones);
+        let (size, work) = self.draw(service);
+        let delay = |r: usize| match r == region {
+            true => CLIENT_DELAY,
+            false => CLIENT_DELAY + self.d.delay,
+        };
+        let nearest = (0..REGIONS).filter(|r| !self.scenario.is_lost(self.offset(), *r));
+        let nearest = nearest.map(delay).min().unwrap_or(CLIENT_DELAY);
+        let upload = self.d.services[service].upload.as_ref();
+        let transfer = upload.map_or(0.0, |u| size / u.uplink);
+        let inside = self.inside[organisation].debit(self.now, MILLI_REQUESTS);
+        let measured = self.offset() >= MEASURE_AT;
+        self.tally.counts[service][organisation].inside += u64::from(inside && measured);
+        let Some(host) = self.entry(organisation, zone) else {
+            if measured {
+                let why = Refused::Unreachable;
+                self.tally.refused(service, organisation, inside, why);
+            }
+            return;
+        };
+        let req = Req {
+            organisation,
+            service,
+            host,
+            gateway: host,
+            server: (0, 0),
+            size,
+            left: 0,
+            work,
+            born: self.now,
+            deadline: self.now + Duration::from_secs(2),
+            best: nearest * 2 + work + Duration::from_secs_f64(transfer),
+            way: delay(region_of(self.hosts[host].zone)) * 2,
+            inside,
+            measured,
+            since: None,
+            reserved: None,
+            crosses: false,
+            runs: false,
+            began: self.now,
+        };
+        let id = self.insert(req);
+        self.admit(id);
+    }
+
+    /// Draws the size of an upload and the work on a request.
+    fn draw(&mut self, service: usize) -> (f64, Duration) {
+        let sizing = &self.d.services[service];
+        if let Some(u) = &sizing.upload {
+            return (u.size(self.rng.random()), sizing.work);
+        }
+        let mean = sizing.work.as_secs_f64();
+        let mu = mean.ln() - WORK_SIGMA * WORK_SIGMA / 2.0;
+        let work = LogNormal::new(mu, WORK_SIGMA).map_or(mean, |d| d.sample(&mut self.rng));
+        (0.0, Duration::from_secs_f64(work))
+    }
+
+    /// Returns the entry host that a caller uses.
+    fn entry(&mut self, organisation: usize, zone: usize) -> Option<usize> {
+        if let Some(host) = self.scenario.pinned(organisation)
+            && self.rng.random::<f64>() < SKEW
+        {
+            return Some(host);
+        }
+        let i = self.rng.random_range(0..CALLERS_PER_ZONE);
+        let i = (organisation * ZONES + zone) * CALLERS_PER_ZONE + i;
+        let dead: Vec<bool> = (0..HOSTS)
+            .map(|h| self.is_dead(self.hosts[h].zone))
+            .collect();
+        let names = &self.hosts;
+        let index = |name: &str| names.iter().position(|h| h.name.as_str() == name);
+        let table = &self.table;
+        let caller = &mut self.callers[i];
+        caller.host(
+            self.now,
+            |client| ask(table, client, index),
+            |h| !dead[h],
+            &mut self.rng,
+        )
+    }
+
+    /// Debits a request and places it.
+    fn admit(&mut self, id: usize) {
+        let Some(req) = &self.reqs[id] else {
+            return;
+        };
+        let (host, organisation) = (req.host, req.organisation);
+        if self.is_dead(self.hosts[host].zone) {
+            self.lose(id);
+            return;
+        }
+        let attempt = match req.since {
+            None => Attempt::First,
+            Some(since) => Attempt::Again { since },
+        };
+        let name = &self.set.organisations[organisation].name;
+        let debit = self.hosts[host].budgets.debit(self.now, name, attempt);
+        match debit {
+            Debit::Granted => {
+                let within = self.started[organisation].debit(self.now, MILLI_REQUESTS);
+                self.tally.over_rate += u64::from(!within);
+                self.place(id);
+            }
+            Debit::Wait { until } => {
+                if let Some(req) = &mut self.reqs[id] {
+                    req.since.get_or_insert(self.now);
+                }
+                self.at(until - self.now, Event::Again(id));
+            }
+            Debit::Refused { .. } => self.refuse(id, Refused::Rate),
+        }
+    }
+
+    /// Ends a request that was refused.
+    pub(super) fn refuse(&mut self, id: usize, why: Refused) {
+        let Some(req) = self.remove(id) else {
+            return;
+        };
+        if req.measured {
+            self.tally
+                .refused(req.service, req.organisation, req.inside, why);
+        }
+    }
+
+    /// Ends a request whose host, gateway or upstream died.
+    pub(super) fn lose(&mut self, id: usize) {
+        let Some(req) = self.remove(id) else {
+            return;
+        };
+        self.tally.lost += u64::from(req.measured);
+        if req.runs {
+            self.release(&req);
+        }
+    }
+
+    /// Ends a request that was answered.
+    pub(super) fn done(&mut self, id: usize) {
+        let Some(req) = self.remove(id) else {
+            return;
+        };
+        if req.measured {
+            let latency = self.now - req.born + req.way;
+            self.tally
+                .answered(req.service, latency.saturating_sub(req.best));
+        }
+    }
+
+    fn insert(&mut self, req: Req) -> usize {
+        if let Some(id) = self.free.pop() {
+            self.reqs[id] = Some(req);
+            return id;
+        }
+        self.reqs.push(Some(req));
+        self.reqs.len() - 1
+    }
+
+    fn remove(&mut self, id: usize) -> Option<Req> {
+        let req = self.reqs[id].take()?;
+        self.free.push(id);
+        Some(req)
+    }
+
+    /// Returns the busiest minute of any link over what its cap allows.
+    fn link_peak(&self) -> f64 {
+        let minutes = self.links.iter().map(LinkMeter::busiest_minute);
+        let most = minutes.max().unwrap_or(0) as f64;
+        most / self.d.link.bytes_per_minute().0 as f64
+    }
+
+    /// Returns the requests that the live upstreams could serve while measured.
+    fn capacities(&self) -> [f64; SERVICES] {
+        let at = |service: usize| {
+            let sizing = &self.d.services[service];
+            let zones = (0..ZONES).map(|zone| {
+                let lost = self.scenario.is_lost(FAULT_AT, region_of(zone));
+                let shut = lost || self.scenario.is_drained(FAULT_AT, zone, service);
+                let open = if shut {
+                    FAULT_AT
+                } else {
+                    self.scenario.length()
+                };
+                (open - MEASURE_AT).as_secs_f64()
+            });
+            let slots = sizing.servers_per_zone() as f64 * f64::from(sizing.slots);
+            zones.sum::<f64>() * slots / sizing.mean_hold()
+        };
+        [at(0), at(1)]
+    }
+
+    /// Puts a region's latest plan in force.
+    fn publish(&mut self, region: usize) {
+        self.plans[region] = self.planners[region].plan().clone();
+        let closed = &self.plans[region];
+        if !closed.closed.is_empty() {
+            self.table = self.table.with_plan(closed);
+        }
+    }
+
+    fn plan(&mut self) {
+        self.at(cardamomroad::planner::PLAN_PERIOD, Event::Plan);
+        for region in 0..REGIONS {
+            if !self.step_planner(region) {
+                continue;
+            }
+            self.at(PLAN_SPREAD, Event::Publish(region));
+        }
+    }
+}
