Know the other hosts by heartbeats, gossip and the platform's list

src/membership.rs and its folder. A larger incarnation wins; within one a larger stamp does, so a host refutes a suspicion by living on. A host is suspected after a direct and two indirect probes failed. Unreachable is for routing only; Gone needs absence from the list and silence while this process itself ran. A host keeps its whole zone and eight hosts of each other zone, the same for all hosts of its zone, so that what they pass on is of use to one another.

Ruled out: a sample of other zones for each host by itself. At 36 zones a host reaches each sampled host every 420 s only, and others could not refresh it.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -6,23 +6,19 @@
 //! gives that.
 
 use std::{
-    net::SocketAddr,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
-use bytes::Bytes;
 use rand::Rng;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::{
-    store::ListedHost,
+    once::stamp_at,
     util::id::{
-        Generation,
         HostName,
         Incarnation,
         Stamp,
@@ -30,182 +26,64 @@
     },
 };
 
+pub mod list;
+pub mod message;
+pub mod peer;
+pub mod probe;
+
+pub use message::{
+    Claim,
+    Contact,
+    Facts,
+    Gossip,
+    Heartbeat,
+    LoadSummary,
+    NewsAge,
+    SetSummary, //
+};
+pub use peer::{
+    Listed,
+    Peer,
+    PeerState, //
+};
+pub use probe::Probe;
+
 /// How often a host probes.
 pub const PERIOD: Duration = Duration::from_secs(1);
 /// Hosts of its own zone that it sends a heartbeat to each period.
 pub const ZONE_FANOUT: usize = 2;
-/// Periods between two heartbeats to another zone.
-pub const OTHER_ZONE_PERIODS: u32 = 3;
+/// Heartbeats to other zones each period at least, in thousandths.
+pub const OTHER_ZONES_MIN_MILLI: usize = 333;
+/// Heartbeats to other zones each period at most, in thousandths.
+pub const OTHER_ZONES_MAX_MILLI: usize = 3_000;
 /// Hosts of each other zone that it keeps.
-pub const OTHER_ZONE_HOSTS: usize = 4;
+pub const OTHER_ZONE_HOSTS: usize = 8;
 /// Entries that a heartbeat passes on.
-pub const GOSSIP_ENTRIES: usize = 8;
+pub const GOSSIP_ENTRIES: usize = 6;
 /// Hosts that are asked to probe a host that did not answer.
 pub const INDIRECT_FANOUT: usize = 2;
 /// How long a suspect host stays routable.
-pub const SUSPECT_BOUND: Duration = Duration::from_secs(3);
+pub const SUSPECT_BOUND: Duration = Duration::from_secs(5);
+/// How long after it was heard a host is not suspected on another's word.
+pub const HEARD_BOUND: Duration = Duration::from_secs(2);
 /// How long a host that the platform's list dropped must be silent to be gone.
 pub const GONE_SILENCE: Duration = Duration::from_secs(120);
-
-/// Where a host stands and listens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Contact {
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Where callers reach it.
-    pub callers: SocketAddr,
-    /// Where other entry hosts reach it.
-    pub peers: SocketAddr,
-}
-
-/// A host's load, as it tells the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadSummary {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests that it admitted in the last second.
-    pub admitted: u32,
-    /// Requests that it refused in the last second for want of capacity.
-    pub refused: u32,
-}
-
-/// The content of a grow-only set in a few bytes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct SetSummary {
-    /// The number of members.
-    pub count: u32,
-    /// The wrapping sum of the members' hashes.
-    pub sum: u64,
-}
-
-/// How old a host's news of withdrawn keys is. Ages only, never clock times.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NewsAge {
-    /// Tenths of a second since the store was known to hold nothing newer.
-    pub store_tenths: u16,
-    /// The hash of the zones' names, in whose order `zone_seconds` stands.
-    pub zones: u32,
-    /// Seconds since some host of each zone was known to know nothing more.
-    pub zone_seconds: Bytes,
-}
-
-/// What a host tells about itself beyond its own life.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Facts {
-    /// The generation that it serves by, if any.
-    pub generation: Option<Generation>,
-    /// The revision of its zone's ledger that it has acknowledged.
-    pub ledger: u64,
-    /// Its withdrawn keys.
-    pub withdrawn: SetSummary,
-    /// How old its news of withdrawn keys is.
-    pub news: NewsAge,
-    /// Its suspect requests.
-    pub suspects: SetSummary,
-    /// Its load.
-    pub load: LoadSummary,
-}
-
-/// What a host passes on about another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Gossip {
-    /// The host.
-    pub host: HostName,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// Its latest known stamp.
-    pub stamp: Stamp,
-    /// Seconds since that stamp was heard, rounded up.
-    pub age_seconds: u16,
-    /// What is claimed of it.
-    pub claim: Claim,
-    /// Where it listens, where the receiver may not know it.
-    pub contact: Option<Contact>,
-}
-
-/// What is claimed of a host at a stamp. A later stamp refutes a suspicion.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Claim {
-    /// It was heard.
-    Live,
-    /// It did not answer, directly or through others.
-    Suspect,
-    /// It said that it is leaving.
-    Leaving,
-}
-
-/// A message from one entry host to another, as request and as answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The sender.
-    pub from: HostName,
-    /// Where it stands and listens.
-    pub contact: Contact,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// Its own clock.
-    pub stamp: Stamp,
-    /// Whether it is stopping.
-    pub leaving: bool,
-    /// How many hosts of its own zone it knows.
-    pub known: u16,
-    /// What else it tells.
-    pub facts: Facts,
-    /// What it passes on.
-    pub gossip: SmallVec<[Gossip; GOSSIP_ENTRIES]>,
-}
-
-/// A probe to send now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Probe {
-    /// Send a heartbeat.
-    Direct {
-        /// The host to probe.
-        to: HostName,
-        /// Its address for other entry hosts.
-        address: SocketAddr,
-    },
-    /// Ask a host to send a heartbeat to another one, and to report by [`Membership::on_indirect`].
-    Indirect {
-        /// The host to ask.
-        via: HostName,
-        /// Its address for other entry hosts.
-        address: SocketAddr,
-        /// The host to probe.
-        target: HostName,
-    },
-}
-
-/// What a host takes another for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerState {
-    /// It is heard.
-    Live,
-    /// It did not answer, directly or through others; still routable.
-    Suspect,
-    /// It has been suspect for too long to route to. Its process may well run.
-    Unreachable,
-    /// It said, or the platform's list says, that it is leaving.
-    Leaving,
-    /// The platform's list dropped it and it was silent for [`GONE_SILENCE`].
-    Gone,
-}
-
-/// What is known of one other host.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Its name.
-    pub name: HostName,
-    /// Where it stands and listens.
-    pub contact: Contact,
-    /// Its latest known incarnation.
-    pub incarnation: Incarnation,
-    /// Its latest known stamp.
-    pub stamp: Stamp,
-    /// When that stamp was heard.
-    pub heard: Option<Instant>,
-    /// What it last told itself.
-    pub facts: Option<Facts>,
+/// How long a host that is gone is remembered.
+pub const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// A longer time between two ticks means that this process did not run.
+pub const PAUSE_BOUND: Duration = Duration::from_secs(5);
+/// A host that knows this part fewer hosts is told where they listen.
+const NEWCOMER_DIVISOR: usize = 16;
+/// Low bits of an incarnation that tell processes started in one millisecond apart.
+const INCARNATION_NOISE_BITS: u32 = 12;
+
+/// Returns the incarnation of a process that starts at a clock time.
+///
+/// The clock time serves for order only; a process whose clock lags behind its
+/// predecessor's learns so by [`Membership::superseded`].
+pub fn new_incarnation(unix_ms: u64, noise: u16) -> Incarnation {
+    let noise = u64::from(noise) % (1 << INCARNATION_NOISE_BITS);
+    Incarnation((unix_ms << INCARNATION_NOISE_BITS) | noise)
 }
 
 /// What one host knows of the others.
@@ -214,116 +92,255 @@
     me: HostName,
     contact: Contact,
     incarnation: Incarnation,
+    started: Instant,
+    facts: Facts,
+    leaving: bool,
+    listed_leaving: bool,
+    superseded: bool,
+    peers: BTreeMap<HostName, Peer>,
+    /// Other zones of which all hosts are kept.
+    whole_zones: BTreeSet<ZoneName>,
+    /// Hosts of the own zone and other zones still to probe in this round.
+    round: Vec<HostName>,
+    zone_round: Vec<ZoneName>,
+    other_zones_milli: usize,
+    /// Since when this process has run without a pause.
+    listening: Instant,
+    ticked: Instant,
 }
 
 impl Membership {
-    /// Creates the view of a host that knows only itself.
+    /// Creates the view of a host that knows only itself. Its stamps count from `now`.
     pub fn new(me: HostName, contact: Contact, incarnation: Incarnation, now: Instant) -> Self {
-        let _ = now;
         Self {
             me,
             contact,
             incarnation,
+            started: now,
+            facts: Facts::default(),
+            leaving: false,
+            listed_leaving: false,
+            superseded: false,
+            peers: BTreeMap::new(),
+            whole_zones: BTreeSet::new(),
+            round: Vec::new(),
+            zone_round: Vec::new(),
+            other_zones_milli: 0,
+            listening: now,
+            ticked: now,
         }
     }
 
     /// Sets what the next heartbeats tell.
     pub fn set_facts(&mut self, facts: Facts) {
-        let _ = (facts, &self.me, &self.contact, self.incarnation);
-        todo!("set_facts")
+        self.facts = facts;
     }
 
     /// Says from now on that this host is leaving.
     pub fn leave(&mut self) {
-        todo!("leave")
+        self.leaving = true;
+    }
+
+    /// Keeps all listed hosts of another zone, for a plan that sends traffic there.
+    pub fn keep_whole(&mut self, zone: ZoneName) {
+        self.whole_zones.insert(zone);
     }
 
     /// Returns this host's own stamp.
     pub fn stamp(&self, now: Instant) -> Stamp {
-        let _ = now;
-        todo!("stamp")
+        stamp_at(self.started, now)
+    }
+
+    /// Returns this process's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Tells whether another process of this host's name has a larger incarnation.
+    pub fn superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Tells whether the platform's list says that this host is leaving.
+    pub fn listed_leaving(&self) -> bool {
+        self.listed_leaving
     }
 
-    /// Returns the probes to send now; call it once every [`PERIOD`].
-    pub fn probes<R: Rng>(&mut self, now: Instant, rng: &mut R) -> SmallVec<[Probe; 4]> {
-        let _ = (now, rng);
-        todo!("probes")
+    /// Returns what is known of a host.
+    pub fn peer(&self, host: &HostName) -> Option<&Peer> {
+        self.peers.get(host)
+    }
+
+    /// Returns all known hosts, without this one.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Returns the known hosts of a zone, without this one.
+    pub fn zone_hosts(&self, zone: &ZoneName) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| p.contact.zone == *zone)
+    }
+
+    /// Returns what a host is taken for.
+    pub fn state(&self, now: Instant, host: &HostName) -> Option<PeerState> {
+        Some(self.peers.get(host)?.state(now, self.listening_since(now)))
+    }
+
+    /// Tells whether an incarnation has ended, as far as that is known.
+    pub fn is_gone(&self, now: Instant, host: &HostName, incarnation: Incarnation) -> bool {
+        if *host == self.me {
+            return incarnation < self.incarnation;
+        }
+        let Some(peer) = self.peers.get(host) else {
+            return false;
+        };
+        let gone = peer.state(now, self.listening_since(now)) == PeerState::Gone;
+        incarnation < peer.incarnation || (incarnation == peer.incarnation && gone)
     }
 
     /// Returns the heartbeat to send to a host.
     pub fn heartbeat<R: Rng>(&mut self, now: Instant, to: &HostName, rng: &mut R) -> Heartbeat {
-        let _ = (now, to, rng);
-        todo!("heartbeat")
+        let zone = self.peers.get(to).map(|p| &p.contact.zone);
+        let far = zone.is_some_and(|z| *z != self.contact.zone);
+        self.compose(now, rng, far, false)
     }
 
     /// Takes in a heartbeat and returns the answer.
     pub fn on_heartbeat<R: Rng>(&mut self, now: Instant, h: &Heartbeat, rng: &mut R) -> Heartbeat {
-        let _ = (now, h, rng);
-        todo!("on_heartbeat")
+        self.merge(now, h);
+        let far = h.contact.zone != self.contact.zone;
+        let known = self.peers.len();
+        let newcomer = usize::from(h.known) < known - known / NEWCOMER_DIVISOR;
+        let mut reply = self.compose(now, rng, far, newcomer);
+        // A process with a smaller incarnation than known learns that it is not the latest.
+        let known = self.peers.get(&h.from);
+        if let Some(later) = known.filter(|p| p.incarnation > h.incarnation) {
+            reply.gossip.push(later.gossip(now, false));
+        }
+        reply
     }
 
     /// Takes in the answer to a heartbeat.
     pub fn on_reply(&mut self, now: Instant, reply: &Heartbeat) {
-        let _ = (now, reply);
-        todo!("on_reply")
+        self.merge(now, reply);
     }
 
     /// Notes that a heartbeat to a host was not answered.
     pub fn on_silence(&mut self, now: Instant, host: &HostName) {
-        let _ = (now, host);
-        todo!("on_silence")
+        let listening = self.listening_since(now);
+        let helpers = self.peers.values();
+        let live = |p: &&Peer| p.name != *host && p.state(now, listening) == PeerState::Live;
+        let alone = helpers.filter(live).count() == 0;
+        let repeats = self.repeats();
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        if !alone {
+            peer.unanswered = true;
+            return;
+        }
+        if peer.suspect(now) {
+            peer.repeats = repeats;
+        }
     }
 
-    /// Takes in what a host that was asked to probe another one heard.
+    /// Takes in what a host that was asked to probe another one heard of it.
     pub fn on_indirect(&mut self, now: Instant, target: &HostName, heard: Option<&Gossip>) {
-        let _ = (now, target, heard);
-        todo!("on_indirect")
-    }
-
-    /// Merges the platform's whole list.
-    pub fn on_list(&mut self, now: Instant, hosts: &[ListedHost]) {
-        let _ = (now, hosts);
-        todo!("on_list")
+        if let Some(gossip) = heard {
+            self.on_gossip(now, gossip);
+        }
+        let repeats = self.repeats();
+        let Some(peer) = self.peers.get_mut(target) else {
+            return;
+        };
+        if peer.indirect == 0 {
+            return;
+        }
+        peer.indirect = if heard.is_some() {
+            0
+        } else {
+            peer.indirect - 1
+        };
+        if heard.is_none() && peer.indirect == 0 && peer.suspect(now) {
+            peer.repeats = repeats;
+        }
     }
 
-    /// Merges the part of the platform's list that names one zone.
-    pub fn on_zone_list(&mut self, now: Instant, zone: &ZoneName, hosts: &[ListedHost]) {
-        let _ = (now, zone, hosts);
-        todo!("on_zone_list")
+    /// Returns what this host would pass on about another one that it just probed.
+    pub fn gossip_of(&self, now: Instant, host: &HostName) -> Option<Gossip> {
+        Some(self.peers.get(host)?.gossip(now, false))
     }
 
-    /// Returns what is known of a host.
-    pub fn peer(&self, host: &HostName) -> Option<&Peer> {
-        let _ = host;
-        todo!("peer")
+    /// Notes pauses of this process and forgets hosts that are long gone.
+    pub fn tick(&mut self, now: Instant) {
+        self.listening = self.listening_since(now);
+        self.ticked = now;
+        let listening = self.listening;
+        self.peers.retain(|_, p| {
+            let silent_since = p.heard.unwrap_or(p.known_since).max(listening);
+            p.listed != Listed::Absent || now < silent_since + GONE_SILENCE + FORGET_AFTER
+        });
     }
 
-    /// Returns what a host is taken for.
-    pub fn state(&self, now: Instant, host: &HostName) -> Option<PeerState> {
-        let _ = (now, host);
-        todo!("state")
+    /// Returns since when this process has run without a pause.
+    fn listening_since(&self, now: Instant) -> Instant {
+        if now.saturating_duration_since(self.ticked) > PAUSE_BOUND {
+            return now;
+        }
+        self.listening
     }
 
-    /// Tells whether an incarnation has surely ended.
-    pub fn is_gone(&self, now: Instant, host: &HostName, incarnation: Incarnation) -> bool {
-        let _ = (now, host, incarnation);
-        todo!("is_gone")
+    fn merge(&mut self, now: Instant, h: &Heartbeat) {
+        let claim = match h.leaving {
+            true => Claim::Leaving,
+            false => Claim::Live,
+        };
+        self.on_gossip(
+            now,
+            &Gossip {
+                host: h.from.clone(),
+                incarnation: h.incarnation,
+                stamp: h.stamp,
+                age_seconds: 0,
+                claim,
+                contact: Some(h.contact.clone()),
+            },
+        );
+        let latest = |p: &&mut Peer| p.incarnation == h.incarnation && p.stamp == h.stamp;
+        if let Some(peer) = self.peers.get_mut(&h.from).filter(latest) {
+            peer.facts = Some(h.facts.clone());
+        }
+        for gossip in &h.gossip {
+            self.on_gossip(now, gossip);
+        }
     }
 
-    /// Returns the known hosts of a zone, without this host.
-    pub fn zone_hosts(&self, zone: &ZoneName) -> impl Iterator<Item = &Peer> {
-        let _ = zone;
-        std::iter::empty()
+    fn on_gossip(&mut self, now: Instant, g: &Gossip) {
+        if g.host == self.me {
+            self.superseded |= g.incarnation > self.incarnation;
+            return;
+        }
+        if !self.peers.contains_key(&g.host) {
+            let Some(contact) = &g.contact else {
+                return;
+            };
+            self.admit(now, &g.host, contact);
+        }
+        let repeats = self.repeats();
+        let Some(peer) = self.peers.get_mut(&g.host) else {
+            return;
+        };
+        if peer.merge(now, g) {
+            peer.repeats = repeats;
+        }
     }
 
-    /// Drops hosts that are gone and states that have run out.
-    pub fn tick(&mut self, now: Instant) {
-        let _ = now;
-        todo!("tick")
+    /// Returns how often a change is passed on so that it reaches all hosts.
+    fn repeats(&self) -> u32 {
+        2 * (usize::BITS - self.peers.len().leading_zeros())
     }
 
-    /// Tells whether another process of this host's name has a larger incarnation.
-    pub fn superseded(&self) -> bool {
-        todo!("superseded")
+    fn zone_size(&self) -> usize {
+        self.zone_hosts(&self.contact.zone).count()
     }
 }
--- /dev/null
+++ b/src/membership/message.rs
@@ -0,0 +1,159 @@
+//! The messages that entry hosts send one another about themselves and others.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smallvec::SmallVec;
+use thiserror::Error;
+
+use crate::{
+    membership::GOSSIP_ENTRIES,
+    util::id::{
+        Generation,
+        HostName,
+        Incarnation,
+        Stamp,
+        ZoneName, //
+    },
+};
+
+/// Where a host stands and listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other entry hosts reach it.
+    pub peers: SocketAddr,
+}
+
+/// A host's load, as it tells the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSummary {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that it admitted in the last second.
+    pub admitted: u32,
+    /// Requests that it refused in the last second for want of capacity.
+    pub refused: u32,
+}
+
+/// The content of a grow-only set in a few bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SetSummary {
+    /// The number of members.
+    pub count: u32,
+    /// The wrapping sum of the members' hashes.
+    pub sum: u64,
+}
+
+/// How old a host's news of withdrawn keys is. Ages only, never clock times.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsAge {
+    /// Tenths of a second since the store was known to hold nothing newer.
+    pub store_tenths: u16,
+    /// The hash of the zones' names, in whose order `zone_seconds` stands.
+    pub zones: u32,
+    /// Seconds since some host of each zone was known to know nothing more.
+    pub zone_seconds: Bytes,
+}
+
+/// What a host tells about itself beyond its own life.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Facts {
+    /// The generation that it serves by, if any.
+    pub generation: Option<Generation>,
+    /// The revision of its zone's ledger that it has acknowledged.
+    pub ledger: u64,
+    /// Its withdrawn keys.
+    pub withdrawn: SetSummary,
+    /// How old its news of withdrawn keys is.
+    pub news: NewsAge,
+    /// Its suspect requests.
+    pub suspects: SetSummary,
+    /// Its load.
+    pub load: LoadSummary,
+}
+
+/// What a host passes on about another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The host.
+    pub host: HostName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its latest known stamp.
+    pub stamp: Stamp,
+    /// Seconds since that stamp was heard, rounded up.
+    pub age_seconds: u16,
+    /// What is claimed of it.
+    pub claim: Claim,
+    /// Where it listens, where the receiver may not know it.
+    pub contact: Option<Contact>,
+}
+
+/// What is claimed of a host at a stamp. A later stamp refutes a suspicion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "u8", try_from = "u8")]
+pub enum Claim {
+    /// It was heard.
+    Live,
+    /// It did not answer, directly or through others.
+    Suspect,
+    /// It said that it is leaving.
+    Leaving,
+}
+
+impl From<Claim> for u8 {
+    fn from(claim: Claim) -> Self {
+        match claim {
+            Claim::Live => 0,
+            Claim::Suspect => 1,
+            Claim::Leaving => 2,
+        }
+    }
+}
+
+/// A claim's number that this build does not know.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("claim {0} is not known; the sender may run a newer build")]
+pub struct UnknownClaim(u8);
+
+impl TryFrom<u8> for Claim {
+    type Error = UnknownClaim;
+
+    fn try_from(number: u8) -> Result<Self, UnknownClaim> {
+        match number {
+            0 => Ok(Self::Live),
+            1 => Ok(Self::Suspect),
+            2 => Ok(Self::Leaving),
+            other => Err(UnknownClaim(other)),
+        }
+    }
+}
+
+/// A message from one entry host to another, as request and as answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: HostName,
+    /// Where it stands and listens.
+    pub contact: Contact,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its own clock.
+    pub stamp: Stamp,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// How many other hosts it knows.
+    pub known: u16,
+    /// What else it tells.
+    pub facts: Facts,
+    /// What it passes on.
+    pub gossip: SmallVec<[Gossip; GOSSIP_ENTRIES]>,
+}
