--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,9 +6,7 @@
 
 pub mod error;
 pub mod http;
+pub mod policy;
 pub mod process;
 pub mod store;
 pub mod upstream;
-//! Stand-ins.
-
-pub mod policy;
