Compile client blocks once, share them, and hand deltas through the relay

Cause: the index kept the client blocks out of its set, while the look-up table, the peers' whole sets and the deltas read them from that set, so that blocks were lost on the way; and a relay read the whole set at each change and kept no delta for its zone. The index now holds the shared Blocks of the look-up (one compiled form in place of two), deltas are applied to the compiled form, and each host keeps a reader that fetches only changed chunks.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,7 +12,10 @@
     Uri, //
 };
 use tokio::{
-    sync::mpsc::UnboundedReceiver,
+    sync::{
+        Mutex,
+        mpsc::UnboundedReceiver, //
+    },
     time::{
         Instant,
         MissedTickBehavior,
@@ -29,8 +32,15 @@
     },
     body::full,
     config::{
-        diff::Delta,
-        index::Index, //
+        diff::{
+            Delta,
+            DeltaError, //
+        },
+        index::{
+            Index,
+            IndexError, //
+        },
+        object::Set,
     },
     control::{
         self,
@@ -62,7 +72,11 @@
     },
     publish::{
         self,
-        head::HEAD_KEY, //
+        head::HEAD_KEY,
+        reader::{
+            Reader,
+            Update, //
+        },
     },
     relay,
     store::{
@@ -137,15 +151,26 @@
     store: Arc<S>,
     mut errands: UnboundedReceiver<Errand>,
 ) {
+    let reader = Arc::new(Mutex::new(Reader::new()));
     while let Some(errand) = errands.recv().await {
-        tokio::spawn(run_errand(gw.clone(), store.clone(), errand));
+        tokio::spawn(run_errand(
+            gw.clone(),
+            store.clone(),
+            reader.clone(),
+            errand,
+        ));
     }
 }
 
-async fn run_errand<S: ObjectStore>(gw: Arc<Gateway>, store: Arc<S>, errand: Errand) {
+async fn run_errand<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    reader: Arc<Mutex<Reader>>,
+    errand: Errand,
+) {
     match errand {
         Errand::Control { to, address, msg } => ask(&gw, to, address, msg).await,
-        Errand::Adoption(step) => adopt(&gw, &*store, step).await,
+        Errand::Adoption(step) => adopt(&gw, &*store, &reader, step).await,
         Errand::List => list(&gw, &*store).await,
         Errand::Health(addresses) => {
             for address in addresses {
@@ -184,14 +209,14 @@
     }
 }
 
-async fn adopt<S: ObjectStore>(gw: &Gateway, store: &S, step: Step) {
+async fn adopt<S: ObjectStore>(gw: &Gateway, store: &S, reader: &Mutex<Reader>, step: Step) {
     match step {
         Step::Ask => {
             list(gw, store).await;
             see_head(gw, store).await;
         }
         Step::Confirm { version } => confirm(gw, store, version).await,
-        Step::Fetch { generation, source } => fetch(gw, store, generation, source).await,
+        Step::Fetch { generation, source } => fetch(gw, store, reader, generation, source).await,
         Step::Wait { .. } => {}
     }
 }
@@ -234,21 +259,28 @@
     let _ = gw.host.send(HeadConfirmed { asked, answer }).await;
 }
 
-async fn fetch<S: ObjectStore>(gw: &Gateway, store: &S, wanted: Generation, source: Source) {
+async fn fetch<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    reader: &Mutex<Reader>,
+    wanted: Generation,
+    source: Source,
+) {
     let held = gw.index.load_full();
+    let generation = held.as_ref().map(|index| index.generation());
     let found = match &source {
-        Source::Store(_) => from_store(gw, store).await,
-        Source::Peer(host) => from_peer(gw, host, held.as_deref()).await,
+        Source::Store(_) => from_store(gw, store, reader, generation).await,
+        Source::Peer(host) => from_peer(gw, host, generation).await,
     };
-    let Some((set, deltas, generation)) = found else {
+    let Some(fetched) = found else {
         log::warn!(event = "generation-not-fetched", generation:% = wanted; "");
         let _ = gw.host.send(FetchFailed(source)).await;
         return;
     };
     // A large set takes a while to compile; requests go on meanwhile.
-    let compiled = tokio::task::spawn_blocking(move || Index::new(generation, set)).await;
+    let compiled = tokio::task::spawn_blocking(move || compile(held.as_deref(), fetched)).await;
     match compiled {
-        Ok(Ok(index)) => {
+        Ok(Ok((index, deltas))) => {
             let msg = Adopt {
                 index: Arc::new(index),
                 deltas,
@@ -256,17 +288,63 @@
             };
             let _ = gw.host.send(msg).await;
         }
-        Ok(Err(e)) => log::error!(event = "generation-refused", generation:%, cause:% = e; ""),
-        Err(e) => log::error!(event = "generation-refused", generation:%, cause:% = e; ""),
+        Ok(Err(e)) => {
+            log::error!(event = "generation-refused", generation:% = wanted, cause:% = e; "");
+            let _ = gw.host.send(FetchFailed(source)).await;
+        }
+        Err(e) => log::error!(event = "generation-refused", generation:% = wanted, cause:% = e; ""),
     }
 }
 
-type Fetched = (crate::config::object::Set, Vec<Delta>, Generation);
+/// A configuration as it was fetched.
+enum Fetched {
+    /// A whole set.
+    Whole(Generation, Box<Set>),
+    /// What leads on from the configuration that is held.
+    Deltas(Vec<Delta>),
+}
 
-async fn from_store<S: ObjectStore>(gw: &Gateway, store: &S) -> Option<Fetched> {
+/// Compiles what was fetched, and returns the deltas that led to it.
+fn compile(held: Option<&Index>, fetched: Fetched) -> Result<(Index, Vec<Delta>), IndexError> {
+    let deltas = match fetched {
+        Fetched::Whole(generation, set) => {
+            return Ok((Index::new(generation, *set)?, Vec::new()));
+        }
+        Fetched::Deltas(deltas) => deltas,
+    };
+    let mut next: Option<Index> = None;
+    for delta in &deltas {
+        next = match next.as_ref().or(held) {
+            Some(index) => Some(index.with_delta(delta)?),
+            None => None,
+        };
+    }
+    let (held, from) = (Generation(0), deltas.first().map(|d| d.from));
+    let from = from.unwrap_or_default();
+    let index = next.ok_or(DeltaError::WrongBase { from, held })?;
+    Ok((index, deltas))
+}
+
+/// Reads what the store has after a generation; the reader keeps the chunks,
+/// so that the next change costs only those that it alters.
+async fn from_store<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    reader: &Mutex<Reader>,
+    held: Option<Generation>,
+) -> Option<Fetched> {
     gw.metrics.store_calls.inc();
-    match publish::reader::load(store).await {
-        Ok(found) => found.map(|(generation, set)| (set, Vec::new(), generation)),
+    let mut reader = reader.lock().await;
+    let fetched = match reader.refresh(store).await {
+        Ok(Some(Update::Delta(delta))) if Some(delta.from) == held => {
+            return Some(Fetched::Deltas(vec![*delta]));
+        }
+        Ok(Some(Update::Whole(generation, set))) => return Some(Fetched::Whole(generation, set)),
+        Ok(_) => reader.whole(),
+        Err(e) => Err(e),
+    };
+    match fetched {
+        Ok(found) => found.map(|(generation, set)| Fetched::Whole(generation, Box::new(set))),
         Err(e) => {
             log::warn!(event = "set-not-read", cause:% = e; "");
             None
@@ -274,19 +352,21 @@
     }
 }
 
-async fn from_peer(gw: &Gateway, host: &HostName, held: Option<&Index>) -> Option<Fetched> {
+async fn from_peer(gw: &Gateway, host: &HostName, held: Option<Generation>) -> Option<Fetched> {
     let address = gw
         .host
         .send(crate::host::news::AddressOf(host.clone()))
         .await
         .ok()??;
-    let msg = ControlRequest::Configuration(held.map(Index::generation));
+    let msg = ControlRequest::Configuration(held);
     let reply = control::call(gw, address, &msg, SET_TIMEOUT).await;
     match reply {
         Ok(ControlReply::Configuration(Configuration::Whole(generation, set))) => {
-            Some((*set, Vec::new(), generation))
+            Some(Fetched::Whole(generation, set))
+        }
+        Ok(ControlReply::Configuration(Configuration::Deltas(deltas))) => {
+            Some(Fetched::Deltas(deltas))
         }
-        Ok(ControlReply::Configuration(Configuration::Deltas(deltas))) => follow(held?, deltas),
         Ok(_) => None,
         Err(e) => {
             log::debug!(event = "set-not-read", from:% = host, cause:% = e; "");
@@ -295,20 +375,6 @@
     }
 }
 
-/// Applies deltas to the configuration that is held.
-fn follow(held: &Index, deltas: Vec<Delta>) -> Option<Fetched> {
-    let mut set = held.set().clone();
-    let mut generation = held.generation();
-    for delta in &deltas {
-        if let Err(e) = delta.apply(generation, &mut set) {
-            log::warn!(event = "delta-refused", cause:% = e; "");
-            return None;
-        }
-        generation = delta.to;
-    }
-    Some((set, deltas, generation))
-}
-
 /// Asks an upstream for its health and its load.
 async fn health(gw: Arc<Gateway>, address: SocketAddr) {
     let measured = Instant::now();
--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -14,7 +14,11 @@
     sync::Arc, //
 };
 
-use ipnet::IpNet;
+use ipnet::{
+    IpNet,
+    Ipv4Net,
+    Ipv6Net, //
+};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -64,6 +68,17 @@
         }
     }
 
+    /// Returns the addresses as they were configured.
+    fn net(self) -> IpNet {
+        let address = Ipv6Addr::from_bits(self.address);
+        match address.to_ipv4_mapped() {
+            Some(address) if self.bits >= IPV4_PREFIX_BITS => {
+                Ipv4Net::new_assert(address, self.bits - IPV4_PREFIX_BITS).into()
+            }
+            _ => Ipv6Net::new_assert(address, self.bits).into(),
+        }
+    }
+
     fn shard(self) -> usize {
         let mut key = [0; 17];
         key[0] = self.bits;
@@ -179,6 +194,19 @@
         &self.classes.near[class.0 as usize]
     }
 
+    /// Returns whether a block is among them.
+    pub fn contains(&self, net: IpNet) -> bool {
+        let prefix = Prefix::of(net);
+        let shard = &self.shards[prefix.shard()];
+        shard.binary_search_by_key(&prefix, |e| e.prefix).is_ok()
+    }
+
+    /// Returns all blocks and their classes, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (IpNet, ClassId)> {
+        let entries = self.shards.iter().flat_map(|shard| shard.iter());
+        entries.map(|e| (e.prefix.net(), e.class))
+    }
+
     /// Returns the number of classes.
     pub fn classes(&self) -> usize {
         self.classes.near.len()
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,5 @@
 //! The operators' configuration set.
 
-pub mod block;
 pub mod check;
 pub mod diff;
 pub mod difference;
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -12,14 +12,19 @@
 use thiserror::Error;
 
 use crate::{
+    blocks::{
+        Blocks,
+        Change, //
+    },
     config::{
-        block::BlockTable,
         diff::{
             Delta,
-            DeltaError, //
+            DeltaError,
+            Edits, //
         },
         kind::Kind,
         object::{
+            Block,
             Key,
             Link,
             Organisation,
@@ -58,7 +63,7 @@
 }
 
 /// An immutable snapshot of one generation, shared by pointer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Index {
     generation: Generation,
     set: Set,
@@ -71,34 +76,31 @@
     zones: HashMap<ZoneName, usize>,
     regions: HashMap<RegionName, Vec<ZoneName>>,
     links: HashMap<RegionName, HashMap<RegionName, usize>>,
-    blocks: Arc<BlockTable>,
+    blocks: Arc<Blocks>,
 }
 
 impl Index {
     /// Compiles a sorted set.
     pub fn new(generation: Generation, mut set: Set) -> Result<Self, IndexError> {
-        let blocks = Arc::new(BlockTable::new(&set.blocks));
-        set.blocks = Vec::new();
-        Self::with_blocks(generation, set, blocks)
+        let blocks = std::mem::take(&mut set.blocks);
+        let index = Self::with_blocks(generation, set, Arc::new(Blocks::new(&blocks)))?;
+        index.check_near(&blocks)?;
+        Ok(index)
     }
 
-    /// Returns the snapshot of the generation that a delta leads to.
+    /// Returns the snapshot of the generation that a delta leads to; what the
+    /// delta does not change of the client blocks is shared.
     pub fn with_delta(&self, delta: &Delta) -> Result<Self, IndexError> {
-        let held = self.generation;
+        let mut set = self.set.clone();
+        delta.without_blocks().apply(self.generation, &mut set)?;
         let edits = &delta.changes.blocks;
-        let missing = edits.removed.iter().find(|net| !self.blocks.contains(net));
-        if let Some(net) = missing {
-            let (kind, id) = (Kind::Block, net.to_string());
-            return Err(DeltaError::Missing { kind, id, held }.into());
+        let blocks = self.edited_blocks(edits)?;
+        let index = Self::with_blocks(delta.to, set, blocks)?;
+        index.check_near(&edits.put)?;
+        if !delta.changes.zones.removed.is_empty() {
+            index.check_all_near()?;
         }
-        let blocks = if edits.is_empty() {
-            Arc::clone(&self.blocks)
-        } else {
-            Arc::new(self.blocks.with_edits(edits))
-        };
-        let mut set = self.set.clone();
-        delta.without_blocks().apply(held, &mut set)?;
-        Self::with_blocks(delta.to, set, blocks)
+        Ok(index)
     }
 
     /// Returns the generation.
@@ -113,14 +115,19 @@
     }
 
     /// Returns the client blocks.
-    pub fn blocks(&self) -> &BlockTable {
+    pub fn blocks(&self) -> &Arc<Blocks> {
         &self.blocks
     }
 
     /// Returns a copy of the whole set, with its client blocks.
     pub fn to_whole_set(&self) -> Set {
         let mut set = self.set.clone();
-        set.blocks = self.blocks.blocks().collect();
+        set.blocks.reserve_exact(self.blocks.len());
+        for (net, class) in self.blocks.iter() {
+            let near = self.blocks.near(class).into();
+            set.blocks.push(Block { net, near });
+        }
+        set.blocks.sort_unstable_by_key(|block| block.net);
         set
     }
 
@@ -202,7 +209,48 @@
 
     /// Returns the zones nearest to a client, best first; none where no block holds it.
     pub fn near(&self, client: IpAddr) -> &[ZoneName] {
-        self.blocks.near(client)
+        let class = self.blocks.class_of(client);
+        class.map_or(&[], |class| self.blocks.near(class))
+    }
+
+    fn edited_blocks(&self, edits: &Edits<Block>) -> Result<Arc<Blocks>, IndexError> {
+        if edits.is_empty() {
+            return Ok(Arc::clone(&self.blocks));
+        }
+        let mut changes = Vec::with_capacity(edits.put.len() + edits.removed.len());
+        for &net in &edits.removed {
+            if !self.blocks.contains(net) {
+                let (kind, id) = (Kind::Block, net.to_string());
+                let held = self.generation;
+                return Err(DeltaError::Missing { kind, id, held }.into());
+            }
+            changes.push(Change::Remove(net));
+        }
+        changes.extend(edits.put.iter().cloned().map(Change::Put));
+        Ok(Arc::new(self.blocks.with_changes(&changes)))
+    }
+
+    /// Returns an error where a block names a zone that is not in the set.
+    fn check_near(&self, blocks: &[Block]) -> Result<(), IndexError> {
+        for block in blocks {
+            for zone in &block.near {
+                if !self.zones.contains_key(zone) {
+                    return Err(dangling(&block.net, zone));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_all_near(&self) -> Result<(), IndexError> {
+        for (net, class) in self.blocks.iter() {
+            for zone in self.blocks.near(class) {
+                if !self.zones.contains_key(zone) {
+                    return Err(dangling(&net, zone));
+                }
+            }
+        }
+        Ok(())
     }
 
     fn route_at(&self, method: &str, prefix: &str) -> Option<&Route> {
@@ -218,23 +266,27 @@
     fn with_blocks(
         generation: Generation,
         set: Set,
-        blocks: Arc<BlockTable>,
+        blocks: Arc<Blocks>,
     ) -> Result<Self, IndexError> {
         let mut index = Self {
             generation,
             blocks,
-            ..Self::default()
+            set: Set::default(),
+            routes: HashMap::new(),
+            route_names: HashMap::new(),
+            services: HashSet::new(),
+            organisations: HashMap::new(),
+            keys: HashMap::new(),
+            pools: HashMap::new(),
+            zones: HashMap::new(),
+            regions: HashMap::new(),
+            links: HashMap::new(),
         };
         for (i, zone) in set.zones.iter().enumerate() {
             index.zones.insert(zone.name.clone(), i);
             let zones = index.regions.entry(zone.region.clone()).or_default();
             zones.push(zone.name.clone());
         }
-        for zone in index.blocks.classes().flatten() {
-            if !index.zones.contains_key(zone) {
-                return Err(dangling(&"a client block", zone));
-            }
-        }
         for (i, link) in set.links.iter().enumerate() {
             let links = index.links.entry(link.from.clone()).or_default();
             links.insert(link.to.clone(), i);
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -291,7 +291,7 @@
         let first = self.deltas.iter().position(|d| Some(d.from) == have);
         match first {
             Some(first) => Configuration::Deltas(self.deltas[first..].to_vec()),
-            None => Configuration::Whole(index.generation(), Box::new(index.set().clone())),
+            None => Configuration::Whole(index.generation(), Box::new(index.to_whole_set())),
         }
     }
 
@@ -438,7 +438,11 @@
         let hosts = self.lookup_hosts(now, &index);
         let table = match &self.table {
             Some(table) => table.with_hosts(&hosts),
-            None => Table::new(index.generation(), index.set(), &self.cfg.zone, &hosts),
+            None => {
+                let blocks = index.blocks().clone();
+                let own = &self.cfg.zone;
+                Table::with_blocks(index.generation(), index.set(), own, &hosts, blocks)
+            }
         };
         let table = match self.plan_of_region() {
             Some(plan) => table.with_plan(plan),
--- a/src/publish/reader.rs
+++ b/src/publish/reader.rs
@@ -63,6 +63,15 @@
         self.held.as_ref().map(|held| held.head.generation())
     }
 
+    /// Returns the set that was read last.
+    pub fn whole(&self) -> Result<Option<(Generation, Set)>, PublishError> {
+        let Some(held) = &self.held else {
+            return Ok(None);
+        };
+        let set = self.chunks.set(&held.head.manifest)?;
+        Ok(Some((held.head.generation(), set)))
+    }
+
     /// Returns the bytes of the chunks held.
     pub fn bytes(&self) -> usize {
         self.chunks.bytes()
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -340,7 +340,7 @@
     let delta = Delta::between(Generation(1), &old, Generation(2), &new);
     let index = Index::new(Generation(1), old).unwrap();
     let next = index.with_delta(&delta).unwrap();
-    assert!(std::ptr::eq(index.blocks(), next.blocks()));
+    assert!(std::sync::Arc::ptr_eq(index.blocks(), next.blocks()));
     assert_eq!(next.to_whole_set(), new);
 }
 
