--- a/src/agent.rs
+++ b/src/agent.rs
@@ -70,6 +70,7 @@
             Tick, //
         },
     },
+    planning,
     publish::{
         self,
         head::HEAD_KEY,
@@ -105,6 +106,7 @@
     tokio::spawn(keep_time(gw.clone()));
     tokio::spawn(meet_seeds(gw.clone(), seeds));
     relay::spawn(gw.clone(), store.clone(), zone);
+    planning::spawn(gw.clone(), store.clone());
     tokio::spawn(run_errands(gw, store, errands));
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,3 +9,6 @@
 pub mod process;
 pub mod store;
 pub mod upstream;
+//! Stand-ins.
+
+pub mod policy;
