--- a/src/operators.rs
+++ b/src/operators.rs
@@ -17,6 +17,7 @@
         ProxyBody,
         full, //
     },
+    explain::Record,
     gateway::Gateway,
     host::message::{
         Explain,
@@ -28,6 +29,8 @@
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// The content type of status and explanations.
 const JSON_TYPE: &str = "application/json";
+/// The content type of explanations, a record a line.
+const JSON_LINES_TYPE: &str = "application/jsonl";
 
 /// Answers a request of an operator.
 pub async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<ProxyBody> {
@@ -75,11 +78,18 @@
         );
     };
     match gw.host.send(question).await {
-        Ok(records) => json(&records),
+        Ok(records) => json_lines(&records),
         Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the host is stopping\n"),
     }
 }
 
+fn json_lines(records: &[Record]) -> Response<ProxyBody> {
+    match Record::to_json_lines(records) {
+        Ok(lines) => typed(StatusCode::OK, JSON_LINES_TYPE, lines),
+        Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
+    }
+}
+
 /// Returns an answer of JSON.
 pub fn json<T: Serialize>(value: &T) -> Response<ProxyBody> {
     match serde_json::to_vec(value) {
