--- a/src/planner.rs
+++ b/src/planner.rs
@@ -166,13 +166,20 @@
         let forced = drop_lost(view, place, &mut split);
         let mut reason = StepReason::Settled;
         let mut moved = 0.0;
+        let drained = haste(view, place, &split);
         for (zone, want) in &target.split {
             let gain = want - part_of(&split, zone);
-            if gain < CHANGE_MIN && forced <= 0.0 {
+            if gain < CHANGE_MIN && forced <= 0.0 && drained.is_none() {
                 continue;
             }
             let to = (zone.clone(), place.1.clone());
-            let haste = haste(view, place, &split).max(if forced > 0.0 { 1.0 } else { STEP_PART });
+            let near = view.link(&place.0, zone).is_none();
+            let haste = match (forced > 0.0, drained) {
+                (true, _) => 1.0,
+                (false, Some(_)) if near => 1.0,
+                (false, Some(haste)) => haste.max(STEP_PART),
+                (false, None) => STEP_PART,
+            };
             let slots = room.slots(&to) * haste;
             let by_slots = slots / demand.slots.max(f64::MIN_POSITIVE);
             let by_link = room.link_part(view, &place.0, zone, demand) * haste;
@@ -310,17 +317,18 @@
     split.retain(|(_, p)| *p > 0.0);
 }
 
-/// Returns the part of the room that a step may take so that a drain ends in time.
-fn haste(view: &View, place: &Place, split: &Split) -> f64 {
-    let mut most: f64 = 0.0;
-    for (zone, _) in split {
-        let c = view.capacities.get(&(zone.clone(), place.1.clone()));
-        if let Some(Standing::Draining(left)) = c.map(|c| c.standing) {
-            let steps = left.as_secs_f64() / PLAN_PERIOD.as_secs_f64();
-            most = most.max(1.0 / steps.max(1.0));
-        }
-    }
-    most
+/// Returns the part of the room that each step has to take so that a drain of
+/// a zone that serves this place ends in time; `None` where none drains.
+fn haste(view: &View, place: &Place, split: &Split) -> Option<f64> {
+    let parts = split.iter().filter_map(|(zone, _)| {
+        let c = view.capacities.get(&(zone.clone(), place.1.clone()))?;
+        let Standing::Draining(left) = c.standing else {
+            return None;
+        };
+        let steps = left.as_secs_f64() / PLAN_PERIOD.as_secs_f64();
+        Some(1.0 / steps.max(1.0))
+    });
+    parts.reduce(f64::max)
 }
 
 fn reason_of(gain: f64, by_slots: f64, by_link: f64, unseen: bool, forced: bool) -> StepReason {
--- a/standins/src/policy/flow.rs
+++ b/standins/src/policy/flow.rs
@@ -99,7 +99,7 @@
         };
         let region = region_of(self.hosts[req.host].zone);
         let server = &self.servers[zone][req.service][i];
-        req.work.mul_f64(server.slowness(self.now, region))
+        req.work.mul_f64(server.slowness(region))
     }
 
     /// Keeps a rate on the link for an upload.
--- a/standins/src/policy/setup.rs
+++ b/standins/src/policy/setup.rs
@@ -148,11 +148,11 @@
 }
 
 /// Returns the upstreams by zone and service.
-pub fn servers(d: &Deployment, now: Instant) -> Vec<[Vec<Server>; SERVICES]> {
+pub fn servers(d: &Deployment) -> Vec<[Vec<Server>; SERVICES]> {
     let zone = |z: usize| {
         let servers = |s: usize| {
             let n = d.services[s].servers_per_zone();
-            vec![Server::new(now, region_of(z), d.services[s].slots); n]
+            vec![Server::new(region_of(z), d.services[s].slots); n]
         };
         [servers(0), servers(1)]
     };
