--- a/src/control.rs
+++ b/src/control.rs
@@ -37,7 +37,10 @@
         object::Set, //
     },
     connection::SendError,
-    credential::WithdrawnPage,
+    credential::{
+        WithdrawnAsk,
+        WithdrawnPage, //
+    },
     gateway::Gateway,
     host::news::Answer,
     ledger::{
@@ -129,7 +132,7 @@
     /// Asks for what leads on from a generation, or for a whole set.
     Configuration(Option<Generation>),
     /// Compares withdrawn keys.
-    Withdrawn(WithdrawnPage),
+    Withdrawn(WithdrawnAsk),
     /// Passes suspect requests on.
     Suspects(Vec<SuspectEntry>),
     /// Asks for ledgers that are newer than these.
--- a/src/credential.rs
+++ b/src/credential.rs
@@ -128,6 +128,11 @@
         self.keys.contains_key(digest) || self.withdrawn.contains(digest)
     }
 
+    /// Returns whether a key is known to be withdrawn.
+    pub fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        self.withdrawn.contains(digest)
+    }
+
     /// Adds withdrawn keys; returns how many were new.
     pub fn withdraw(&mut self, digests: impl IntoIterator<Item = KeyDigest>) -> usize {
         let mut new = 0;
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -205,7 +205,7 @@
     type Return = ();
 
     async fn handle(&mut self, msg: StoredWithdrawn, _cx: &mut Context<Self>) {
-        if self.credentials.withdraw(msg.0.iter()) > 0 {
+        if self.credentials.withdraw(msg.0.iter().copied()) > 0 {
             self.publish_keys();
             self.tell_all(Instant::now());
         }
@@ -239,14 +239,9 @@
         self.index = Some(msg.index.clone());
         self.region = msg.index.region_of(&self.cfg.zone).cloned();
         self.cfg.region.store(self.region.clone().map(Arc::new));
-        let zones: Vec<ZoneName> = msg
-            .index
-            .set()
-            .zones
-            .iter()
-            .map(|z| z.name.clone())
-            .collect();
-        self.credentials.set_keys(&msg.index.set().keys, &zones);
+        let set = msg.index.set();
+        let zones = set.zones.iter().map(|z| &z.name);
+        self.credentials.set_keys(&set.keys, zones);
         self.configure_pools(now, &msg.index);
         self.publish_keys();
         self.cfg.index.store(Some(msg.index));
@@ -544,9 +539,9 @@
         let Some(index) = &self.index else {
             return;
         };
-        let withdrawn = self.credentials.digests();
         let keys = index.set().keys.iter().map(|k| k.digest);
-        let standing: HashSet<KeyDigest> = keys.filter(|k| !withdrawn.contains(k)).collect();
+        let standing: HashSet<KeyDigest> =
+            keys.filter(|k| !self.credentials.is_withdrawn(k)).collect();
         self.cfg.keys.replace(standing);
     }
 
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -23,6 +23,10 @@
         Ledgers,
         ServiceLoad, //
     },
+    credential::{
+        WithdrawnAsk,
+        WithdrawnPage, //
+    },
     host::{
         Host,
         errand::Errand,
@@ -34,7 +38,6 @@
     },
     ledger::Ledger,
     membership::{
-        Claim,
         Facts,
         Gossip,
         LoadSummary,
@@ -185,18 +188,7 @@
         let now = Instant::now();
         self.membership.on_reply(now, &msg.0.heartbeat);
         self.learn(now, &msg.0);
-        let h = &msg.0.heartbeat;
-        Some(Gossip {
-            host: h.from.clone(),
-            incarnation: h.incarnation,
-            stamp: h.stamp,
-            age_seconds: 0,
-            claim: match h.leaving {
-                true => Claim::Leaving,
-                false => Claim::Live,
-            },
-            contact: Some(h.contact.clone()),
-        })
+        self.membership.gossip_of(now, &msg.0.heartbeat.from)
     }
 }
 
@@ -308,7 +300,7 @@
                 refused: 0,
             },
         };
-        self.membership.set_facts(facts);
+        self.membership.set_facts(now, facts);
     }
 
     /// Returns the heartbeat to send to a host.
@@ -366,11 +358,8 @@
             ControlRequest::Configuration(have) => {
                 ControlReply::Configuration(self.configuration_since(have))
             }
-            ControlRequest::Withdrawn(page) => {
-                let reply = self.credentials.answer_page(&page);
-                self.credentials.on_page(&page);
-                self.publish_keys();
-                ControlReply::Withdrawn(reply)
+            ControlRequest::Withdrawn(ask) => {
+                ControlReply::Withdrawn(self.credentials.answer(&ask))
             }
             ControlRequest::Suspects(entries) => {
                 self.quarantine.merge(now, &entries);
@@ -394,7 +383,7 @@
                 self.membership.on_reply(now, &beat.heartbeat);
                 let h = &beat.heartbeat;
                 self.credentials
-                    .on_peer(asked, &h.contact.zone, h.facts.withdrawn, &h.facts.news);
+                    .on_peer(asked, h.facts.withdrawn, &h.facts.news);
                 self.learn(now, &beat);
             }
             (ControlRequest::Probe(target), Some(ControlReply::Probed(heard))) => {
@@ -405,8 +394,7 @@
                 self.budgets.on_loan_reply(now, &reply);
             }
             (ControlRequest::Withdrawn(_), Some(ControlReply::Withdrawn(page))) => {
-                self.credentials.on_page(&page);
-                self.publish_keys();
+                self.take_withdrawn(now, to, &page);
             }
             (ControlRequest::Suspects(_), Some(ControlReply::Suspects(entries))) => {
                 self.quarantine.merge(now, &entries);
@@ -450,7 +438,7 @@
             msg,
         };
         if h.facts.withdrawn != self.credentials.summary() {
-            self.send(ask(ControlRequest::Withdrawn(self.credentials.ask_page())));
+            self.send(ask(ControlRequest::Withdrawn(WithdrawnAsk::Latest)));
         }
         if h.facts.suspects != self.quarantine.summary() {
             let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
@@ -553,6 +541,26 @@
         }
     }
 
+    /// Takes in withdrawn keys, and asks on where some are missing.
+    fn take_withdrawn(&mut self, now: Instant, from: HostName, page: &WithdrawnPage) {
+        let before = self.credentials.revision();
+        let next = self.credentials.on_page(page);
+        if self.credentials.revision() != before {
+            self.publish_keys();
+            self.tell_all(now);
+        }
+        let (Some(next), Some(peer)) = (next, self.membership.peer(&from)) else {
+            return;
+        };
+        let address = peer.contact.peers;
+        let msg = ControlRequest::Withdrawn(next);
+        self.send(Errand::Control {
+            to: from,
+            address,
+            msg,
+        });
+    }
+
     fn take_ledgers(&mut self, now: Instant, asked: Instant, received: Ledgers) {
         let is_of_zone = |zone: &ZoneName| *zone == self.cfg.zone;
         let from_own_zone = is_of_zone(&received.zone);
