--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod error;
 pub mod http;
 pub mod process;
+pub mod receipt;
 pub mod store;
 pub mod upstream;
