--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod http;
 pub mod policy;
 pub mod process;
+pub mod receipt;
 pub mod store;
 pub mod upstream;
