--- a/src/account.rs
+++ b/src/account.rs
@@ -12,43 +12,29 @@
     },
     demand::Demand,
     loan::{
-        Asked,
         Borrowed,
-        Lent,
-        LoanReply,
-        LoanRequest,
-        LoanReturn, //
+        Lent, //
     },
-    share::Resource,
-    util::id::HostName, //
+    share::Resource, //
+};
+
+mod borrowing;
+mod lending;
+
+pub(crate) use borrowing::{
+    Action,
+    Ask,
+    Lender, //
 };
 
 /// How long a request may be held back while a loan or a refill is on its way.
-pub const PARK_MAX: Duration = Duration::from_millis(400);
+pub const PARK_MAX: Duration = Duration::from_millis(500);
 /// The most requests of one resource that a host holds back at once.
 pub const PARKED_MAX: usize = 64;
-/// How long a request to a lender counts as on its way.
-const ASK_PATIENCE: Duration = Duration::from_millis(500);
-/// How long after an answer a lender is not asked for more.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// The age at which a line is renewed.
-const RENEW_AFTER: Duration = Duration::from_millis(1500);
-/// A host that lends keeps, in burst, its own demand of this long.
-const KEEP_SPAN_MILLIS: u64 = 250;
-/// Demand is met with this many quarters of itself.
-const NEED_QUARTERS: u64 = 5;
-/// Demand is met with this many quarters of itself while it is short.
-const SHORT_NEED_QUARTERS: u64 = 8;
-/// How long after a failed debit the demand counts as short.
-const SHORT_SPAN: Duration = Duration::from_millis(500);
-
-/// A host that may lend, with its own share.
-#[derive(Clone, Debug)]
-pub(crate) struct Lender {
-    pub(crate) host: HostName,
-    pub(crate) share: Quota,
-    pub(crate) answered_at: Option<Instant>,
-}
+/// Lent rate goes with the burst of this long.
+const BURST_SPAN_MILLIS: u64 = 500;
+/// How long after a failed debit a host counts as short.
+const SHORT_SPAN: Duration = Duration::from_millis(50);
 
 /// What a host holds of one quantity, for `explain`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -200,6 +186,12 @@
         taken
     }
 
+    /// Reports whether a debit found too little lately.
+    fn is_short(&self, now: Instant) -> bool {
+        let short = |at: Instant| now.saturating_duration_since(at) < SHORT_SPAN;
+        !self.parked.is_empty() || self.short_at.is_some_and(short)
+    }
+
     /// Notes that a debit found too little.
     pub(crate) fn mark_short(&mut self, now: Instant) {
         self.short_at = Some(now);
@@ -269,164 +261,6 @@
         earlier.map(|(_, amount)| amount).sum()
     }
 
-    pub(crate) fn needs_lenders(&self) -> bool {
-        self.lenders.is_none()
-    }
-
-    pub(crate) fn set_lenders(&mut self, lenders: Vec<Lender>) {
-        self.lenders = Some(lenders);
-    }
-
-    /// Reports whether a lender may still help: it was asked just now, or can be asked.
-    pub(crate) fn may_borrow(&self, now: Instant) -> bool {
-        let lenders = self.lenders.as_deref().unwrap_or_default();
-        let open = |l: &Lender| {
-            self.borrowed.is_pending(now, &l.host, ASK_PATIENCE) || !rested(now, l.answered_at)
-        };
-        lenders.iter().any(open)
-    }
-
-    /// Returns what the host itself needs of the quantity.
-    fn need(&mut self, now: Instant) -> Quota {
-        let demand = self.demand.rate(now).max(self.reserved);
-        if demand == 0 {
-            return Quota::default();
-        }
-        let short = |at: Instant| now.saturating_duration_since(at) < SHORT_SPAN;
-        let quarters = match self.short_at.is_some_and(short) {
-            true => SHORT_NEED_QUARTERS,
-            false => NEED_QUARTERS,
-        };
-        let parked: u64 = self.parked.iter().map(|(_, amount)| amount).sum();
-        let burst = self.demand.peak(now).max(parked);
-        Quota::new(
-            demand.saturating_mul(quarters) / 4,
-            burst.saturating_add(self.grain),
-        )
-    }
-
-    /// Returns what the host keeps back when another one asks.
-    fn keep(&mut self, now: Instant) -> Quota {
-        let demand = self.demand.rate(now).max(self.reserved);
-        let span = demand.saturating_mul(KEEP_SPAN_MILLIS) / 1000;
-        let rate = demand.saturating_mul(NEED_QUARTERS) / 4;
-        Quota::new(rate, span.max(self.grain))
-    }
-
-    /// Returns the requests to send now, nearest lenders first, at most `most`.
-    pub(crate) fn requests(&mut self, now: Instant, most: usize) -> Vec<(HostName, Quota)> {
-        self.settle(now);
-        let own = self.principal_at(now).minus(self.lent.withheld());
-        let mut missing = self.need(now).minus(own);
-        let mut requests = Vec::new();
-        for lender in self.lenders.as_deref().unwrap_or_default() {
-            if requests.len() >= most {
-                break;
-            }
-            let line = self.borrowed.line(&lender.host);
-            let held = line.map_or(Quota::default(), |l| l.quota);
-            let pending = self.borrowed.is_pending(now, &lender.host, ASK_PATIENCE);
-            let wanted = missing.min(lender.share);
-            if pending || rested(now, lender.answered_at) {
-                missing = missing.minus(held);
-                continue;
-            }
-            missing = missing.minus(wanted);
-            let old =
-                line.is_some_and(|l| now.saturating_duration_since(l.asked_at) >= RENEW_AFTER);
-            let more = !wanted.minus(held).is_zero();
-            if wanted.is_zero() || !(old || more) {
-                continue;
-            }
-            requests.push((lender.host.clone(), wanted));
-        }
-        requests
-    }
-
-    /// Records a request at the instant before it is sent.
-    pub(crate) fn ask(&mut self, now: Instant, lender: &HostName) -> crate::loan::Sequence {
-        self.borrowed.ask(now, lender)
-    }
-
-    /// Answers a request: lends what the own demand does not need.
-    pub(crate) fn lend(
-        &mut self,
-        now: Instant,
-        lender: &HostName,
-        req: &LoanRequest,
-    ) -> Option<LoanReply> {
-        self.settle(now);
-        let withheld = match self.lent.ask(req) {
-            Asked::New { withheld } => withheld,
-            Asked::Repeated(reply) => return Some(reply),
-            Asked::Outdated => return None,
-        };
-        let keep = self.keep(now);
-        let others = self.lent.withheld().minus(withheld);
-        let spare = self.principal_at(now).minus(others).minus(keep);
-        let granted = req.wanted.min(spare);
-        let tokens = self.move_tokens(now, withheld, granted, keep.burst);
-        let reply = LoanReply {
-            resource: self.resource.clone(),
-            lender: lender.clone(),
-            borrower: req.borrower.clone(),
-            incarnation: req.incarnation,
-            sequence: req.sequence,
-            granted,
-            tokens,
-        };
-        self.lent.grant(now, &reply);
-        self.apply_quota(now);
-        Some(reply)
-    }
-
-    /// Takes the tokens out of the bucket that go with a line's growth in burst.
-    fn move_tokens(&mut self, now: Instant, withheld: Quota, granted: Quota, keep: u64) -> u64 {
-        let growth = granted.burst.saturating_sub(withheld.burst);
-        let level = self.bucket.level(now);
-        let left = self.bucket.quota().burst.saturating_sub(growth);
-        let tokens = level.saturating_sub(keep.min(left)).min(growth);
-        if self.bucket.debit(now, tokens) {
-            return tokens;
-        }
-        0
-    }
-
-    /// Takes an answer in; a late, repeated or unknown one changes nothing.
-    pub(crate) fn take_reply(&mut self, now: Instant, reply: &LoanReply) {
-        self.settle(now);
-        let Some(tokens) = self.borrowed.take_reply(now, reply) else {
-            return;
-        };
-        for lender in self.lenders.as_deref_mut().unwrap_or_default() {
-            if lender.host == reply.lender {
-                lender.answered_at = Some(now);
-            }
-        }
-        self.apply_quota(now);
-        self.bucket.deposit(now, tokens);
-    }
-
-    /// Takes back what a borrower gave up.
-    pub(crate) fn take_back(&mut self, now: Instant, returned: &LoanReturn) {
-        self.settle(now);
-        self.lent.take_back(now, returned);
-        self.apply_quota(now);
-    }
-
-    /// Gives every borrowed line back.
-    pub(crate) fn give_back(&mut self, now: Instant) -> Vec<(HostName, crate::loan::Sequence)> {
-        self.settle(now);
-        let lenders: Vec<HostName> = self.borrowed.lines().map(|(h, _)| h.clone()).collect();
-        let mut returns = Vec::with_capacity(lenders.len());
-        for lender in lenders {
-            let sequence = self.borrowed.give_back(&lender);
-            returns.push((lender, sequence));
-        }
-        self.apply_quota(now);
-        returns
-    }
-
     pub(crate) fn holding(&mut self, now: Instant) -> Holding {
         self.settle(now);
         Holding {
@@ -441,7 +275,3 @@
         }
     }
 }
-
-fn rested(now: Instant, answered_at: Option<Instant>) -> bool {
-    answered_at.is_some_and(|at| now.saturating_duration_since(at) < ASK_AGAIN)
-}
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -16,6 +16,7 @@
 use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 pub use crate::account::{
     Holding,
@@ -24,6 +25,8 @@
 use crate::{
     account::{
         Account,
+        Action,
+        Ask,
         Lender, //
     },
     bucket::Quota,
@@ -33,6 +36,7 @@
         Revision, //
     },
     loan::{
+        LoanMessage,
         LoanReply,
         LoanRequest,
         LoanReturn,
@@ -143,10 +147,8 @@
     },
 }
 
-/// The messages that a tick sends, each with the host that it goes to.
-pub type Requests = SmallVec<[(HostName, LoanRequest); 4]>;
-/// The lines that a stop gives back, each with the host that it goes to.
-pub type Returns = SmallVec<[(HostName, LoanReturn); 4]>;
+/// The loan messages to send, each with the host that it goes to.
+pub type Messages = SmallVec<[(HostName, LoanMessage); 4]>;
 
 /// One host's budgets.
 #[derive(Debug)]
@@ -374,14 +376,14 @@
         Some(lenders(whole, holdings, &self.host))
     }
 
-    /// Returns the loan requests to send now, renewals among them. Call it at
+    /// Returns the loan messages to send now, renewals among them. Call it at
     /// each tick and after a debit that waits; at most [`ASKS_MAX`] go out in
     /// [`ASK_PERIOD`].
-    pub fn loan_requests(&mut self, now: Instant) -> Requests {
+    pub fn loan_messages(&mut self, now: Instant) -> Messages {
         self.observe(now);
-        let mut requests = Requests::new();
+        let mut messages = Messages::new();
         if self.stopping {
-            return requests;
+            return messages;
         }
         if now.saturating_duration_since(self.asks_since) >= ASK_PERIOD {
             self.asks = 0;
@@ -389,12 +391,12 @@
         }
         let active: Vec<Resource> = self.active.iter().cloned().collect();
         for resource in active {
-            self.ask_for(now, resource, &mut requests);
+            self.ask_for(now, resource, &mut messages);
         }
-        requests
+        messages
     }
 
-    fn ask_for(&mut self, now: Instant, resource: Resource, requests: &mut Requests) {
+    fn ask_for(&mut self, now: Instant, resource: Resource, messages: &mut Messages) {
         let lenders = self.lenders_if_needed(&resource);
         let Some(account) = self.accounts.get_mut(&resource) else {
             return;
@@ -406,17 +408,11 @@
             self.active.remove(&resource);
             return;
         }
-        for (lender, wanted) in account.requests(now, ASKS_MAX - self.asks) {
-            self.asks += 1;
-            let sequence = account.ask(now, &lender);
-            let req = LoanRequest {
-                resource: resource.clone(),
-                borrower: self.host.clone(),
-                incarnation: self.incarnation,
-                sequence,
-                wanted,
-            };
-            requests.push((lender, req));
+        let (host, incarnation) = (&self.host, self.incarnation);
+        let asks = account.asks(now, ASKS_MAX - self.asks);
+        self.asks += asks.len();
+        for ask in asks {
+            messages.push(loan_message(host, incarnation, resource.clone(), ask));
         }
     }
 
@@ -450,22 +446,21 @@
     }
 
     /// Gives everything back for a graceful stop; no debit is granted from here on.
-    pub fn return_all(&mut self, now: Instant) -> Returns {
+    pub fn return_all(&mut self, now: Instant) -> Messages {
         self.observe(now);
         self.stopping = true;
-        let mut returns = Returns::new();
+        let mut messages = Messages::new();
         for (resource, account) in &mut self.accounts {
-            for (lender, sequence) in account.give_back(now) {
-                let returned = LoanReturn {
-                    resource: resource.clone(),
-                    borrower: self.host.clone(),
-                    incarnation: self.incarnation,
-                    sequence,
-                };
-                returns.push((lender, returned));
+            for ask in account.give_back(now) {
+                messages.push(loan_message(
+                    &self.host,
+                    self.incarnation,
+                    resource.clone(),
+                    ask,
+                ));
             }
         }
-        returns
+        messages
     }
 
     /// Reports whether the stopping host holds nothing and lent out nothing, so
@@ -505,6 +500,34 @@
     }
 }
 
+fn loan_message(
+    borrower: &HostName,
+    incarnation: Incarnation,
+    resource: Resource,
+    ask: Ask,
+) -> (HostName, LoanMessage) {
+    let borrower = borrower.clone();
+    let msg = match ask.action {
+        Action::Request { wanted } => LoanMessage::Request(LoanRequest {
+            resource,
+            borrower,
+            incarnation,
+            sequence: ask.sequence,
+            held: ask.held,
+            wanted,
+        }),
+        Action::Return { tokens } => LoanMessage::Return(LoanReturn {
+            resource,
+            borrower,
+            incarnation,
+            sequence: ask.sequence,
+            held: ask.held,
+            tokens,
+        }),
+    };
+    (ask.lender, msg)
+}
+
 fn decide(
     account: &mut Account,
     now: Instant,
@@ -518,16 +541,17 @@
         Attempt::Again { since } => since,
     };
     let park_until = since + PARK_MAX;
+    // Requests that were held back earlier go first.
+    let floor = floor.saturating_add(account.parked_before(now, park_until));
     if account.take(now, amount, floor) {
         account.unpark(park_until);
         return Debit::Granted;
     }
-    let ahead = account.parked_before(now, park_until);
-    let refill = account.refill_time(now, amount.saturating_add(floor).saturating_add(ahead));
+    let refill = account.refill_time(now, amount.saturating_add(floor));
     let left = park_until.saturating_duration_since(now);
     let wait = match refill {
+        _ if account.may_borrow(now, park_until) => Some(LOOK_AGAIN),
         Some(t) if t <= left => Some(t.max(LOOK_AGAIN)),
-        _ if account.may_borrow(now) => Some(LOOK_AGAIN),
         _ => None,
     };
     if let Some(wait) = wait
@@ -559,23 +583,31 @@
     found.ok().map(|i| &wholes[i])
 }
 
-/// Returns the hosts that hold shares, those of the own zone first.
+/// Returns the hosts that hold shares, those of the own zone first and the
+/// others from a place in the list that differs between hosts.
 fn lenders(whole: &Whole, holdings: &Holdings, host: &HostName) -> Vec<Lender> {
+    let mut lenders = lenders_in(whole, &holdings.ledger, host);
+    let mut others = Vec::new();
+    for ledger in &holdings.others {
+        others.extend(lenders_in(whole, ledger, host));
+    }
+    if !others.is_empty() {
+        let place = xxh3_64(host.as_str().as_bytes()) % others.len() as u64;
+        others.rotate_left(place as usize);
+    }
+    lenders.append(&mut others);
+    lenders
+}
+
+fn lenders_in(whole: &Whole, ledger: &Ledger, host: &HostName) -> Vec<Lender> {
     let mut lenders = Vec::new();
-    for ledger in std::iter::once(&holdings.ledger).chain(&holdings.others) {
-        let Some(last) = ledger.members.last() else {
-            continue;
-        };
+    if let Some(last) = ledger.members.last() {
         for member in share::homes(&whole.resource, &last.hosts) {
             let share = share::principal(whole, ledger, member);
             if member.name == *host || share.is_zero() {
                 continue;
             }
-            lenders.push(Lender {
-                host: member.name.clone(),
-                share,
-                answered_at: None,
-            });
+            lenders.push(Lender::new(member.name.clone(), share));
         }
     }
     lenders
--- a/src/link.rs
+++ b/src/link.rs
@@ -150,7 +150,7 @@
             Attempt::First => now,
             Attempt::Again { since } => since,
         };
-        if now < since + PARK_MAX && account.may_borrow(now) {
+        if now < since + PARK_MAX && account.may_borrow(now, since + PARK_MAX) {
             return Admit::Wait {
                 until: now + LOOK_AGAIN,
             };
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -60,6 +60,9 @@
     pub incarnation: Incarnation,
     /// The number of the request on its line.
     pub sequence: Sequence,
+    /// What the borrower holds of the line from here on until it takes the
+    /// answer in; answers to earlier requests are void.
+    pub held: Quota,
     /// The whole line wanted, not the difference.
     pub wanted: Quota,
 }
@@ -83,7 +86,7 @@
     pub tokens: u64,
 }
 
-/// Gives a line back before it lapses.
+/// Gives a line, or a part of it, back before it lapses.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanReturn {
     /// What is given back.
@@ -94,6 +97,20 @@
     pub incarnation: Incarnation,
     /// A number above those of all requests that the line had.
     pub sequence: Sequence,
+    /// What the borrower still holds until the line lapses; answers to earlier requests are void.
+    pub held: Quota,
+    /// Units that move back, at most what the line shrinks by in burst.
+    pub tokens: u64,
+}
+
+/// A message from a borrower to a lender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LoanMessage {
+    /// Wants an answer.
+    Request(LoanRequest),
+    /// Wants none.
+    Return(LoanReturn),
 }
 
 /// One answer that may still be in force at the borrower.
@@ -121,6 +138,15 @@
         most
     }
 
+    /// Counts what the borrower says that it holds, in place of earlier answers.
+    fn shrink(&mut self, sequence: Sequence, held: Quota) {
+        self.sequence = sequence;
+        self.last_reply = None;
+        for grant in &mut self.grants {
+            grant.quota = grant.quota.min(held);
+        }
+    }
+
     fn push(&mut self, grant: Grant) {
         let covered = |g: &Grant| g.quota.max(grant.quota) == grant.quota;
         self.grants.retain(|g| !covered(g));
@@ -137,9 +163,9 @@
 /// What a lender does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Asked {
-    /// It is new; the line withholds this much so far.
+    /// It is new and wants an answer.
     New {
-        /// The most that the borrower may already hold.
+        /// The most that the borrower may still hold of the line.
         withheld: Quota,
     },
     /// It is the last request again; the same answer goes out.
@@ -163,14 +189,16 @@
         self.lines.len()
     }
 
-    /// Classifies a request.
-    pub fn ask(&self, req: &LoanRequest) -> Asked {
-        let Some(line) = self.lines.get(&(req.borrower.clone(), req.incarnation)) else {
+    /// Classifies a request. A new one makes its line shrink to what the borrower still holds.
+    pub fn ask(&mut self, req: &LoanRequest) -> Asked {
+        let key = (req.borrower.clone(), req.incarnation);
+        let Some(line) = self.lines.get_mut(&key) else {
             return Asked::New {
                 withheld: Quota::default(),
             };
         };
         if req.sequence > line.sequence {
+            line.shrink(req.sequence, req.held);
             return Asked::New {
                 withheld: line.withheld(),
             };
@@ -193,22 +221,20 @@
         });
     }
 
-    /// Takes a line back that the borrower gave up. Older messages of the line die with it.
-    pub fn take_back(&mut self, now: Instant, returned: &LoanReturn) {
+    /// Takes back what a borrower gave up, and returns the tokens that come
+    /// with it. Older messages of the line die with it.
+    pub fn take_back(&mut self, returned: &LoanReturn) -> u64 {
         let key = (returned.borrower.clone(), returned.incarnation);
         let Some(line) = self.lines.get_mut(&key) else {
-            return;
+            return 0;
         };
         if returned.sequence <= line.sequence {
-            return;
+            return 0;
         }
-        line.sequence = returned.sequence;
-        line.last_reply = None;
-        line.grants.clear();
-        line.grants.push(Grant {
-            quota: Quota::default(),
-            home_at: now + LOAN_DURATION + DRIFT_MARGIN,
-        });
+        let before = line.withheld();
+        line.shrink(returned.sequence, returned.held);
+        let shrunk = before.minus(line.withheld());
+        returned.tokens.min(shrunk.burst)
     }
 
     /// Returns when the next answer comes home.
@@ -239,9 +265,21 @@
 
 /// A request on its way.
 #[derive(Clone, Copy, Debug)]
-pub struct Pending {
+struct Pending {
     sequence: Sequence,
     asked_at: Instant,
+    wanted: Quota,
+}
+
+/// What an answer brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Brought {
+    /// Units for the bucket.
+    pub tokens: u64,
+    /// The line that was wanted.
+    pub wanted: Quota,
+    /// The line that was granted.
+    pub granted: Quota,
 }
 
 /// What a host borrowed of one resource.
@@ -278,48 +316,63 @@
         pending.is_some_and(|p| now.saturating_duration_since(p.asked_at) < patience)
     }
 
-    /// Records a request at the instant before it is sent and returns its number.
-    pub fn ask(&mut self, now: Instant, lender: &HostName) -> Sequence {
+    /// Records a request at the instant before it is sent; returns its number
+    /// and what is held of the line meanwhile: nothing that is not wanted.
+    pub fn ask(&mut self, now: Instant, lender: &HostName, wanted: Quota) -> (Sequence, Quota) {
         let sequence = self.sequence.bump();
         let pending = Pending {
             sequence,
             asked_at: now,
+            wanted,
         };
         self.pending.insert(lender.clone(), pending);
-        sequence
+        (sequence, self.shrink(lender, wanted))
     }
 
-    /// Takes an answer in and returns the tokens that it brings; only the
-    /// answer to the last request counts, and only before it lapses.
-    pub fn take_reply(&mut self, now: Instant, reply: &LoanReply) -> Option<u64> {
-        let pending = self.pending.get(&reply.lender)?;
+    /// Takes an answer in; only the answer to the last request counts, and only before it lapses.
+    pub fn take_reply(&mut self, now: Instant, reply: &LoanReply) -> Option<Brought> {
+        let pending = *self.pending.get(&reply.lender)?;
         if pending.sequence != reply.sequence {
             return None;
         }
-        let asked_at = pending.asked_at;
         self.pending.remove(&reply.lender);
-        let lapse_at = asked_at + LOAN_DURATION;
+        let lapse_at = pending.asked_at + LOAN_DURATION;
         if lapse_at <= now {
             return None;
         }
-        if reply.granted.is_zero() {
-            self.lines.remove(&reply.lender);
-            return Some(0);
-        }
         let line = BorrowedLine {
             quota: reply.granted,
             lapse_at,
-            asked_at,
+            asked_at: pending.asked_at,
         };
-        self.lines.insert(reply.lender.clone(), line);
-        Some(reply.tokens)
+        match reply.granted.is_zero() {
+            true => self.lines.remove(&reply.lender),
+            false => self.lines.insert(reply.lender.clone(), line),
+        };
+        Some(Brought {
+            tokens: reply.tokens,
+            wanted: pending.wanted,
+            granted: reply.granted,
+        })
     }
 
-    /// Drops the line from a lender and returns the number that its return carries.
-    pub fn give_back(&mut self, lender: &HostName) -> Sequence {
-        self.lines.remove(lender);
+    /// Gives up what a line carries above `kept`; returns the number that its
+    /// return carries and what is still held.
+    pub fn give_back(&mut self, lender: &HostName, kept: Quota) -> (Sequence, Quota) {
         self.pending.remove(lender);
-        self.sequence.bump()
+        (self.sequence.bump(), self.shrink(lender, kept))
+    }
+
+    fn shrink(&mut self, lender: &HostName, kept: Quota) -> Quota {
+        let Some(line) = self.lines.get_mut(lender) else {
+            return Quota::default();
+        };
+        line.quota = line.quota.min(kept);
+        let held = line.quota;
+        if held.is_zero() {
+            self.lines.remove(lender);
+        }
+        held
     }
 
     /// Returns when the next line lapses.
