--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -168,6 +168,11 @@
         self.in_flight
     }
 
+    /// Returns the requests of one organisation in flight.
+    pub fn running(&self, name: &OrganisationName) -> u64 {
+        self.uses.get(name).map_or(0, |u| u.in_flight)
+    }
+
     /// Returns the waiting requests.
     pub fn waiting(&self) -> u64 {
         self.waiting
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -29,7 +29,7 @@
     },
 };
 
-/// The most member lists, or zone lists, that a ledger holds at once.
+/// The most member lists, or zone lists, that a ledger holds when it takes another one in.
 pub const CHAIN_MAX: usize = 4;
 /// The silence after which an unlisted host counts as gone.
 ///
@@ -91,7 +91,7 @@
     pub acked: Revision,
     /// The member lists that somebody may count by, oldest first; never empty.
     pub members: SmallVec<[Members; 2]>,
-    /// The zone lists that somebody may count by, oldest first; never empty.
+    /// The zone lists that somebody may count by, by generation; never empty.
     pub zones: SmallVec<[Zones; 2]>,
 }
 
@@ -252,32 +252,30 @@
 }
 
 fn append_zones(next: &mut Ledger, observed: &Observed<'_>) {
-    if next.zones.len() >= CHAIN_MAX {
-        return;
+    let since = next.revision;
+    let oldest = next.zones[0].generation;
+    // Each zone counts by every list that another one may count by, so that
+    // all of them meet at one, also where a zone skipped a generation.
+    for known in observed.others.iter().flat_map(|l| &l.zones) {
+        let counted = |z: &Zones| z.generation == known.generation;
+        if known.generation <= oldest || next.zones.iter().any(counted) {
+            continue;
+        }
+        let mut zones = known.clone();
+        zones.since = since;
+        next.zones.push(zones);
     }
+    next.zones.sort_by_key(|z| z.generation);
+    let last = &next.zones[next.zones.len() - 1];
     let mut zones = observed.zones.to_vec();
     zones.sort_by(|a, b| a.name.cmp(&b.name));
-    let last = &next.zones[next.zones.len() - 1];
-    let generation = shared_generation(last, &zones, observed);
-    if generation <= last.generation {
+    let newer = observed.generation > last.generation && zones != last.zones;
+    if !newer || next.zones.len() >= CHAIN_MAX {
         return;
     }
-    let since = next.revision;
     next.zones.push(Zones {
         since,
-        generation,
+        generation: observed.generation,
         zones,
     });
 }
-
-/// Returns the generation under which the other zones know a list, so that all agree on one.
-fn shared_generation(last: &Zones, zones: &[Zone], observed: &Observed<'_>) -> Generation {
-    let known = observed.others.iter().flat_map(|l| &l.zones);
-    let same = known.filter(|z| z.zones == zones && z.generation > last.generation);
-    let newest = same.map(|z| z.generation).max();
-    match newest {
-        Some(generation) => generation,
-        None if last.zones == zones => last.generation,
-        None => observed.generation,
-    }
-}
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -130,6 +130,19 @@
     }
 }
 
+#[test]
+fn a_host_that_wakes_after_its_share_moved_spends_nothing_of_it() {
+    let mut fleet = settled(15, 1, 2);
+    fleet.run(secs(5), |_, rng| poisson(rng, FLOOD * 3.0));
+    fleet.pause(1, secs(60));
+    fleet.unlisted.push(member(0, 1));
+    fleet.run(secs(59), |_, rng| poisson(rng, FLOOD * 3.0));
+    // The share moved once the silence proved that its holder has to ask first.
+    assert_eq!(fleet.quota_of(0), QUOTA);
+    fleet.run(secs(10), |_, rng| poisson(rng, FLOOD * 3.0));
+    assert_within(&fleet);
+}
+
 #[test]
 fn restart_loops_mint_nothing() {
     let mut fleet = settled(9, 3, 2);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -474,12 +474,17 @@
         }
     }
 
-    pub fn quota(&mut self) -> Quota {
+    pub fn quota_of(&mut self, i: usize) -> Quota {
         let resource = Resource::Organisation(organisation());
-        let now = self.now;
+        self.hosts[i].budgets.quota(self.now, &resource)
+    }
+
+    pub fn quota(&mut self) -> Quota {
         let mut sum = Quota::default();
-        for host in self.hosts.iter_mut().filter(|h| h.alive) {
-            sum = sum.plus(host.budgets.quota(now, &resource));
+        for i in 0..self.hosts.len() {
+            if self.hosts[i].alive {
+                sum = sum.plus(self.quota_of(i));
+            }
         }
         sum
     }
