--- a/src/planner.rs
+++ b/src/planner.rs
@@ -56,8 +56,10 @@
 pub const ZONE_PART: f64 = 0.85;
 /// The part of a link's cap that a plan fills.
 pub const LINK_PART: f64 = 0.85;
-/// The part of the room left that one step takes.
-const STEP_PART: f64 = 0.25;
+/// The part of the room left in the own region that one step takes.
+const STEP_PART_NEAR: f64 = 0.5;
+/// The part of the room left in another region, whose caches are cold, that one step takes.
+const STEP_PART_FAR: f64 = 0.25;
 /// Changes of a weight below this are not worth a step.
 const CHANGE_MIN: f64 = 0.02;
 /// The part of the room in other regions that one planner claims.
@@ -177,8 +179,9 @@
             let haste = match (forced > 0.0, drained) {
                 (true, _) => 1.0,
                 (false, Some(_)) if near => 1.0,
-                (false, Some(haste)) => haste.max(STEP_PART),
-                (false, None) => STEP_PART,
+                (false, Some(haste)) => haste.max(STEP_PART_FAR),
+                (false, None) if near => STEP_PART_NEAR,
+                (false, None) => STEP_PART_FAR,
             };
             let slots = room.slots(&to) * haste;
             let by_slots = slots / demand.slots.max(f64::MIN_POSITIVE);
--- a/src/planner/room.rs
+++ b/src/planner/room.rs
@@ -29,7 +29,7 @@
 };
 
 /// How long a plan takes to reach every gateway of its region.
-const PLAN_SPREAD: Duration = Duration::from_secs(2);
+pub const PLAN_SPREAD: Duration = Duration::from_secs(2);
 /// The window over which gateways average what they measure.
 const MEASURE_WINDOW: Duration = Duration::from_secs(5);
 
@@ -77,11 +77,17 @@
 }
 
 impl Move {
-    /// Returns the part that a measurement taken at `at` does not show yet.
-    ///
-    /// Plans spread first; then callers that hold an answer follow when its
-    /// time to live is over, and some keep it for longer.
-    pub fn unseen(&self, at: Instant) -> f64 {
+    /// Returns the part that a measurement of slots taken at `at` does not show
+    /// yet: the plan spreads first, and then it fills the window of the measurement.
+    pub fn unseen_slots(&self, at: Instant) -> f64 {
+        let age = at.saturating_duration_since(self.at + PLAN_SPREAD);
+        (1.0 - age.as_secs_f64() / MEASURE_WINDOW.as_secs_f64()).max(0.0)
+    }
+
+    /// Returns the part that may still come onto a link beyond what was
+    /// measured at `at`: callers that hold an older answer follow when its time
+    /// to live is over, and some keep it for longer.
+    pub fn unseen_bytes(&self, at: Instant) -> f64 {
         let age = at.saturating_duration_since(self.at + PLAN_SPREAD + MEASURE_WINDOW);
         held(age, TTL)
     }
@@ -122,7 +128,7 @@
             let Some(c) = view.capacities.get(&m.to) else {
                 continue;
             };
-            let slots = m.load.slots * m.unseen(c.at);
+            let slots = m.load.slots * m.unseen_slots(c.at);
             *self.slots.entry(m.to.clone()).or_default() -= slots;
             let Some((there, _)) = view.link(&m.origin, &m.to.0) else {
                 continue;
@@ -130,7 +136,7 @@
             let Some(l) = view.links.get(&there) else {
                 continue;
             };
-            let bytes = m.load.scaled(m.unseen(l.at));
+            let bytes = m.load.scaled(m.unseen_bytes(l.at));
             self.take_link(view, &m.origin, &m.to.0, bytes);
         }
         self
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -84,7 +84,7 @@
         address: SocketAddr,
     },
     /// To another gateway of the zone that has a spare slot. It must not pass
-    /// the request on again.
+    /// the request on again; [`Pool::finish_pass`] tells when it has ended.
     Pass {
         /// The gateway.
         host: HostName,
@@ -127,14 +127,26 @@
     pub usable: u32,
 }
 
-/// Spare slots that another gateway of the zone reported.
+/// Another gateway of the zone, by its last report of spare slots.
 #[derive(Clone, Debug)]
 struct Peer {
     host: HostName,
-    free: u32,
+    /// Requests passed there that still run.
+    passed: u32,
+    /// The most that may run there: what ran when it reported, and what it had spare.
+    bound: u32,
     heard: Instant,
 }
 
+impl Peer {
+    fn free(&self, now: Instant) -> u32 {
+        match now.saturating_duration_since(self.heard) <= PEER_REPORT_MAX_AGE {
+            true => self.bound.saturating_sub(self.passed),
+            false => 0,
+        }
+    }
+}
+
 /// The upstreams of one service in one zone, as one gateway sees them.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -223,12 +235,28 @@
 
     /// Takes a peer's report of its spare slots in this pool.
     pub fn set_peer_free(&mut self, now: Instant, host: &HostName, free: u32) {
-        self.peers.retain(|p| p.host != *host);
-        self.peers.push(Peer {
-            host: host.clone(),
-            free,
-            heard: now,
-        });
+        let peer = match self.peers.iter().position(|p| p.host == *host) {
+            Some(i) => &mut self.peers[i],
+            None => {
+                self.peers.push(Peer {
+                    host: host.clone(),
+                    passed: 0,
+                    bound: 0,
+                    heard: now,
+                });
+                let last = self.peers.len() - 1;
+                &mut self.peers[last]
+            }
+        };
+        peer.bound = peer.passed + free;
+        peer.heard = now;
+    }
+
+    /// Notes that a request that was passed to a peer has ended, or was not taken there.
+    pub fn finish_pass(&mut self, host: &HostName) {
+        if let Some(peer) = self.peers.iter_mut().find(|p| p.host == *host) {
+            peer.passed = peer.passed.saturating_sub(1);
+        }
     }
 
     /// Decides where a request goes. `passed` says that another gateway of the
@@ -300,8 +328,7 @@
     /// Returns the slots that are free in the zone: the own ones, and those that
     /// its other gateways reported lately.
     pub fn zone_free(&self, now: Instant) -> u32 {
-        let young = |p: &&Peer| now.saturating_duration_since(p.heard) <= PEER_REPORT_MAX_AGE;
-        let peers: u32 = self.peers.iter().filter(young).map(|p| p.free).sum();
+        let peers: u32 = self.peers.iter().map(|p| p.free(now)).sum();
         self.free_slots(now) + peers
     }
 
@@ -362,11 +389,9 @@
 
     /// Returns the peer with the most spare slots, and counts one of them as taken.
     fn peer_with_room(&mut self, now: Instant) -> Option<HostName> {
-        let young = |p: &&mut Peer| {
-            p.free > 0 && now.saturating_duration_since(p.heard) <= PEER_REPORT_MAX_AGE
-        };
-        let peer = self.peers.iter_mut().filter(young).max_by_key(|p| p.free)?;
-        peer.free -= 1;
+        let open = self.peers.iter_mut().filter(|p| p.free(now) > 0);
+        let peer = open.max_by_key(|p| p.free(now))?;
+        peer.passed += 1;
         Some(peer.host.clone())
     }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -38,8 +38,10 @@
     pub free: u32,
     /// The age of that figure.
     pub age: Duration,
-    /// Requests that this gateway has spilled there and that still run.
+    /// Requests that this gateway has sent there and that still run.
     pub spilled: u32,
+    /// Those of them that ran when `free` was measured.
+    pub spilled_then: u32,
     /// The gateways of this zone, which divide what may spill.
     pub senders: u32,
     /// The one-way delay.
@@ -253,11 +255,12 @@
         .then_some(Against::Link)
 }
 
-/// Returns how many requests this gateway may have spilled to a zone at once:
-/// its part of the free slots reported there, at least one while any is free.
+/// Returns how many requests this gateway may have running in a zone at once:
+/// what ran when the zone reported, and its part of the slots that were free
+/// then, at least one while any was.
 fn spill_bound(c: &Candidate) -> u32 {
     if c.free == 0 {
         return 0;
     }
-    (c.free / c.senders.max(1)).max(1)
+    c.spilled_then + (c.free / c.senders.max(1)).max(1)
 }
--- a/standins/src/policy/choice.rs
+++ b/standins/src/policy/choice.rs
@@ -39,6 +39,8 @@
 
 /// The bytes that a long upload asks a link for before it starts.
 const ESTIMATE_MAX: u64 = 1_000_000;
+/// The zones that a gateway tries for one request before it lets it wait.
+const CHOICES: usize = 3;
 /// The tries of a simple policy at upstreams that are full.
 const TRIES: usize = 3;
 
@@ -86,16 +88,24 @@
         let (host, service) = (req.host, req.service);
         let bytes = self.estimate(service, req.size);
         let own = self.hosts[host].zone;
-        let candidates = self.candidates(host, service);
+        let mut candidates = self.candidates(host, service);
         let request = Request { hops: 0, bytes };
-        match route::choose(own, &candidates, request, &mut self.rng).to {
-            Target::Own => self.local(id, host, false),
-            Target::Zone(name) => {
-                let zone = candidates.iter().position(|c| c.zone == name);
-                self.remote(id, host, zone.unwrap_or(own), bytes)
+        for _ in 0..CHOICES {
+            let (zone, placed) = match route::choose(own, &candidates, request, &mut self.rng).to {
+                Target::Own => (own, self.local(id, host, false)),
+                Target::Zone(name) => {
+                    let zone = candidates.iter().position(|c| c.zone == name);
+                    let zone = zone.unwrap_or(own);
+                    (zone, self.remote(id, host, zone, bytes))
+                }
+                Target::Nowhere => return false,
+            };
+            if placed {
+                return true;
             }
-            Target::Nowhere => false,
+            candidates[zone].free = 0;
         }
+        false
     }
 
     fn estimate(&self, service: usize, size: f64) -> ByteSize {
@@ -152,6 +162,7 @@
             free,
             age,
             spilled: self.hosts[host].spilled[zone][service],
+            spilled_then: self.hosts[host].spilled_then[1][zone][service],
             senders: u32::try_from(HOSTS_PER_ZONE).unwrap_or(1),
             delay: if far { self.d.delay } else { ZONE_DELAY },
             headroom,
@@ -180,8 +191,15 @@
             }
             Pick::Pass { host } => {
                 let peer = self.hosts.iter().position(|h| h.name == host);
-                let zone = self.hosts[gateway].zone;
-                peer.is_some_and(|p| !self.is_dead(zone) && self.local(id, p, true))
+                let placed = peer.is_some_and(|p| self.local(id, p, true));
+                if !placed {
+                    self.hosts[gateway].pools[service].finish_pass(&host);
+                    return false;
+                }
+                if let Some(req) = &mut self.reqs[id] {
+                    req.passed_by = Some(gateway);
+                }
+                true
             }
             Pick::Busy { .. } => false,
         }
--- a/standins/src/policy/flow.rs
+++ b/standins/src/policy/flow.rs
@@ -241,6 +241,10 @@
         let service = req.service;
         self.servers[zone][service][i].end();
         self.note_drained(zone);
+        if req.measured {
+            self.tally.held[service] += (self.now - req.began).as_secs_f64();
+            self.tally.finished[service] += 1;
+        }
         let spilled = &mut self.hosts[req.host].spilled[zone][service];
         *spilled = spilled.saturating_sub(1);
         if !self.policy.is_ours() {
@@ -249,6 +253,10 @@
         let address = server_address(zone, service, i);
         let pool = &mut self.hosts[req.gateway].pools[service];
         pool.finished(self.now, address, Outcome::Answered);
+        if let Some(by) = req.passed_by {
+            let peer = self.hosts[req.gateway].name.clone();
+            self.hosts[by].pools[service].finish_pass(&peer);
+        }
         let name = &self.set.organisations[req.organisation].name;
         self.hosts[req.host].queues[service].finish(name);
         if let Some(id) = req.reserved {
--- a/standins/src/policy/setup.rs
+++ b/standins/src/policy/setup.rs
@@ -76,6 +76,8 @@
     pub queues: [Queue<usize>; SERVICES],
     /// Requests that it sent to other zones and that still run, by zone and service.
     pub spilled: [[u32; SERVICES]; ZONES],
+    /// The same at the last report of other zones and the one before it.
+    pub spilled_then: [[[u32; SERVICES]; ZONES]; 2],
 }
 
 /// Returns the name of a host.
@@ -142,6 +144,7 @@
             pools: [pool(0), pool(1)],
             queues: Default::default(),
             spilled: [[0; SERVICES]; ZONES],
+            spilled_then: [[[0; SERVICES]; ZONES]; 2],
         });
     }
     hosts
--- a/standins/src/policy/tally.rs
+++ b/standins/src/policy/tally.rs
@@ -79,6 +79,10 @@
     pub added: Vec<Histogram<u64>>,
     /// Counts by service and organisation.
     pub counts: [[Count; ORGANISATIONS]; SERVICES],
+    /// The time that finished requests held their slots, in seconds, by service.
+    pub held: [f64; SERVICES],
+    /// The requests that finished, by service.
+    pub finished: [u64; SERVICES],
     /// Requests that met an upstream whose slots were all taken.
     pub overloads: u64,
     /// Requests started beyond an organisation's rate and burst.
@@ -97,6 +101,8 @@
         Self {
             added: (0..SERVICES).map(|_| histogram()).collect(),
             counts: Default::default(),
+            held: [0.0; SERVICES],
+            finished: [0; SERVICES],
             overloads: 0,
             over_rate: 0,
             lost: 0,
@@ -118,16 +124,17 @@
         self.counts[service][organisation].refused[why as usize] += 1;
     }
 
-    /// Returns the figures of the run. `capacities` are the requests that each
-    /// service could serve; `link` is the busiest minute of all over its cap.
-    pub fn figures(&self, capacities: [f64; SERVICES], link: f64) -> Figures {
+    /// Returns the figures of the run. `slots` are the seconds that the live
+    /// upstreams' slots offered; `link` is the busiest minute of all over its cap.
+    pub fn figures(&self, slots: [f64; SERVICES], link: f64) -> Figures {
         let ms = |service: usize, q: f64| {
             let units = self.added[service].value_at_quantile(q) as f64;
             units * LATENCY_UNIT.as_secs_f64() * 1e3
         };
         let inside: u64 = self.counts.iter().flatten().map(|c| c.inside).sum();
         let per_million = |n: u64| n as f64 / inside.max(1) as f64 * MILLION;
-        let shares = (0..SERVICES).map(|s| worst_share(&self.counts[s], capacities[s]));
+        let shares =
+            (0..SERVICES).map(|s| worst_share(&self.counts[s], self.capacity(s, slots[s])));
         Figures {
             short_p50_ms: ms(0, 0.5),
             short_p99_ms: ms(0, 0.99),
@@ -145,6 +152,12 @@
         }
     }
 
+    /// Returns the requests that the slots could serve at the mean time that
+    /// requests held them.
+    fn capacity(&self, service: usize, slots: f64) -> f64 {
+        slots * self.finished[service] as f64 / self.held[service].max(f64::MIN_POSITIVE)
+    }
+
     fn sum(&self, count: impl Fn(&Count) -> u64) -> u64 {
         self.counts.iter().flatten().map(count).sum()
     }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -227,6 +227,12 @@
         Reason::AllTaken,
         "the peer's only slot was counted"
     );
+    rig.pool.finish_pass(&host(1));
+    assert_eq!(
+        rig.reason(),
+        Reason::PeerHasRoom,
+        "the passed request has ended"
+    );
     rig.pool.set_peer_free(rig.now, &host(1), 1);
     let passed = rig.pool.pick(rig.now, true, &mut rig.rng);
     assert_eq!(
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -32,6 +32,7 @@
         free,
         age: Duration::from_secs(1),
         spilled: 0,
+        spilled_then: 0,
         senders: 2,
         delay: Duration::from_millis(if far { 35 } else { 1 }),
         headroom: far.then_some(ByteSize(10_000_000)),
@@ -78,6 +79,8 @@
     assert_eq!(choose_from(&all, 0).reason, Reason::SpillRegion);
     all[1].spilled = 4;
     assert_eq!(choose_from(&all, 0).reason, Reason::NoRoom);
+    all[1].spilled_then = 1;
+    assert_eq!(choose_from(&all, 0).reason, Reason::SpillRegion);
 }
 
 #[test]
