--- a/src/account.rs
+++ b/src/account.rs
@@ -310,7 +310,7 @@
         let demand = self.demand.rate(now).max(self.reserved);
         let span = demand.saturating_mul(KEEP_SPAN_MILLIS) / 1000;
         let rate = demand.saturating_mul(NEED_QUARTERS) / 4;
-        Quota::new(rate, span.max(self.grain).max(self.share.burst / 2))
+        Quota::new(rate, span.max(self.grain))
     }
 
     /// Returns the requests to send now, nearest lenders first, at most `most`.
@@ -319,13 +319,6 @@
         let own = self.principal_at(now).minus(self.lent.withheld());
         let mut missing = self.need(now).minus(own);
         let mut requests = Vec::new();
-        let short = self
-            .short_at
-            .is_some_and(|at| now.saturating_duration_since(at) < SHORT_SPAN);
-        let plenty = self.bucket.level(now) * 2 >= self.bucket.quota().burst;
-        if plenty && !short && self.reserved == 0 && self.parked.is_empty() {
-            return requests;
-        }
         for lender in self.lenders.as_deref().unwrap_or_default() {
             if requests.len() >= most {
                 break;
