Check keys by digest, share withdrawals, and know how fresh they are

src/credential.rs gives a key's standing at each request. Withdrawals are a grow-only set; two hosts compare a summary of 12 bytes, then the latest members, then the parts that differ.

Membership ages the news between two settings of the facts: without that a heartbeat between them claimed more than was known.

--- a/src/credential.rs
+++ b/src/credential.rs
@@ -1,11 +1,15 @@
 //! Which organisation a caller's key stands for, at each request.
+//!
+//! Only digests are kept. Withdrawals form a grow-only set that hosts pass to
+//! one another ahead of the generation they come with. Clones are cheap and
+//! share the tables, so that a snapshot can be published to the gateway.
 
 use std::{
+    collections::HashMap,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::{
@@ -21,7 +25,18 @@
     },
 };
 
+pub mod news;
 pub mod scrub;
+pub mod withdrawn;
+
+pub use news::Quorum;
+pub use withdrawn::{
+    WithdrawnAsk,
+    WithdrawnPage, //
+};
+
+use news::News;
+use withdrawn::WithdrawnSet;
 
 /// How old news of withdrawn keys may be before keyed routes stop.
 pub const NEWS_BOUND: Duration = Duration::from_secs(20);
@@ -39,16 +54,6 @@
     Stale,
 }
 
-/// What proves, without the store, that no withdrawal is missing.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Quorum {
-    /// Being in touch with all configured zones.
-    #[default]
-    AllZones,
-    /// Being in touch with more than half of them.
-    Majority,
-}
-
 /// What keyed routes do when news of withdrawn keys is too old.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WhenStale {
@@ -59,39 +64,44 @@
     GoOn,
 }
 
-/// A page of a set exchange.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct WithdrawnPage {
-    /// What the sender's set holds.
-    pub summary: SetSummary,
-    /// Hashes of the set's parts, where the page asks for what differs.
-    pub parts: Bytes,
-    /// Digests that the receiver may miss, 32 bytes each.
-    pub digests: Bytes,
-}
-
 /// The keys, the withdrawn keys, and how fresh they are.
 #[derive(Clone, Debug)]
 pub struct Credentials {
+    keys: Arc<HashMap<KeyDigest, OrganisationName>>,
+    withdrawn: WithdrawnSet,
+    news: News,
     quorum: Quorum,
     when_stale: WhenStale,
-    zone: ZoneName,
+    bound: Duration,
+    revision: u64,
 }
 
 impl Credentials {
-    /// Creates an empty table for a host of this zone, whose news has no known age.
+    /// Creates an empty table for a host of this zone that has had no news.
     pub fn new(zone: ZoneName, quorum: Quorum, when_stale: WhenStale) -> Self {
         Self {
+            keys: Arc::default(),
+            withdrawn: WithdrawnSet::new(),
+            news: News::new(zone),
             quorum,
             when_stale,
-            zone,
+            bound: NEWS_BOUND,
+            revision: 0,
         }
     }
 
+    /// Sets how old news may be before keyed routes stop.
+    pub fn with_bound(mut self, bound: Duration) -> Self {
+        self.bound = bound;
+        self
+    }
+
     /// Replaces the configured keys and zones.
-    pub fn set_keys(&mut self, keys: &[Key], zones: &[ZoneName]) {
-        let _ = (keys, zones, self.quorum, self.when_stale, &self.zone);
-        todo!("set_keys")
+    pub fn set_keys<'a>(&mut self, keys: &[Key], zones: impl Iterator<Item = &'a ZoneName>) {
+        let pairs = keys.iter().map(|k| (k.digest, k.organisation.clone()));
+        self.keys = Arc::new(pairs.collect());
+        self.news.set_zones(zones);
+        self.revision += 1;
     }
 
     /// Returns the standing of a presented key.
@@ -101,69 +111,93 @@
 
     /// Returns the standing of a key by its digest, for open connections and running streams.
     pub fn check_digest(&self, now: Instant, digest: &KeyDigest) -> Standing {
-        let _ = (now, digest);
-        todo!("check_digest")
+        if self.withdrawn.contains(digest) {
+            return Standing::Withdrawn;
+        }
+        let Some(organisation) = self.keys.get(digest) else {
+            return Standing::Unknown;
+        };
+        match self.when_stale {
+            WhenStale::Stop if !self.is_fresh(now) => Standing::Stale,
+            WhenStale::Stop | WhenStale::GoOn => Standing::Organisation(organisation.clone()),
+        }
+    }
+
+    /// Tells whether a digest is that of a key, withdrawn or not.
+    pub fn is_key(&self, digest: &KeyDigest) -> bool {
+        self.keys.contains_key(digest) || self.withdrawn.contains(digest)
     }
 
     /// Adds withdrawn keys; returns how many were new.
-    pub fn withdraw<'a>(&mut self, digests: impl IntoIterator<Item = &'a KeyDigest>) -> usize {
-        let _ = digests.into_iter();
-        todo!("withdraw")
+    pub fn withdraw(&mut self, digests: impl IntoIterator<Item = KeyDigest>) -> usize {
+        let mut new = 0;
+        for digest in digests {
+            new += usize::from(self.withdrawn.insert(digest));
+        }
+        self.note_new(new)
     }
 
-    /// Notes that at `asked` or later the store held no withdrawal that is not known here.
+    /// Notes that the store was read at `asked` or later, and that all
+    /// withdrawals it held are in this set. A read that may be stale does not count.
     pub fn on_store(&mut self, asked: Instant) {
-        let _ = asked;
-        todo!("on_store")
+        self.news.on_store(asked);
     }
 
     /// Takes in the news of a peer that answered a question asked at `asked`.
-    pub fn on_peer(&mut self, asked: Instant, zone: &ZoneName, set: SetSummary, news: &NewsAge) {
-        let _ = (asked, zone, set, news);
-        todo!("on_peer")
+    ///
+    /// Returns whether it counted. If not, the peer's set holds what this one
+    /// misses; ask it [`WithdrawnAsk::Latest`] and take in its page first. Only
+    /// answers count: how long a message was under way is known of them alone.
+    pub fn on_peer(&mut self, asked: Instant, set: SetSummary, news: &NewsAge) -> bool {
+        if !self.withdrawn.covers(set) {
+            return false;
+        }
+        self.news.on_peer(asked, news);
+        true
     }
 
-    /// Returns how old this host's news is, or `None` where it never had any.
-    pub fn news_age(&self, now: Instant) -> Option<Duration> {
-        let _ = now;
-        todo!("news_age")
+    /// Answers what a peer asks of the withdrawn keys.
+    pub fn answer(&self, ask: &WithdrawnAsk) -> WithdrawnPage {
+        self.withdrawn.answer(ask)
     }
 
-    /// Returns the ages to tell the others.
-    pub fn news(&self, now: Instant) -> NewsAge {
-        let _ = now;
-        todo!("news")
+    /// Takes in a peer's page; returns what to ask it next, if anything is missing.
+    pub fn on_page(&mut self, page: &WithdrawnPage) -> Option<WithdrawnAsk> {
+        let before = self.withdrawn.summary();
+        let next = self.withdrawn.merge(page);
+        self.note_new(usize::from(self.withdrawn.summary() != before));
+        next
     }
 
-    /// Returns the summary of the withdrawn keys.
-    pub fn summary(&self) -> SetSummary {
-        todo!("summary")
+    /// Returns how old this host's news is, or `None` where it never had any.
+    pub fn news_age(&self, now: Instant) -> Option<Duration> {
+        let since = self.news.since(self.quorum)?;
+        Some(now.saturating_duration_since(since))
     }
 
-    /// Returns the page that asks a peer for what differs.
-    pub fn ask_page(&self) -> WithdrawnPage {
-        todo!("ask_page")
+    /// Tells whether keyed routes may go on by this host's news.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.news_age(now).is_some_and(|age| age <= self.bound)
     }
 
-    /// Answers a page with the digests that its sender misses.
-    pub fn answer_page(&self, page: &WithdrawnPage) -> WithdrawnPage {
-        let _ = page;
-        todo!("answer_page")
+    /// Returns the ages to tell the others.
+    pub fn news(&self, now: Instant) -> NewsAge {
+        self.news.ages(now)
     }
 
-    /// Takes in an answered page; returns how many digests were new.
-    pub fn on_page(&mut self, page: &WithdrawnPage) -> usize {
-        let _ = page;
-        todo!("on_page")
+    /// Returns the summary of the withdrawn keys.
+    pub fn summary(&self) -> SetSummary {
+        self.withdrawn.summary()
     }
 
-    /// Returns a number that changes whenever a standing may have changed.
+    /// Returns a number that changes whenever a key may have lost or gained its
+    /// standing. News that grows old does not change it.
     pub fn revision(&self) -> u64 {
-        todo!("revision")
+        self.revision
     }
 
-    /// Returns the configured digests, shared with [`scrub::scrub`].
-    pub fn digests(&self) -> Arc<std::collections::HashSet<KeyDigest>> {
-        todo!("digests")
+    fn note_new(&mut self, new: usize) -> usize {
+        self.revision += u64::from(new > 0);
+        new
     }
 }
--- /dev/null
+++ b/src/credential/news.rs
@@ -0,0 +1,158 @@
+//! How old a host's news of withdrawn keys is.
+//!
+//! Two things prove that a host misses no withdrawal made before some instant:
+//! the store was read then, by this host or by one whose set this host's set
+//! contains; or each zone had, at that instant or later, a host whose set this
+//! host's set contains. Ages pass from host to host as lengths of time, counted
+//! from before the question was asked, so that no two clocks are compared.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    membership::NewsAge,
+    util::id::ZoneName, //
+};
+
+/// One tenth of a second.
+const TENTH: Duration = Duration::from_millis(100);
+/// One second.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// What proves, without the store, that no withdrawal is missing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Quorum {
+    /// Being in touch with all configured zones.
+    #[default]
+    AllZones,
+    /// Being in touch with more than half of them.
+    Majority,
+}
+
+/// Since when nothing is missing, by the store and by each zone.
+#[derive(Clone, Debug)]
+pub struct News {
+    own: ZoneName,
+    store: Option<Instant>,
+    /// All configured zones and the own one, in the order of their names.
+    zones: BTreeMap<ZoneName, Option<Instant>>,
+    zones_hash: u32,
+}
+
+impl News {
+    /// Creates the record of a host of this zone that has had no news.
+    pub fn new(own: ZoneName) -> Self {
+        Self {
+            own,
+            store: None,
+            zones: BTreeMap::new(),
+            zones_hash: 0,
+        }
+    }
+
+    /// Sets the configured zones; what is known of those that stay is kept.
+    pub fn set_zones<'a>(&mut self, zones: impl Iterator<Item = &'a ZoneName>) {
+        let mut known = BTreeMap::new();
+        for zone in zones.cloned().chain([self.own.clone()]) {
+            let heard = self.zones.get(&zone).copied().flatten();
+            known.insert(zone, heard);
+        }
+        self.zones = known;
+        let names: Vec<&str> = self.zones.keys().map(ZoneName::as_str).collect();
+        let low = xxh3_64(names.join("/").as_bytes()) & u64::from(u32::MAX);
+        self.zones_hash = u32::try_from(low).unwrap_or_default();
+    }
+
+    /// Notes that the store was read at `asked` or later and nothing is missing.
+    pub fn on_store(&mut self, asked: Instant) {
+        self.store = self.store.max(Some(asked));
+    }
+
+    /// Merges the news of a peer whose set is contained here; it answered a
+    /// question that was asked at `asked`.
+    pub fn on_peer(&mut self, asked: Instant, news: &NewsAge) {
+        let at = |age: Option<Duration>| age.and_then(|a| asked.checked_sub(a));
+        self.store = self.store.max(at(from_tenths(news.store_tenths)));
+        if news.zones != self.zones_hash {
+            return;
+        }
+        for (heard, seconds) in self.zones.values_mut().zip(news.zone_seconds.iter()) {
+            *heard = (*heard).max(at(from_seconds(*seconds)));
+        }
+    }
+
+    /// Returns the ages to tell the others, rounded up.
+    pub fn ages(&self, now: Instant) -> NewsAge {
+        let age = |t: Option<Instant>| t.map(|t| now.saturating_duration_since(t));
+        let mut zone_seconds = Vec::new();
+        for (zone, heard) in &self.zones {
+            let heard = if *zone == self.own { Some(now) } else { *heard };
+            zone_seconds.push(to_seconds(age(heard)));
+        }
+        NewsAge {
+            store_tenths: to_tenths(age(self.store)),
+            zones: self.zones_hash,
+            zone_seconds: Bytes::from(zone_seconds),
+        }
+    }
+
+    /// Returns since when nothing is missing, by the store or else by the zones.
+    pub fn since(&self, quorum: Quorum) -> Option<Instant> {
+        self.store.max(self.since_by_zones(quorum))
+    }
+
+    fn since_by_zones(&self, quorum: Quorum) -> Option<Instant> {
+        let others = self.zones.iter().filter(|(zone, _)| **zone != self.own);
+        let mut heard: Vec<Option<Instant>> = others.map(|(_, heard)| *heard).collect();
+        heard.sort_unstable();
+        heard.reverse();
+        let needed = match quorum {
+            Quorum::AllZones => heard.len(),
+            // More than half of all zones; the own one is always there.
+            Quorum::Majority => heard.len().div_ceil(2),
+        };
+        // Without any other zone there is nobody to hear news from.
+        *heard.get(needed.checked_sub(1)?)?
+    }
+}
+
+impl NewsAge {
+    /// Returns the same news after some time has passed.
+    pub fn older_by(&self, passed: Duration) -> Self {
+        let store = from_tenths(self.store_tenths).map(|a| a + passed);
+        let zones = self.zone_seconds.iter().map(|s| from_seconds(*s));
+        Self {
+            store_tenths: to_tenths(store),
+            zones: self.zones,
+            zone_seconds: zones.map(|a| to_seconds(a.map(|a| a + passed))).collect(),
+        }
+    }
+}
+
+fn to_tenths(age: Option<Duration>) -> u16 {
+    let tenths = age.map(|a| a.as_millis().div_ceil(TENTH.as_millis()));
+    tenths
+        .and_then(|t| u16::try_from(t).ok())
+        .unwrap_or(u16::MAX)
+}
+
+fn from_tenths(tenths: u16) -> Option<Duration> {
+    (tenths != u16::MAX).then(|| TENTH * u32::from(tenths))
+}
+
+fn to_seconds(age: Option<Duration>) -> u8 {
+    let seconds = age.map(|a| a.as_millis().div_ceil(SECOND.as_millis()));
+    seconds
+        .and_then(|s| u8::try_from(s).ok())
+        .unwrap_or(u8::MAX)
+}
+
+fn from_seconds(seconds: u8) -> Option<Duration> {
+    (seconds != u8::MAX).then(|| SECOND * u32::from(seconds))
+}
--- /dev/null
+++ b/src/credential/withdrawn.rs
@@ -0,0 +1,218 @@
+//! The grow-only set of withdrawn keys, and how two hosts make theirs equal.
+//!
+//! Merging is union, so order and repetition do not matter. Two hosts compare
+//! summaries; where they differ, the one that may miss something asks first for
+//! the other's latest members and then for the parts whose sums differ.
+
+use std::{
+    collections::{
+        BTreeSet,
+        VecDeque, //
+    },
+    sync::Arc,
+};
+
+use bytes::{
+    Buf,
+    BufMut,
+    Bytes,
+    BytesMut, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    membership::SetSummary,
+    util::id::KeyDigest, //
+};
+
+/// Parts of the set, by the digest's first byte.
+const PARTS: usize = 256;
+/// Members that count as the latest.
+const LATEST: usize = 16;
+/// Digests that a page holds at most, but that a part is never divided.
+const PAGE_DIGESTS: usize = 512;
+/// The length of a digest.
+const DIGEST_BYTES: usize = 32;
+/// Summaries of other hosts' sets that are remembered as known to be contained.
+const COVERED_MAX: usize = 16;
+
+/// What a host asks another one for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WithdrawnAsk {
+    /// The latest members.
+    Latest,
+    /// The parts from this one on whose sums differ.
+    Parts {
+        /// The first part.
+        from: u8,
+        /// The asking host's sums, eight bytes a part.
+        sums: Bytes,
+        /// What the asked host's set held when the asking began, if it has.
+        began: Option<SetSummary>,
+    },
+}
+
+/// The answer to a [`WithdrawnAsk`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WithdrawnPage {
+    /// What the answering host's set held when the asking began.
+    pub summary: SetSummary,
+    /// Digests that the asking host may miss, 32 bytes each.
+    pub digests: Bytes,
+    /// The part to go on with; `None` where nothing is left.
+    pub next: Option<u8>,
+    /// Whether the page answers by parts, so that its end makes the set complete.
+    pub by_parts: bool,
+}
+
+/// A grow-only set of withdrawn keys. Clones share their members.
+#[derive(Clone, Debug)]
+pub struct WithdrawnSet {
+    members: Arc<BTreeSet<KeyDigest>>,
+    summary: SetSummary,
+    sums: Arc<[u64; PARTS]>,
+    latest: VecDeque<KeyDigest>,
+    /// Summaries of sets that this one contains.
+    covered: VecDeque<SetSummary>,
+}
+
+impl WithdrawnSet {
+    /// Creates an empty set.
+    pub fn new() -> Self {
+        Self {
+            members: Arc::default(),
+            summary: SetSummary::default(),
+            sums: Arc::new([0; PARTS]),
+            latest: VecDeque::new(),
+            covered: VecDeque::new(),
+        }
+    }
+
+    /// Tells whether a key was withdrawn.
+    pub fn contains(&self, digest: &KeyDigest) -> bool {
+        self.members.contains(digest)
+    }
+
+    /// Adds a withdrawn key; returns whether it was new.
+    pub fn insert(&mut self, digest: KeyDigest) -> bool {
+        if !Arc::make_mut(&mut self.members).insert(digest) {
+            return false;
+        }
+        let [part, ..] = *digest.as_bytes();
+        let hash = digest.as_bytes().as_slice().get_u64();
+        self.summary.count += 1;
+        self.summary.sum = self.summary.sum.wrapping_add(hash);
+        let sum = &mut Arc::make_mut(&mut self.sums)[usize::from(part)];
+        *sum = sum.wrapping_add(hash);
+        self.latest.push_front(digest);
+        self.latest.truncate(LATEST);
+        true
+    }
+
+    /// Returns the set's summary.
+    pub fn summary(&self) -> SetSummary {
+        self.summary
+    }
+
+    /// Tells whether this set is known to contain the one with a summary.
+    pub fn covers(&self, other: SetSummary) -> bool {
+        other == self.summary || other.count == 0 || self.covered.contains(&other)
+    }
+
+    /// Answers what another host asks for.
+    pub fn answer(&self, ask: &WithdrawnAsk) -> WithdrawnPage {
+        match ask {
+            WithdrawnAsk::Latest => WithdrawnPage {
+                summary: self.summary,
+                digests: join(self.latest.iter()),
+                next: None,
+                by_parts: false,
+            },
+            WithdrawnAsk::Parts { from, sums, began } => WithdrawnPage {
+                summary: began.unwrap_or(self.summary),
+                ..self.answer_parts(*from, sums)
+            },
+        }
+    }
+
+    /// Takes in an answer; returns what to ask next, if anything is missing.
+    pub fn merge(&mut self, page: &WithdrawnPage) -> Option<WithdrawnAsk> {
+        let mut digests = page.digests.clone();
+        while digests.remaining() >= DIGEST_BYTES {
+            let mut digest = [0; DIGEST_BYTES];
+            digests.copy_to_slice(&mut digest);
+            self.insert(KeyDigest::from_bytes(digest));
+        }
+        if self.covers(page.summary) {
+            return None;
+        }
+        match (page.by_parts, page.next) {
+            (false, _) => Some(self.ask_parts(0, None)),
+            (true, Some(next)) => Some(self.ask_parts(next, Some(page.summary))),
+            (true, None) => {
+                self.covered.push_front(page.summary);
+                self.covered.truncate(COVERED_MAX);
+                None
+            }
+        }
+    }
+
+    fn ask_parts(&self, from: u8, began: Option<SetSummary>) -> WithdrawnAsk {
+        let mut sums = BytesMut::with_capacity(PARTS * size_of::<u64>());
+        for sum in self.sums.iter() {
+            sums.put_u64(*sum);
+        }
+        WithdrawnAsk::Parts {
+            from,
+            sums: sums.freeze(),
+            began,
+        }
+    }
+
+    fn answer_parts(&self, from: u8, sums: &Bytes) -> WithdrawnPage {
+        let mut sums = sums.clone();
+        let mut digests = Vec::new();
+        let mut next = None;
+        for part in 0..=u8::MAX {
+            let theirs = sums.try_get_u64().unwrap_or(0);
+            if part < from || theirs == self.sums[usize::from(part)] {
+                continue;
+            }
+            if digests.len() >= PAGE_DIGESTS {
+                next = Some(part);
+                break;
+            }
+            digests.extend(self.part(part));
+        }
+        WithdrawnPage {
+            summary: self.summary,
+            digests: join(digests.into_iter()),
+            next,
+            by_parts: true,
+        }
+    }
+
+    fn part(&self, part: u8) -> impl Iterator<Item = &KeyDigest> {
+        let (mut first, mut last) = ([0; DIGEST_BYTES], [u8::MAX; DIGEST_BYTES]);
+        (first[0], last[0]) = (part, part);
+        let range = KeyDigest::from_bytes(first)..=KeyDigest::from_bytes(last);
+        self.members.range(range)
+    }
+}
+
+fn join<'a>(digests: impl Iterator<Item = &'a KeyDigest>) -> Bytes {
+    let mut buf = BytesMut::new();
+    for digest in digests {
+        buf.put_slice(digest.as_bytes());
+    }
+    buf.freeze()
+}
+
+impl Default for WithdrawnSet {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -94,6 +94,7 @@
     incarnation: Incarnation,
     started: Instant,
     facts: Facts,
+    facts_at: Instant,
     leaving: bool,
     listed_leaving: bool,
     superseded: bool,
@@ -118,6 +119,7 @@
             incarnation,
             started: now,
             facts: Facts::default(),
+            facts_at: now,
             leaving: false,
             listed_leaving: false,
             superseded: false,
@@ -131,9 +133,10 @@
         }
     }
 
-    /// Sets what the next heartbeats tell.
-    pub fn set_facts(&mut self, facts: Facts) {
+    /// Sets what the next heartbeats tell, as it stands now.
+    pub fn set_facts(&mut self, now: Instant, facts: Facts) {
         self.facts = facts;
+        self.facts_at = now;
     }
 
     /// Says from now on that this host is leaving.
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -53,16 +53,28 @@
 }
 
 /// How old a host's news of withdrawn keys is. Ages only, never clock times.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsAge {
-    /// Tenths of a second since the store was known to hold nothing newer.
+    /// Tenths of a second since the store was known to hold nothing more; the
+    /// largest number where it never was.
     pub store_tenths: u16,
     /// The hash of the zones' names, in whose order `zone_seconds` stands.
     pub zones: u32,
-    /// Seconds since some host of each zone was known to know nothing more.
+    /// Seconds since some host of each zone was known to know nothing more; 255
+    /// where none was, or longer ago.
     pub zone_seconds: Bytes,
 }
 
+impl Default for NewsAge {
+    fn default() -> Self {
+        Self {
+            store_tenths: u16::MAX,
+            zones: 0,
+            zone_seconds: Bytes::new(),
+        }
+    }
+}
+
 /// What a host tells about itself beyond its own life.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Facts {
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -17,6 +17,7 @@
         GOSSIP_ENTRIES, INDIRECT_FANOUT, Membership, OTHER_ZONES_MAX_MILLI, OTHER_ZONES_MIN_MILLI,
         ZONE_FANOUT,
         message::{
+            Facts,
             Gossip,
             Heartbeat, //
         },
@@ -188,11 +189,20 @@
             stamp: self.stamp(now),
             leaving: self.leaving,
             known: u16::try_from(self.peers.len()).unwrap_or(u16::MAX),
-            facts: self.facts.clone(),
+            facts: self.facts_at(now),
             gossip,
         }
     }
 
+    /// News grows older between two settings of the facts.
+    fn facts_at(&self, now: Instant) -> Facts {
+        let passed = now.saturating_duration_since(self.facts_at);
+        Facts {
+            news: self.facts.news.older_by(passed),
+            ..self.facts.clone()
+        }
+    }
+
     /// Passes on the changes that were passed on least.
     fn changes(&mut self, now: Instant, limit: usize) -> SmallVec<[Gossip; GOSSIP_ENTRIES]> {
         let mut changed: Vec<&mut Peer> =
--- a/src/util/id.rs
+++ b/src/util/id.rs
@@ -186,6 +186,11 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// Returns the digest of these raw bytes.
+    pub fn from_bytes(digest: [u8; 32]) -> Self {
+        Self(digest)
+    }
+
     /// Returns the raw digest.
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
--- /dev/null
+++ b/tests/credential.rs
@@ -0,0 +1,361 @@
+//! Keys: standings, the grow-only set, and how fresh its knowledge is.
+
+use std::collections::BTreeSet;
+
+use cardamomroad::{
+    config::object::Key,
+    credential::{
+        Credentials,
+        NEWS_BOUND,
+        Quorum,
+        Standing,
+        WhenStale,
+        WithdrawnAsk,
+        WithdrawnPage,
+        withdrawn::WithdrawnSet, //
+    },
+    membership::{
+        NewsAge,
+        SetSummary, //
+    },
+    util::id::{
+        KeyDigest,
+        ZoneName, //
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{
+        RngSeed,
+        TestRunner, //
+    },
+};
+use tokio::time::{
+    Duration,
+    Instant, //
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn digest(n: u32) -> KeyDigest {
+    KeyDigest::of(format!("key-{n}").as_bytes())
+}
+
+fn zone(n: usize) -> ZoneName {
+    format!("zone-{n}").parse().expect("zone")
+}
+
+fn table(own: usize, zones: usize, quorum: Quorum, stale: WhenStale) -> Credentials {
+    let key = Key {
+        name: "k".parse().expect("name"),
+        organisation: "thanh".parse().expect("organisation"),
+        digest: digest(1),
+    };
+    let zones: Vec<_> = (0..zones).map(zone).collect();
+    let mut table = Credentials::new(zone(own), quorum, stale);
+    table.set_keys(&[key], zones.iter());
+    table
+}
+
+fn strict(own: usize, zones: usize) -> Credentials {
+    table(own, zones, Quorum::AllZones, WhenStale::Stop)
+}
+
+fn good(standing: &Standing) -> bool {
+    matches!(standing, Standing::Organisation(_))
+}
+
+/// Brings `to` the news of `from`, sets included.
+fn tell(now: Instant, from: &Credentials, to: &mut Credentials) {
+    let (set, news) = (from.summary(), from.news(now));
+    let mut ask = Some(WithdrawnAsk::Latest);
+    while let Some(next) = ask.filter(|_| !to.on_peer(now, set, &news)) {
+        ask = to.on_page(&from.answer(&next));
+    }
+    assert!(to.on_peer(now, set, &news));
+}
+
+#[test]
+fn a_key_has_the_standing_that_is_known() {
+    let now = Instant::now();
+    let mut keys = strict(0, 2);
+    assert_eq!(keys.check(now, b"key-1"), Standing::Stale);
+    keys.on_store(now);
+    assert!(good(&keys.check(now, b"key-1")));
+    assert_eq!(keys.check(now, b"key-2"), Standing::Unknown);
+    let revision = keys.revision();
+    assert_eq!(keys.withdraw([digest(1), digest(1)]), 1);
+    assert!(keys.revision() > revision);
+    assert_eq!(keys.check_digest(now, &digest(1)), Standing::Withdrawn);
+    // The generation that still names the key does not bring it back.
+    let again = strict(0, 2);
+    keys.set_keys(&[], std::iter::empty());
+    assert_eq!(keys.check(now, b"key-1"), Standing::Withdrawn);
+    assert_eq!(again.check(now, b"key-1"), Standing::Stale);
+}
+
+#[test]
+fn a_zone_that_hears_nobody_stops_at_the_bound() {
+    let t0 = Instant::now();
+    let (mut keys, mut other) = (strict(0, 2), strict(1, 2));
+    other.on_store(t0);
+    tell(t0, &other, &mut keys);
+    assert!(good(&keys.check(t0 + NEWS_BOUND, b"key-1")));
+    let late = t0 + NEWS_BOUND + SECOND;
+    assert_eq!(keys.check(late, b"key-1"), Standing::Stale);
+    let mut lax = table(0, 2, Quorum::AllZones, WhenStale::GoOn);
+    tell(t0, &other, &mut lax);
+    assert!(good(&lax.check(late, b"key-1")));
+    lax.withdraw([digest(1)]);
+    assert_eq!(lax.check(late, b"key-1"), Standing::Withdrawn);
+}
+
+#[test]
+fn a_store_outage_with_all_zones_in_touch_goes_on() {
+    let t0 = Instant::now();
+    let mut keys = strict(0, 3);
+    let mut majority = table(0, 3, Quorum::Majority, WhenStale::Stop);
+    let (one, two) = (strict(1, 3), strict(2, 3));
+    for second in 0..600 {
+        let now = t0 + SECOND * second;
+        for to in [&mut keys, &mut majority] {
+            tell(now, &one, to);
+            tell(now, &two, to);
+        }
+        assert!(good(&keys.check(now, b"key-1")), "at {second} s");
+    }
+    // Then one zone falls silent.
+    for second in 600..640 {
+        let now = t0 + SECOND * second;
+        tell(now, &one, &mut keys);
+        tell(now, &one, &mut majority);
+    }
+    let now = t0 + SECOND * 640;
+    assert_eq!(keys.check(now, b"key-1"), Standing::Stale);
+    assert!(good(&majority.check(now, b"key-1")));
+}
+
+/// One zone has nobody else to hear from, so it needs the store.
+#[test]
+fn a_single_zone_is_fresh_by_the_store_only() {
+    let now = Instant::now();
+    let mut keys = strict(0, 1);
+    assert_eq!(keys.news_age(now), None);
+    keys.on_store(now);
+    assert_eq!(keys.news_age(now + SECOND), Some(SECOND));
+}
+
+#[test]
+fn news_of_a_zone_comes_through_others() {
+    let t0 = Instant::now();
+    let (mut a, mut b, c) = (strict(0, 3), strict(1, 3), strict(2, 3));
+    tell(t0, &c, &mut b);
+    tell(t0 + SECOND * 3, &b, &mut a);
+    assert_eq!(a.news_age(t0 + SECOND * 3), Some(SECOND * 3));
+    // A host that counts other zones takes in nothing about them.
+    let mut moved = strict(2, 0);
+    moved.set_keys(&[], [zone(2), zone(3), zone(4)].iter());
+    tell(t0 + SECOND * 3, &b, &mut moved);
+    assert_eq!(moved.news_age(t0 + SECOND * 3), None);
+}
+
+#[test]
+fn news_grows_older_on_the_way() {
+    let now = Instant::now();
+    let mut keys = strict(0, 3);
+    keys.on_store(now);
+    let news = keys.news(now + SECOND).older_by(SECOND * 2);
+    assert_eq!(news.store_tenths, 30);
+    assert_eq!(news.zone_seconds.as_ref(), [2, u8::MAX, u8::MAX]);
+    assert_eq!(NewsAge::default().older_by(SECOND), NewsAge::default());
+}
+
+/// Asks until nothing is missing; returns the pages' bytes.
+fn sync(from: &WithdrawnSet, to: &mut WithdrawnSet) -> usize {
+    let mut bytes = 0;
+    let mut ask = Some(WithdrawnAsk::Latest);
+    while let Some(next) = ask {
+        let page = from.answer(&next);
+        bytes += rmp_serde::to_vec(&next).expect("ask").len();
+        bytes += rmp_serde::to_vec(&page).expect("page").len();
+        ask = to.merge(&page);
+    }
+    assert!(to.covers(from.summary()));
+    bytes
+}
+
+fn set(members: &[u32]) -> WithdrawnSet {
+    let mut set = WithdrawnSet::new();
+    for n in members {
+        set.insert(digest(*n));
+    }
+    set
+}
+
+/// Merging is union: in any order, however often.
+#[test]
+fn merging_is_commutative_and_idempotent() {
+    let members = || proptest::collection::vec(0..400_u32, 0..80);
+    let run = TestRunner::new(config(100, 16)).run(&(members(), members()), |(a, b)| {
+        let (mut ab, mut ba) = (set(&a), set(&b));
+        sync(&set(&b), &mut ab);
+        sync(&set(&a), &mut ba);
+        let union: BTreeSet<u32> = a.iter().chain(&b).copied().collect();
+        prop_assert_eq!(ab.summary(), ba.summary());
+        prop_assert_eq!(usize::try_from(ab.summary().count), Ok(union.len()));
+        let before = ab.summary();
+        sync(&set(&b), &mut ab);
+        prop_assert_eq!(ab.summary(), before);
+        for n in 0..400 {
+            prop_assert_eq!(ab.contains(&digest(n)), union.contains(&n));
+        }
+        Ok(())
+    });
+    run.expect("union");
+}
+
+#[test]
+fn a_set_of_many_pages_is_taken_over_whole() {
+    let all: Vec<u32> = (0..20_000).collect();
+    let full = set(&all);
+    let mut empty = WithdrawnSet::new();
+    let whole = sync(&full, &mut empty);
+    assert_eq!(empty.summary(), full.summary());
+    // One that misses the latest member only pays for the latest members.
+    let mut behind = set(&all[..19_999]);
+    let one = sync(&full, &mut behind);
+    println!("members=20000 whole_bytes={whole} one_missing_bytes={one}");
+    assert!(one < 1_024, "{one} bytes");
+}
+
+/// What the other host adds while its pages are read is not taken for known.
+#[test]
+fn members_added_between_pages_are_not_covered() {
+    let mut full = set(&(0..5_000).collect::<Vec<_>>());
+    let mut behind = set(&[90_000]);
+    let mut ask = Some(WithdrawnAsk::Latest);
+    let mut added = 100_000..;
+    while let Some(next) = ask {
+        ask = behind.merge(&full.answer(&next));
+        for n in added.by_ref().take(if ask.is_some() { 20 } else { 0 }) {
+            full.insert(digest(n));
+        }
+    }
+    let missed = (100_000..added.start).filter(|n| !behind.contains(&digest(*n)));
+    assert!(missed.count() > 0);
+    assert!(!behind.covers(full.summary()));
+    assert!((0..5_000).all(|n| behind.contains(&digest(n))));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Pass(u64),
+    Withdraw { at: usize },
+    StoreUp(bool),
+    StoreRead { at: usize },
+    Ask { from: usize, to: usize },
+    Deliver { which: usize },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0..4_000_u64).prop_map(Event::Pass),
+        1 => (0..ZONES).prop_map(|at| Event::Withdraw { at }),
+        1 => any::<bool>().prop_map(Event::StoreUp),
+        2 => (0..ZONES).prop_map(|at| Event::StoreRead { at }),
+        6 => (0..ZONES, 0..ZONES).prop_map(|(from, to)| Event::Ask { from, to }),
+        6 => any::<usize>().prop_map(|which| Event::Deliver { which }),
+    ]
+}
+
+const ZONES: usize = 4;
+
+/// An answer under way.
+struct Answer {
+    to: usize,
+    asked: Instant,
+    set: SetSummary,
+    news: NewsAge,
+    latest: WithdrawnPage,
+}
+
+/// Whoever counts its news as fresh since some instant knows all withdrawals made before.
+///
+/// A withdrawal is told to one zone, and to the store unless that is down.
+#[test]
+fn news_is_never_counted_fresher_than_it_is() {
+    let fresh = std::cell::Cell::new(0_u32);
+    let histories = proptest::collection::vec(event(), 20..200);
+    let run = TestRunner::new(config(600, 17)).run(&histories, |events| {
+        let mut now = Instant::now();
+        let mut hosts: Vec<_> = (0..ZONES).map(|z| strict(z, ZONES)).collect();
+        let mut store: BTreeSet<KeyDigest> = BTreeSet::new();
+        let mut store_up = true;
+        let mut withdrawn: Vec<(Instant, KeyDigest)> = Vec::new();
+        let mut under_way: Vec<Answer> = Vec::new();
+        for event in events {
+            match event {
+                Event::Pass(ms) => now += Duration::from_millis(ms),
+                Event::StoreUp(up) => {
+                    // The zones write what they were told before anyone reads.
+                    store.extend(withdrawn.iter().filter(|_| up).map(|(_, d)| *d));
+                    store_up = up;
+                }
+                Event::Withdraw { at } => {
+                    let digest = digest(1_000 + u32::try_from(withdrawn.len()).expect("few"));
+                    withdrawn.push((now, digest));
+                    hosts[at].withdraw([digest]);
+                    if store_up {
+                        store.insert(digest);
+                    }
+                }
+                Event::StoreRead { at } if store_up => {
+                    hosts[at].withdraw(store.iter().copied());
+                    hosts[at].on_store(now);
+                }
+                Event::StoreRead { .. } => {}
+                Event::Ask { from, to } => under_way.push(Answer {
+                    to,
+                    asked: now,
+                    set: hosts[from].summary(),
+                    news: hosts[from].news(now),
+                    latest: hosts[from].answer(&WithdrawnAsk::Latest),
+                }),
+                Event::Deliver { which } => {
+                    if under_way.is_empty() {
+                        continue;
+                    }
+                    let answer = under_way.swap_remove(which % under_way.len());
+                    let host = &mut hosts[answer.to];
+                    if !host.on_peer(answer.asked, answer.set, &answer.news) {
+                        host.on_page(&answer.latest);
+                        host.on_peer(answer.asked, answer.set, &answer.news);
+                    }
+                }
+            }
+            for host in &hosts {
+                let Some(age) = host.news_age(now) else {
+                    continue;
+                };
+                fresh.set(fresh.get() + 1);
+                let since = now - age;
+                for (at, digest) in &withdrawn {
+                    let known = host.check_digest(now, digest) == Standing::Withdrawn;
+                    prop_assert!(known || *at >= since, "fresher than the withdrawal");
+                }
+            }
+        }
+        Ok(())
+    });
+    run.expect("no news is counted too fresh");
+    assert!(fresh.get() > 5_000, "{} fresh hosts", fresh.get());
+}
