Refuse requests that kill their upstreams

src/quarantine.rs counts deaths by upstream and reporter with counters that only grow; of several reports on one upstream the largest counts. At three deaths a fingerprint is refused; from one on, an upstream runs it beside no other suspect; a whole answer forgives. The table holds 1,024 fingerprints and gives up none that is refused.

Ruled out: blaming only requests that are suspect already. A new killer beside an innocent suspect then went unblamed. Also one suspect at a time on a host: a long upload would hold back all others; it is one on each upstream now.

Seen to fail with the mechanism taken out, on scratch edits: no refusal (1 test), reports added up (1), each connection counted as a death (1), merging adds (4), answers forgive nothing (2), forgiveness not merged (2), suspects run together (1), lapsed entries taken in (1), ages rounded down (1), refused ones evicted (1), no bound (1).

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,21 +1,28 @@
 //! Requests that were in flight when their upstream died.
 //!
-//! Each death is counted by address and reporter, so that a repeated report
-//! counts once. A fingerprint with deaths is run alone; at [`DEATHS`] it is
-//! refused. A whole answer forgives the deaths so far.
+//! Deaths are counted for each upstream and reporter by counters that only grow,
+//! so that merging takes the larger one and a repeated report counts once. Of
+//! several reports on one upstream the largest counts, for two hosts may have
+//! seen the same death. A fingerprint with deaths is run alone; at [`DEATHS`] it
+//! is refused. A whole answer forgives the deaths so far.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
 
-use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
 };
+use sha2::{
+    Digest,
+    Sha256, //
+};
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     membership::SetSummary,
@@ -32,6 +39,10 @@
 pub const LAPSE: Duration = Duration::from_secs(600);
 /// Fingerprints that are remembered at most.
 pub const SUSPECTS_MAX: usize = 1024;
+/// Reports on one upstream that are closer together tell of the same death.
+pub const SAME_DEATH: Duration = Duration::from_secs(2);
+/// Marks that a fingerprint keeps at most.
+const MARKS_MAX: usize = 16;
 /// Bytes of the body that the fingerprint covers.
 pub const BODY_PREFIX_BYTES: usize = 4096;
 
@@ -49,8 +60,22 @@
         body_length: Option<u64>,
         prefix: &[u8],
     ) -> Self {
-        let _ = (organisation, method, path_and_query, body_length, prefix);
-        todo!("of")
+        let length = body_length.map_or(Vec::new(), |l| l.to_le_bytes().to_vec());
+        let mut hash = Sha256::new();
+        for part in [
+            organisation.map_or("", OrganisationName::as_str).as_bytes(),
+            method.as_bytes(),
+            path_and_query.as_bytes(),
+            &length,
+            prefix,
+        ] {
+            hash.update(part.len().to_le_bytes());
+            hash.update(part);
+        }
+        let digest: [u8; 32] = hash.finalize().into();
+        let mut short = [0; 16];
+        short.copy_from_slice(&digest[..16]);
+        Self(u128::from_le_bytes(short))
     }
 }
 
@@ -83,71 +108,235 @@
 pub enum Admission {
     /// Run it.
     Run,
-    /// It is suspect: run it alone, and call [`Quarantine::end_alone`] after it.
+    /// It is suspect and no other suspect runs there: run it, and call
+    /// [`Quarantine::end_alone`] after it.
     Alone,
-    /// It is suspect and another suspect runs; wait or refuse.
+    /// It is suspect and another suspect runs there; take another upstream or wait.
     Busy,
     /// Refuse it.
     Refused,
 }
 
+/// What one host knows of one suspect.
+#[derive(Clone, Debug)]
+struct Record {
+    last_death: Instant,
+    /// The last death that this host itself counted.
+    counted: Option<(SocketAddr, Instant)>,
+    marks: SmallVec<[Mark; 4]>,
+}
+
+impl Record {
+    /// Returns the deaths that are not forgiven, each upstream's by its largest report.
+    fn deaths(&self) -> u32 {
+        let mut by_upstream: SmallVec<[(SocketAddr, u8); 4]> = SmallVec::new();
+        for mark in &self.marks {
+            let open = mark.deaths.saturating_sub(mark.forgiven);
+            match by_upstream.iter_mut().find(|(u, _)| *u == mark.upstream) {
+                Some((_, most)) => *most = open.max(*most),
+                None => by_upstream.push((mark.upstream, open)),
+            }
+        }
+        by_upstream.iter().map(|(_, open)| u32::from(*open)).sum()
+    }
+
+    /// Merges a mark by its larger counts.
+    fn merge(&mut self, mark: Mark) {
+        let same = |m: &&mut Mark| m.upstream == mark.upstream && m.reporter == mark.reporter;
+        if let Some(known) = self.marks.iter_mut().find(same) {
+            known.deaths = known.deaths.max(mark.deaths);
+            known.forgiven = known.forgiven.max(mark.forgiven);
+            return;
+        }
+        if self.marks.len() < MARKS_MAX {
+            self.marks.push(mark);
+        }
+    }
+}
+
 /// The suspect requests that one host knows.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     reporter: u32,
+    records: BTreeMap<Suspect, Record>,
+    /// The suspect that runs alone on each upstream, as far as this host sends them.
+    alone: BTreeMap<SocketAddr, Suspect>,
 }
 
 impl Quarantine {
     /// Creates an empty table of this reporter.
     pub fn new(host: &HostName, incarnation: Incarnation) -> Self {
-        let _ = (host, incarnation, Bytes::new());
-        Self { reporter: 0 }
+        let low = xxh3_64(format!("{host}/{incarnation}").as_bytes()) & u64::from(u32::MAX);
+        Self {
+            reporter: u32::try_from(low).unwrap_or_default(),
+            records: BTreeMap::new(),
+            alone: BTreeMap::new(),
+        }
+    }
+
+    /// Tells whether a request is refused wherever it would run.
+    pub fn is_refused(&self, now: Instant, suspect: Suspect) -> bool {
+        self.deaths(now, suspect) >= DEATHS
     }
 
-    /// Decides on a request.
-    pub fn admit(&mut self, now: Instant, suspect: Suspect) -> Admission {
-        let _ = (now, suspect, self.reporter);
-        todo!("admit")
+    /// Decides on a request for an upstream.
+    pub fn admit(&mut self, now: Instant, suspect: Suspect, upstream: SocketAddr) -> Admission {
+        match self.deaths(now, suspect) {
+            0 => Admission::Run,
+            DEATHS.. => Admission::Refused,
+            _ if self.alone.contains_key(&upstream) => Admission::Busy,
+            _ => {
+                self.alone.insert(upstream, suspect);
+                Admission::Alone
+            }
+        }
     }
 
     /// Ends a run that was admitted alone.
-    pub fn end_alone(&mut self, suspect: Suspect) {
-        let _ = suspect;
-        todo!("end_alone")
+    pub fn end_alone(&mut self, upstream: SocketAddr) {
+        self.alone.remove(&upstream);
+    }
+
+    /// Returns the deaths that count against a request.
+    pub fn deaths(&self, now: Instant, suspect: Suspect) -> u32 {
+        let record = self.records.get(&suspect);
+        record
+            .filter(|r| now < r.last_death + LAPSE)
+            .map_or(0, Record::deaths)
     }
 
     /// Notes that an upstream died with these requests in flight on it from this host.
+    ///
+    /// All are blamed alike, for the guilty one may be new. Those that were suspect
+    /// ran one at a time, so that an innocent one is seldom blamed twice before a
+    /// whole answer clears it.
     pub fn on_death(&mut self, now: Instant, upstream: SocketAddr, in_flight: &[Suspect]) {
-        let _ = (now, upstream, in_flight);
-        todo!("on_death")
+        for suspect in in_flight {
+            self.add_death(now, upstream, *suspect);
+        }
     }
 
     /// Notes that a whole answer came.
-    pub fn on_answer(&mut self, now: Instant, suspect: Suspect) {
-        let _ = (now, suspect);
-        todo!("on_answer")
+    pub fn on_answer(&mut self, suspect: Suspect) {
+        let Some(record) = self.records.get_mut(&suspect) else {
+            return;
+        };
+        for mark in &mut record.marks {
+            mark.forgiven = mark.deaths;
+        }
     }
 
     /// Takes in entries from another host.
     pub fn merge(&mut self, now: Instant, entries: &[SuspectEntry]) {
-        let _ = (now, entries);
-        todo!("merge")
+        for entry in entries {
+            let age = Duration::from_secs(entry.age_seconds.into());
+            let Some(at) = now.checked_sub(age).filter(|_| age < LAPSE) else {
+                continue;
+            };
+            self.forget_lapsed(now, entry.suspect);
+            for mark in entry.marks.iter().filter(|m| m.deaths > 0) {
+                self.merge_mark(now, at, entry.suspect, *mark);
+            }
+        }
     }
 
     /// Returns entries to pass on, latest death first, at most `limit`.
     pub fn entries(&self, now: Instant, limit: usize) -> Vec<SuspectEntry> {
-        let _ = (now, limit);
-        todo!("entries")
+        let live = |r: &Record| now < r.last_death + LAPSE;
+        let mut records: Vec<_> = self.records.iter().filter(|(_, r)| live(r)).collect();
+        records.sort_by_key(|(_, r)| std::cmp::Reverse(r.last_death));
+        let mut entries = Vec::new();
+        for (suspect, record) in records.into_iter().take(limit) {
+            let age = now.saturating_duration_since(record.last_death);
+            let seconds = age.as_millis().div_ceil(1_000);
+            entries.push(SuspectEntry {
+                suspect: *suspect,
+                age_seconds: u16::try_from(seconds).unwrap_or(u16::MAX),
+                marks: record.marks.clone(),
+            });
+        }
+        entries
     }
 
     /// Returns the summary that tells whether two hosts know the same.
     pub fn summary(&self) -> SetSummary {
-        todo!("summary")
+        let mut summary = SetSummary::default();
+        for (suspect, record) in &self.records {
+            for mark in &record.marks {
+                let text = format!("{suspect:?}{mark:?}");
+                summary.sum = summary.sum.wrapping_add(xxh3_64(text.as_bytes()));
+            }
+            summary.count += 1;
+        }
+        summary
     }
 
     /// Drops what has lapsed.
     pub fn tick(&mut self, now: Instant) {
-        let _ = now;
-        todo!("tick")
+        self.records.retain(|_, r| now < r.last_death + LAPSE);
+    }
+
+    fn add_death(&mut self, now: Instant, upstream: SocketAddr, suspect: Suspect) {
+        self.forget_lapsed(now, suspect);
+        let mut own = Mark {
+            upstream,
+            reporter: self.reporter,
+            deaths: 0,
+            forgiven: 0,
+        };
+        if let Some(record) = self.records.get(&suspect) {
+            let same = |(u, t): (SocketAddr, Instant)| u == upstream && now < t + SAME_DEATH;
+            if record.counted.is_some_and(same) {
+                return;
+            }
+            let is_own = |m: &&Mark| m.upstream == upstream && m.reporter == self.reporter;
+            own = record.marks.iter().find(is_own).copied().unwrap_or(own);
+        }
+        own.deaths = own.deaths.saturating_add(1);
+        self.merge_mark(now, now, suspect, own);
+        if let Some(record) = self.records.get_mut(&suspect) {
+            record.counted = Some((upstream, now));
+        }
+    }
+
+    /// Merges a mark whose suspect's last death was at `at`.
+    fn merge_mark(&mut self, now: Instant, at: Instant, suspect: Suspect, mark: Mark) {
+        if !self.records.contains_key(&suspect) && !self.make_room(now) {
+            return;
+        }
+        let record = self.records.entry(suspect).or_insert_with(|| Record {
+            last_death: at,
+            counted: None,
+            marks: SmallVec::new(),
+        });
+        record.merge(mark);
+        record.last_death = record.last_death.max(at);
+    }
+
+    /// A later death of a lapsed suspect is counted from nothing.
+    fn forget_lapsed(&mut self, now: Instant, suspect: Suspect) {
+        let lapsed = |r: &Record| now >= r.last_death + LAPSE;
+        if self.records.get(&suspect).is_some_and(lapsed) {
+            self.records.remove(&suspect);
+        }
+    }
+
+    /// Makes room for one record; a full table gives up the one with the fewest
+    /// deaths, the oldest of these, but none that is refused.
+    fn make_room(&mut self, now: Instant) -> bool {
+        if self.records.len() < SUSPECTS_MAX {
+            return true;
+        }
+        self.tick(now);
+        let rank = |r: &Record| (r.deaths(), r.last_death);
+        let least = self.records.iter().min_by_key(|(_, r)| rank(r));
+        let Some((suspect, deaths)) = least.map(|(s, r)| (*s, r.deaths())) else {
+            return true;
+        };
+        if deaths >= DEATHS {
+            return false;
+        }
+        self.records.remove(&suspect);
+        true
     }
 }
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,313 @@
+//! Requests that kill their upstreams are refused; those beside them are not.
+
+use std::net::SocketAddr;
+
+use cardamomroad::{
+    quarantine::{
+        Admission,
+        DEATHS,
+        LAPSE,
+        Mark,
+        Quarantine,
+        SAME_DEATH,
+        SUSPECTS_MAX,
+        Suspect,
+        SuspectEntry, //
+    },
+    util::id::{
+        Incarnation,
+        OrganisationName, //
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{
+        RngSeed,
+        TestRunner, //
+    },
+};
+use smallvec::SmallVec;
+use tokio::time::{
+    Duration,
+    Instant, //
+};
+
+const KILLER: Suspect = Suspect(1);
+const INNOCENT: Suspect = Suspect(2);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn upstream(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], n))
+}
+
+fn host(n: u16) -> Quarantine {
+    Quarantine::new(&format!("host-{n}").parse().expect("host"), Incarnation(1))
+}
+
+fn pass(now: Instant, from: &Quarantine, to: &mut Quarantine) {
+    to.merge(now, &from.entries(now, usize::MAX));
+}
+
+/// The caller repeats the request through every host; each kill is passed on.
+#[test]
+fn a_killer_is_refused_everywhere_after_few_deaths() {
+    let t0 = Instant::now();
+    let mut hosts: Vec<_> = (0..12).map(host).collect();
+    let mut killed = 0;
+    for turn in 0..60_u16 {
+        let now = t0 + SECOND * u32::from(turn);
+        let i = usize::from(turn % 12);
+        if hosts[i].admit(now, KILLER, upstream(turn)) == Admission::Refused {
+            continue;
+        }
+        killed += 1;
+        hosts[i].on_death(now, upstream(turn), &[KILLER]);
+        hosts[i].end_alone(upstream(turn));
+        let entries = hosts[i].entries(now, 4);
+        hosts.iter_mut().for_each(|h| h.merge(now, &entries));
+    }
+    assert_eq!(killed, DEATHS);
+    let now = t0 + SECOND * 60;
+    assert!(hosts.iter().all(|h| h.is_refused(now, KILLER)));
+    assert!(!hosts[0].is_refused(t0 + SECOND * 2 + LAPSE, KILLER));
+}
+
+#[test]
+fn one_upstreams_death_refuses_no_request() {
+    let now = Instant::now();
+    let mut host = host(0);
+    let in_flight: Vec<_> = (0..400).map(Suspect).collect();
+    // Each of its connections breaks by itself, with the same request on many.
+    for suspect in &in_flight {
+        host.on_death(now, upstream(1), &[*suspect, INNOCENT]);
+    }
+    for suspect in in_flight {
+        assert_eq!(host.deaths(now, suspect), 1, "{suspect:?}");
+    }
+}
+
+#[test]
+fn a_death_that_several_hosts_report_counts_once() {
+    let now = Instant::now();
+    let mut hosts: Vec<_> = (0..5).map(host).collect();
+    for host in &mut hosts {
+        host.on_death(now, upstream(1), &[INNOCENT]);
+    }
+    let mut all = host(9);
+    for _ in 0..3 {
+        hosts.iter().for_each(|h| pass(now, h, &mut all));
+    }
+    assert_eq!(all.deaths(now, INNOCENT), 1);
+    // The same upstream, started again and dead again, counts again.
+    let later = now + SAME_DEATH;
+    hosts[0].on_death(later, upstream(1), &[INNOCENT]);
+    pass(later, &hosts[0], &mut all);
+    assert_eq!(all.deaths(later, INNOCENT), 2);
+}
+
+/// A request that is always in flight is beside every death.
+#[test]
+fn an_innocent_request_beside_every_death_is_cleared_by_its_answers() {
+    let t0 = Instant::now();
+    let mut host = host(0);
+    for n in 0..10_u16 {
+        let now = t0 + SECOND * 5 * u32::from(n);
+        host.on_death(now, upstream(n), &[INNOCENT, KILLER]);
+        assert!(!host.is_refused(now, INNOCENT));
+        host.on_answer(INNOCENT);
+        assert_eq!(host.admit(now, INNOCENT, upstream(50)), Admission::Run);
+    }
+    assert!(host.is_refused(t0 + SECOND * 50, KILLER));
+}
+
+#[test]
+fn a_clearing_answer_reaches_the_other_hosts() {
+    let now = Instant::now();
+    let (mut a, mut b) = (host(0), host(1));
+    a.on_death(now, upstream(1), &[INNOCENT]);
+    pass(now, &a, &mut b);
+    assert_eq!(b.deaths(now, INNOCENT), 1);
+    b.on_answer(INNOCENT);
+    pass(now, &b, &mut a);
+    assert_eq!(a.deaths(now, INNOCENT), 0);
+    // An entry from before the answer changes nothing.
+    let mut old = host(2);
+    old.on_death(now, upstream(1), &[INNOCENT]);
+    pass(now, &a, &mut old);
+    pass(now, &old, &mut a);
+    assert!(a.deaths(now, INNOCENT) <= 1);
+}
+
+#[test]
+fn two_suspects_never_run_on_one_upstream() {
+    let now = Instant::now();
+    let mut host = host(0);
+    host.on_death(now, upstream(1), &[KILLER, INNOCENT]);
+    assert_eq!(host.admit(now, KILLER, upstream(2)), Admission::Alone);
+    assert_eq!(host.admit(now, INNOCENT, upstream(2)), Admission::Busy);
+    assert_eq!(host.admit(now, KILLER, upstream(2)), Admission::Busy);
+    assert_eq!(host.admit(now, INNOCENT, upstream(3)), Admission::Alone);
+    assert_eq!(host.admit(now, Suspect(3), upstream(2)), Admission::Run);
+    host.end_alone(upstream(2));
+    assert_eq!(host.admit(now, INNOCENT, upstream(2)), Admission::Alone);
+}
+
+/// Passing entries round does not keep a lapsed suspect alive.
+#[test]
+fn what_lapsed_does_not_come_back() {
+    let t0 = Instant::now();
+    let (mut a, mut b) = (host(0), host(1));
+    for n in 0..3 {
+        a.on_death(t0, upstream(n), &[KILLER]);
+    }
+    let mut now = t0 + Duration::from_millis(350);
+    while now < t0 + LAPSE * 2 {
+        let (at_a, at_b) = (a.entries(now, 9), b.entries(now, 9));
+        a.merge(now, &at_b);
+        b.merge(now, &at_a);
+        now += Duration::from_millis(130);
+    }
+    assert!(!a.is_refused(now, KILLER) && !b.is_refused(now, KILLER));
+    a.tick(now);
+    assert_eq!(a.summary().count, 0);
+    let entry = SuspectEntry {
+        suspect: KILLER,
+        age_seconds: u16::try_from(LAPSE.as_secs()).expect("seconds"),
+        marks: SmallVec::from_slice(&[Mark {
+            upstream: upstream(1),
+            reporter: 1,
+            deaths: 9,
+            forgiven: 0,
+        }]),
+    };
+    a.merge(now, &[entry]);
+    assert_eq!(a.summary().count, 0);
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_the_refused() {
+    let now = Instant::now();
+    let mut host = host(0);
+    for n in 0..3 {
+        host.on_death(now, upstream(n), &[KILLER]);
+    }
+    let count = u128::try_from(SUSPECTS_MAX).expect("count");
+    for n in 0..count * 2 {
+        host.on_death(now + SECOND, upstream(9), &[Suspect(1_000 + n)]);
+    }
+    assert_eq!(usize::try_from(host.summary().count), Ok(SUSPECTS_MAX));
+    assert!(host.is_refused(now, KILLER));
+    // A table full of refused ones takes no others.
+    for n in 0..count * 2 {
+        for at in 10..13 {
+            host.on_death(now + SECOND, upstream(at), &[Suspect(10_000 + n)]);
+        }
+    }
+    let refused = (0..count - 1).filter(|n| host.is_refused(now, Suspect(10_000 + n)));
+    assert_eq!(refused.count(), SUSPECTS_MAX - 1);
+    assert!(host.is_refused(now, KILLER));
+}
+
+#[test]
+fn the_fingerprint_keeps_requests_apart() {
+    let thanh: OrganisationName = "thanh".parse().expect("name");
+    let sky: OrganisationName = "skyglass".parse().expect("name");
+    let base = Suspect::of(Some(&thanh), "POST", "/a?b", Some(4), b"body");
+    assert_eq!(
+        base,
+        Suspect::of(Some(&thanh), "POST", "/a?b", Some(4), b"body")
+    );
+    for other in [
+        Suspect::of(Some(&sky), "POST", "/a?b", Some(4), b"body"),
+        Suspect::of(None, "POST", "/a?b", Some(4), b"body"),
+        Suspect::of(Some(&thanh), "PUT", "/a?b", Some(4), b"body"),
+        Suspect::of(Some(&thanh), "POST", "/a?c", Some(4), b"body"),
+        Suspect::of(Some(&thanh), "POST", "/a?b", None, b"body"),
+        Suspect::of(Some(&thanh), "POST", "/a?b", Some(4), b"bodx"),
+        Suspect::of(Some(&thanh), "POST", "/a?bb", Some(4), b"ody"),
+    ] {
+        assert_ne!(base, other);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Death {
+        host: usize,
+        upstream: u16,
+        suspect: u128,
+    },
+    Answer {
+        host: usize,
+        suspect: u128,
+    },
+    Pass {
+        from: usize,
+        to: usize,
+    },
+}
+
+/// After everyone heard everyone, in any order, all count alike, and no count
+/// exceeds the deaths there were.
+#[test]
+fn merging_converges_and_never_counts_too_many() {
+    let config = ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(18),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let event = prop_oneof![
+        (0..4_usize, 0..3_u16, 0..3_u128).prop_map(|(host, upstream, suspect)| Event::Death {
+            host,
+            upstream,
+            suspect
+        }),
+        (0..4_usize, 0..3_u128).prop_map(|(host, suspect)| Event::Answer { host, suspect }),
+        (0..4_usize, 0..4_usize).prop_map(|(from, to)| Event::Pass { from, to }),
+    ];
+    let histories = proptest::collection::vec(event, 1..60);
+    let run = TestRunner::new(config).run(&histories, |events| {
+        let t0 = Instant::now();
+        let mut hosts: Vec<_> = (0..4).map(host).collect();
+        let mut deaths = [0_u32; 3];
+        for (n, event) in (0..).zip(events) {
+            let now = t0 + SAME_DEATH * n;
+            match event {
+                Event::Death {
+                    host,
+                    upstream: u,
+                    suspect,
+                } => {
+                    hosts[host].on_death(now, upstream(u), &[Suspect(suspect)]);
+                    deaths[usize::try_from(suspect).expect("small")] += 1;
+                }
+                Event::Answer { host, suspect } => hosts[host].on_answer(Suspect(suspect)),
+                Event::Pass { from, to } => {
+                    let entries = hosts[from].entries(now, 9);
+                    hosts[to].merge(now, &entries);
+                }
+            }
+        }
+        let now = t0 + SAME_DEATH * 60;
+        let all: Vec<SuspectEntry> = hosts.iter().flat_map(|h| h.entries(now, 9)).collect();
+        for host in &mut hosts {
+            host.merge(now, &all);
+            host.merge(now, &all);
+        }
+        for (suspect, most) in (0..).zip(deaths) {
+            let counts: Vec<_> = hosts
+                .iter()
+                .map(|h| h.deaths(now, Suspect(suspect)))
+                .collect();
+            prop_assert!(
+                counts.iter().all(|c| *c == counts[0] && *c <= most),
+                "{counts:?}"
+            );
+        }
+        let first = hosts[0].summary();
+        prop_assert!(hosts.iter().all(|h| h.summary() == first));
+        Ok(())
+    });
+    run.expect("all count alike");
+}
