--- /dev/null
+++ b/standins/src/caller/tally.rs
@@ -0,0 +1,148 @@
+//! The outcomes of many requests.
+
+use std::{
+    collections::BTreeMap,
+    fmt, //
+};
+
+use hdrhistogram::Histogram;
+
+use super::exchange::{
+    Reply,
+    Verdict, //
+};
+
+/// The significant digits of the latency histogram.
+const LATENCY_DIGITS: u8 = 3;
+
+/// What requests that ended alike have in common.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Outcome {
+    /// The status, or 0 where no answer began.
+    pub status: u16,
+    /// What the answer says about whether the request ran.
+    pub ran: Option<String>,
+    /// The reason of a refusal.
+    pub reason: Option<String>,
+    /// `whole`, `refused`, `wrong`, `broken`, `lost` or `timed-out`.
+    pub verdict: &'static str,
+}
+
+impl Outcome {
+    fn of(reply: &Reply) -> Self {
+        Self {
+            status: reply.status,
+            ran: reply.outcome.clone(),
+            reason: reply.reason.clone(),
+            verdict: match reply.verdict {
+                Verdict::Whole(_) => "whole",
+                Verdict::Refused => "refused",
+                Verdict::Wrong(_) => "wrong",
+                Verdict::Broken => "broken",
+                Verdict::Lost(_) => "lost",
+                Verdict::TimedOut => "timed-out",
+            },
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = |t: &Option<String>| t.clone().unwrap_or_else(|| "-".to_owned());
+        write!(
+            f,
+            "status={} outcome={} reason={} verdict={}",
+            self.status,
+            text(&self.ran),
+            text(&self.reason),
+            self.verdict
+        )
+    }
+}
+
+/// Counts by outcome, and latencies in microseconds of whole answers.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    counts: BTreeMap<Outcome, u64>,
+    latency_us: Histogram<u64>,
+    tries: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Tally {
+    /// Returns a tally of nothing.
+    pub fn new() -> Self {
+        // Three digits are within what the histogram accepts.
+        let latency_us = Histogram::new(LATENCY_DIGITS).expect("valid digits");
+        Self {
+            counts: BTreeMap::new(),
+            latency_us,
+            tries: 0,
+        }
+    }
+
+    /// Adds the outcome of a request.
+    pub fn add(&mut self, reply: &Reply) {
+        *self.counts.entry(Outcome::of(reply)).or_default() += 1;
+        self.tries += u64::from(reply.tries);
+        if reply.receipt().is_none() {
+            return;
+        }
+        let us = u64::try_from(reply.latency.as_micros()).unwrap_or(u64::MAX);
+        self.latency_us.saturating_record(us);
+    }
+
+    /// Returns the number of requests.
+    pub fn total(&self) -> u64 {
+        self.counts.values().sum()
+    }
+
+    /// Returns the number of tries.
+    pub fn tries(&self) -> u64 {
+        self.tries
+    }
+
+    /// Returns the number of requests with a verdict such as `whole`.
+    pub fn with_verdict(&self, verdict: &str) -> u64 {
+        let alike = self.counts.iter().filter(|(o, _)| o.verdict == verdict);
+        alike.map(|(_, n)| n).sum()
+    }
+
+    /// Returns the number of requests refused for a reason.
+    pub fn with_reason(&self, reason: &str) -> u64 {
+        let alike = self.counts.iter();
+        let alike = alike.filter(|(o, _)| o.reason.as_deref() == Some(reason));
+        alike.map(|(_, n)| n).sum()
+    }
+
+    /// Returns the counts by outcome.
+    pub fn counts(&self) -> &BTreeMap<Outcome, u64> {
+        &self.counts
+    }
+
+    /// Returns the latencies of whole answers, in microseconds.
+    pub fn latency_us(&self) -> &Histogram<u64> {
+        &self.latency_us
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (outcome, n) in &self.counts {
+            writeln!(f, "requests={n} {outcome}")?;
+        }
+        write!(
+            f,
+            "tries={} latency_us p50={} p99={} max={}",
+            self.tries,
+            self.latency_us.value_at_quantile(0.5),
+            self.latency_us.value_at_quantile(0.99),
+            self.latency_us.max()
+        )
+    }
+}
