--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod error;
 pub mod http;
+pub mod policy;
 pub mod process;
 pub mod receipt;
 pub mod store;
