--- a/standins/src/error.rs
+++ b/standins/src/error.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitStatus, //
 };
 
 use thiserror::Error;
@@ -52,6 +54,49 @@
         /// What is wrong with it.
         cause: serde_json::Error,
     },
+    /// A program was not built beside the running one.
+    #[error("{name} is not at {path:?}; build all programs first, with cargo build --workspace")]
+    NotBuilt {
+        /// The program's name.
+        name: String,
+        /// Where it should be.
+        path: PathBuf,
+    },
+    /// A process ended before it was ready.
+    #[error("{name} ended before it was ready: {said}")]
+    Ended {
+        /// The process's name.
+        name: String,
+        /// Its log.
+        said: String,
+    },
+    /// A program ended with a failure.
+    #[error("{what} ended with {status}: {said}")]
+    Failed {
+        /// What was run.
+        what: String,
+        /// How it ended.
+        status: ExitStatus,
+        /// Its standard error.
+        said: String,
+    },
+    /// Something did not happen in time.
+    #[error("{what} did not come in time; see the logs of the processes")]
+    TimedOut {
+        /// What was waited for.
+        what: String,
+    },
+    /// A name stands for nothing.
+    #[error("no {what} {name:?}; use one that the fleet has")]
+    Unknown {
+        /// What was looked for.
+        what: &'static str,
+        /// The name.
+        name: String,
+    },
+    /// A configuration set could not be read or written.
+    #[error("the configuration set is not usable: {0}")]
+    Set(String),
 }
 
 /// The way a stand-in ends a connection on purpose, without an answer.
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,255 @@
+//! A small deployment of real processes on loopback: a store, upstreams and
+//! entry hosts. Tests, the demonstration and the benchmarks use it.
+//!
+//! All processes that a [`Fleet`] started end with it.
+
+mod builder;
+mod control;
+mod entry_host;
+mod process;
+mod set;
+
+use std::{
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::Output,
+    time::Duration,
+};
+
+use cardamomroad::{
+    config::object::Set,
+    store::{
+        ListedHost,
+        ListedState, //
+    },
+    util::id::{
+        Generation,
+        ZoneName, //
+    },
+};
+use tempfile::TempDir;
+
+pub use self::{
+    builder::FleetBuilder,
+    control::{
+        StoreControl,
+        UpstreamControl, //
+    },
+    entry_host::EntryHost,
+    process::{
+        Process,
+        binary, //
+    },
+    set::{
+        demonstration_key,
+        example,
+        limit,
+        narrow, //
+    },
+};
+use crate::{
+    caller::Options as CallerOptions,
+    error::StandinError, //
+};
+
+/// How long a condition may take before waiting for it fails.
+pub const WAIT_MAX: Duration = Duration::from_secs(30);
+/// The time between two looks at a condition that only a status shows.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: TempDir,
+    set: Set,
+    store: StoreControl,
+    upstreams: Vec<UpstreamControl>,
+    hosts: Vec<EntryHost>,
+}
+
+impl Drop for Fleet {
+    /// Keeps the logs of a fleet whose test failed.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.keep_logs();
+        }
+    }
+}
+
+impl Fleet {
+    /// Keeps the folder when the fleet ends, and says where it is.
+    pub fn keep_logs(&mut self) {
+        self.folder.disable_cleanup(true);
+        eprintln!("the logs are in {}", self.folder.path().display());
+    }
+
+    /// Returns the store.
+    pub fn store(&self) -> &StoreControl {
+        &self.store
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &[UpstreamControl] {
+        &self.upstreams
+    }
+
+    /// Returns the upstreams, to be signalled or restarted.
+    pub fn upstreams_mut(&mut self) -> &mut [UpstreamControl] {
+        &mut self.upstreams
+    }
+
+    /// Returns the entry hosts.
+    pub fn hosts(&self) -> &[EntryHost] {
+        &self.hosts
+    }
+
+    /// Returns an entry host by its name.
+    pub fn host(&self, name: &str) -> Result<&EntryHost, StandinError> {
+        let found = self.hosts.iter().find(|h| h.name().as_str() == name);
+        found.ok_or_else(|| StandinError::Unknown {
+            what: "entry host",
+            name: name.to_owned(),
+        })
+    }
+
+    /// Returns an entry host by its name, to be signalled or restarted.
+    pub fn host_mut(&mut self, name: &str) -> Result<&mut EntryHost, StandinError> {
+        let found = self.hosts.iter_mut().find(|h| h.name().as_str() == name);
+        found.ok_or_else(|| StandinError::Unknown {
+            what: "entry host",
+            name: name.to_owned(),
+        })
+    }
+
+    /// Returns the set that was applied first, with the bound addresses.
+    pub fn set(&self) -> &Set {
+        &self.set
+    }
+
+    /// Returns the folder of the logs and the applied files.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns the callers' addresses of all hosts.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(EntryHost::callers).collect()
+    }
+
+    /// Returns the options of a caller that may ask any host.
+    pub fn caller(&self, name: &str, service: &str) -> CallerOptions {
+        CallerOptions::new(name, service, &self.callers())
+    }
+
+    /// Runs the operators' program against the store and returns what it printed.
+    pub async fn operate(&self, args: &[&str]) -> Result<Output, StandinError> {
+        let mut command = tokio::process::Command::new(binary("cardamomroad")?);
+        command.env("CARDAMOMROAD_STORE", self.store.address().to_string());
+        command.args(args).kill_on_drop(true);
+        let ended = tokio::time::timeout(WAIT_MAX, command.output()).await;
+        let ended = ended.map_err(|_| StandinError::TimedOut {
+            what: format!("cardamomroad {}", args.join(" ")),
+        })?;
+        ended.map_err(|cause| StandinError::Io {
+            what: format!("running cardamomroad {}", args.join(" ")),
+            cause,
+        })
+    }
+
+    /// Runs the operators' program and fails where it does.
+    pub async fn operate_well(&self, args: &[&str]) -> Result<String, StandinError> {
+        let output = self.operate(args).await?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if output.status.success() {
+            return Ok(text);
+        }
+        Err(StandinError::Failed {
+            what: format!("cardamomroad {}", args.join(" ")),
+            status: output.status,
+            said: String::from_utf8_lossy(&output.stderr).into_owned(),
+        })
+    }
+
+    /// Writes a set into the folder and applies it.
+    pub async fn apply(&self, set: &Set) -> Result<String, StandinError> {
+        let path = self.write_set(set)?;
+        let path = path.to_string_lossy();
+        self.operate_well(&["apply", path.as_ref()]).await
+    }
+
+    fn write_set(&self, set: &Set) -> Result<PathBuf, StandinError> {
+        set::write(set, self.folder.path())
+    }
+
+    /// Puts all running hosts into the platform's list.
+    pub async fn list_hosts(&self) -> Result<(), StandinError> {
+        self.list_hosts_leaving(&[]).await
+    }
+
+    /// Puts all running hosts into the platform's list, some of them as leaving.
+    pub async fn list_hosts_leaving(&self, leaving: &[&str]) -> Result<(), StandinError> {
+        let mut listed = Vec::new();
+        for host in &self.hosts {
+            if !host.is_running() {
+                continue;
+            }
+            let state = match leaving.contains(&host.name().as_str()) {
+                true => ListedState::Leaving,
+                false => ListedState::Live,
+            };
+            listed.push(ListedHost {
+                name: host.name().clone(),
+                zone: host.zone().clone(),
+                callers: host.callers(),
+                peers: host.peers(),
+                state,
+            });
+        }
+        self.store.set_hosts(&listed).await
+    }
+
+    /// Waits until every running host serves by this generation or a later one.
+    pub async fn wait_for_generation(&self, generation: Generation) -> Result<(), StandinError> {
+        for host in &self.hosts {
+            if !host.is_running() {
+                continue;
+            }
+            host.wait_until("the generation", |s| s.generation >= Some(generation))
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every running host knows all others as live, and its shares.
+    pub async fn wait_until_settled(&self) -> Result<(), StandinError> {
+        let running = self.hosts.iter().filter(|h| h.is_running()).count();
+        for host in &self.hosts {
+            if !host.is_running() {
+                continue;
+            }
+            let zone = host.zone();
+            let of_zone = |h: &&EntryHost| h.is_running() && h.zone() == zone;
+            let neighbours = self.hosts.iter().filter(of_zone).count() - 1;
+            host.wait_until("its neighbours", |s| {
+                let live = s.peers.iter().filter(|p| p.state == "live");
+                let near = live.clone().filter(|p| p.zone == s.zone).count();
+                near >= neighbours && (live.count() > neighbours || running == neighbours + 1)
+            })
+            .await?;
+            host.wait_until("its shares", |s| s.ledger.is_some())
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the upstreams of a zone.
+    pub fn upstreams_in<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = &'a UpstreamControl> {
+        self.upstreams.iter().filter(move |u| u.zone() == zone)
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/builder.rs
@@ -0,0 +1,196 @@
+//! What a fleet consists of, and its start.
+
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::Path,
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+};
+
+use cardamomroad::{
+    config::object::Set,
+    util::id::{
+        Generation,
+        HostName, //
+    },
+};
+
+use super::{
+    Fleet,
+    control::{
+        StoreControl,
+        UpstreamControl, //
+    },
+    entry_host::{
+        EntryHost,
+        Plan, //
+    },
+    set::upstream_name,
+};
+use crate::error::StandinError;
+
+/// The first second byte of the hosts' loopback addresses; lower ones are clients'.
+const FIRST_NETWORK: u32 = 16;
+/// The second bytes that fleets of different tests choose from.
+const NETWORKS: u32 = 200;
+/// The seeds that each host gets.
+const SEEDS: usize = 4;
+
+/// The fleets that this process started.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetBuilder {
+    set: Set,
+    hosts_per_zone: usize,
+    upstream_args: Vec<String>,
+    host_args: Vec<String>,
+    log_level: String,
+}
+
+impl FleetBuilder {
+    /// Returns a fleet with one entry host in each zone of a set and one process
+    /// for each upstream; their addresses in the set are replaced.
+    pub fn new(set: Set) -> Self {
+        Self {
+            set,
+            hosts_per_zone: 1,
+            upstream_args: Vec::new(),
+            host_args: Vec::new(),
+            log_level: "info".to_owned(),
+        }
+    }
+
+    /// Sets the number of entry hosts in each zone.
+    pub fn with_hosts_per_zone(mut self, hosts: usize) -> Self {
+        self.hosts_per_zone = hosts;
+        self
+    }
+
+    /// Adds arguments for every upstream process.
+    pub fn with_upstream_args(mut self, args: &[&str]) -> Self {
+        self.upstream_args
+            .extend(args.iter().map(ToString::to_string));
+        self
+    }
+
+    /// Adds arguments for every entry host.
+    pub fn with_host_args(mut self, args: &[&str]) -> Self {
+        self.host_args.extend(args.iter().map(ToString::to_string));
+        self
+    }
+
+    /// Sets the log level of the entry hosts.
+    pub fn with_log_level(mut self, level: &str) -> Self {
+        self.log_level = level.to_owned();
+        self
+    }
+
+    /// Starts everything, applies the set and waits until all hosts serve by it.
+    pub async fn start(self) -> Result<Fleet, StandinError> {
+        let folder = tempfile::tempdir().map_err(|cause| StandinError::Io {
+            what: "making a temporary folder".to_owned(),
+            cause,
+        })?;
+        let mut set = self.set.clone();
+        let store = StoreControl::start(folder.path()).await?;
+        let upstreams = self.start_upstreams(&mut set, folder.path()).await?;
+        let hosts = self.start_hosts(&set, &store, folder.path()).await?;
+        let mut fleet = Fleet {
+            folder,
+            set,
+            store,
+            upstreams,
+            hosts,
+        };
+        match publish(&fleet).await {
+            Ok(()) => Ok(fleet),
+            Err(e) => {
+                fleet.keep_logs();
+                Err(e)
+            }
+        }
+    }
+
+    async fn start_upstreams(
+        &self,
+        set: &mut Set,
+        folder: &Path,
+    ) -> Result<Vec<UpstreamControl>, StandinError> {
+        let mut upstreams = Vec::new();
+        for pool in &mut set.pools {
+            let mut args = vec!["--slots".to_owned(), pool.slots.to_string()];
+            args.extend(["--connections".to_owned(), pool.connections.to_string()]);
+            args.extend(self.upstream_args.iter().cloned());
+            for i in 0..pool.upstreams.len() {
+                let name = upstream_name(pool, i);
+                let place = (pool.service.clone(), pool.zone.clone());
+                let upstream = UpstreamControl::start(&name, &args, place, folder).await?;
+                pool.upstreams[i] = upstream.address();
+                upstreams.push(upstream);
+            }
+        }
+        Ok(upstreams)
+    }
+
+    async fn start_hosts(
+        &self,
+        set: &Set,
+        store: &StoreControl,
+        folder: &Path,
+    ) -> Result<Vec<EntryHost>, StandinError> {
+        let network = network();
+        let mut hosts: Vec<EntryHost> = Vec::new();
+        for (z, zone) in set.zones.iter().enumerate() {
+            for n in 1..=self.hosts_per_zone {
+                let name: HostName =
+                    format!("{}-{n}", zone.name)
+                        .parse()
+                        .map_err(|_| StandinError::Unknown {
+                            what: "host name for zone",
+                            name: zone.name.to_string(),
+                        })?;
+                let seeds: Vec<SocketAddr> = hosts.iter().map(EntryHost::peers).collect();
+                let plan = Plan {
+                    name,
+                    zone: zone.name.clone(),
+                    ip: address(network, z, n),
+                    store: store.address(),
+                    seeds: seeds.into_iter().take(SEEDS).collect(),
+                    args: self.host_args.clone(),
+                    log_level: self.log_level.clone(),
+                    folder: folder.to_owned(),
+                };
+                hosts.push(EntryHost::start(plan).await?);
+            }
+        }
+        Ok(hosts)
+    }
+}
+
+async fn publish(fleet: &Fleet) -> Result<(), StandinError> {
+    fleet.list_hosts().await?;
+    fleet.apply(fleet.set()).await?;
+    fleet.wait_for_generation(Generation(1)).await?;
+    fleet.wait_until_settled().await
+}
+
+/// Returns a second byte for the addresses of one fleet, so that fleets of
+/// tests that run at once do not take one another's ports over a restart.
+fn network() -> u8 {
+    let started = STARTED.fetch_add(1, Ordering::Relaxed);
+    let mixed = std::process::id().wrapping_mul(7).wrapping_add(started);
+    u8::try_from(FIRST_NETWORK + mixed % NETWORKS).unwrap_or(u8::MAX)
+}
+
+fn address(network: u8, zone: usize, number: usize) -> IpAddr {
+    let byte = |n: usize| u8::try_from(n).unwrap_or(u8::MAX);
+    IpAddr::V4(Ipv4Addr::new(127, network, byte(zone), byte(number)))
+}
--- /dev/null
+++ b/standins/src/fleet/process.rs
@@ -0,0 +1,185 @@
+//! One process that the fleet started.
+
+use std::{
+    collections::BTreeMap,
+    fs::OpenOptions,
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        ExitStatus,
+        Stdio, //
+    },
+};
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+use tokio::{
+    io::{
+        AsyncBufReadExt,
+        BufReader, //
+    },
+    process::{
+        Child,
+        Command, //
+    },
+    time::timeout,
+};
+
+use super::WAIT_MAX;
+use crate::error::StandinError;
+
+/// The first word of the line that a process prints when it can be used.
+const READY: &str = "ready";
+/// The folder of test programs, beside which the other programs stand.
+const TEST_FOLDER: &str = "deps";
+
+/// Returns the path of a program that was built with the running one.
+pub fn binary(name: &str) -> Result<PathBuf, StandinError> {
+    let running = std::env::current_exe().map_err(|cause| StandinError::Io {
+        what: "finding the running program".to_owned(),
+        cause,
+    })?;
+    let mut folder = running.parent().unwrap_or(Path::new("/"));
+    if folder.ends_with(TEST_FOLDER) {
+        folder = folder.parent().unwrap_or(folder);
+    }
+    let path = folder.join(name);
+    if path.is_file() {
+        return Ok(path);
+    }
+    Err(StandinError::NotBuilt {
+        name: name.to_owned(),
+        path,
+    })
+}
+
+/// A child process; it is killed when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    pid: Pid,
+    ready: BTreeMap<String, SocketAddr>,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a program and waits for its ready line. Its standard error goes
+    /// to `NAME.log` in the folder.
+    pub async fn start(
+        name: &str,
+        mut command: Command,
+        folder: &Path,
+    ) -> Result<Self, StandinError> {
+        let log = folder.join(format!("{name}.log"));
+        let failed = |cause| StandinError::Io {
+            what: format!("starting {name}"),
+            cause,
+        };
+        let file = OpenOptions::new().create(true).append(true).open(&log);
+        command.stdin(Stdio::null()).stdout(Stdio::piped());
+        command.stderr(file.map_err(failed)?).kill_on_drop(true);
+        let mut child = command.spawn().map_err(failed)?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
+        let ended = || StandinError::Ended {
+            name: name.to_owned(),
+            said: std::fs::read_to_string(&log).unwrap_or_default(),
+        };
+        let pid = pid.ok_or_else(ended)?;
+        let stdout = child.stdout.take().ok_or_else(ended)?;
+        let mut lines = BufReader::new(stdout).lines();
+        let ready = loop {
+            let line = timeout(WAIT_MAX, lines.next_line()).await;
+            let line = line.map_err(|_| StandinError::TimedOut {
+                what: format!("the ready line of {name}"),
+            })?;
+            let line = line.map_err(failed)?.ok_or_else(ended)?;
+            if let Some(addresses) = read_ready(&line) {
+                break addresses;
+            }
+        };
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            pid,
+            ready,
+            log,
+        })
+    }
+
+    /// Returns its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns its process id.
+    pub fn pid(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+
+    /// Returns the file of its standard error.
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
+    /// Returns an address of its ready line.
+    pub fn address(&self, key: &str) -> Result<SocketAddr, StandinError> {
+        let found = self.ready.get(key).copied();
+        found.ok_or_else(|| StandinError::Unknown {
+            what: "address in the ready line",
+            name: key.to_owned(),
+        })
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> Result<(), StandinError> {
+        kill_process(self.pid, signal).map_err(|e| StandinError::Io {
+            what: format!("signalling {}", self.name),
+            cause: e.into(),
+        })
+    }
+
+    /// Waits for its end.
+    pub async fn wait(&mut self) -> Result<ExitStatus, StandinError> {
+        let ended = timeout(WAIT_MAX, self.child.wait()).await;
+        let ended = ended.map_err(|_| StandinError::TimedOut {
+            what: format!("the end of {}", self.name),
+        })?;
+        ended.map_err(|cause| StandinError::Io {
+            what: format!("waiting for {}", self.name),
+            cause,
+        })
+    }
+
+    /// Asks it to stop and waits for its end.
+    pub async fn stop(&mut self) -> Result<ExitStatus, StandinError> {
+        self.signal(Signal::TERM)?;
+        self.wait().await
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) -> Result<ExitStatus, StandinError> {
+        self.signal(Signal::KILL)?;
+        self.wait().await
+    }
+}
+
+/// Reads `ready KEY=IP:PORT ..`; returns `None` for any other line.
+fn read_ready(line: &str) -> Option<BTreeMap<String, SocketAddr>> {
+    let mut words = line.split_whitespace();
+    if words.next() != Some(READY) {
+        return None;
+    }
+    let mut addresses = BTreeMap::new();
+    for word in words {
+        let (key, address) = word.split_once('=')?;
+        addresses.insert(key.to_owned(), address.parse().ok()?);
+    }
+    Some(addresses)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod policy;
 pub mod process;
