--- a/src/control.rs
+++ b/src/control.rs
@@ -48,9 +48,8 @@
         Revision, //
     },
     loan::{
-        LoanReply,
-        LoanRequest,
-        LoanReturn, //
+        LoanMessage,
+        LoanReply, //
     },
     membership::{
         Gossip,
@@ -125,10 +124,8 @@
     Beat(Box<Beat>),
     /// Asks to send a heartbeat to another host.
     Probe(HostName),
-    /// Asks for a loan.
-    Loan(LoanRequest),
-    /// Gives a loan back.
-    Return(LoanReturn),
+    /// Asks for a loan, or gives one back.
+    Loan(LoanMessage),
     /// Asks for what leads on from a generation, or for a whole set.
     Configuration(Option<Generation>),
     /// Compares withdrawn keys.
--- a/src/host.rs
+++ b/src/host.rs
@@ -139,7 +139,6 @@
 struct Running {
     once: Option<Permit>,
     service: ServiceName,
-    suspect: Suspect,
     /// It entered the system at this host.
     entered: bool,
     /// It came from another region, to run here.
@@ -160,6 +159,8 @@
     deltas: Vec<Delta>,
     once: Once,
     quarantine: Quarantine,
+    /// The suspect that runs alone on each upstream.
+    alone: HashMap<SocketAddr, Suspect>,
     budgets: Budgets,
     links: Links,
     retries: retry::Budget,
@@ -206,6 +207,7 @@
             deltas: Vec::new(),
             once: Once::new(name.clone(), incarnation, now),
             quarantine: Quarantine::new(&name, incarnation),
+            alone: HashMap::new(),
             budgets: Budgets::new(name, incarnation, now),
             links: Links::new(),
             retries: retry::Budget::new(),
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -1,5 +1,6 @@
 //! Where a started request goes: an upstream, or another gateway.
 
+use rand::RngExt;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 use xtra::{
@@ -171,7 +172,6 @@
         if let Some(refused) = self.admit_to_link(now, msg, &target) {
             return refused;
         }
-        self.loads.use_slot(&host, &msg.service);
         self.loads.spilled(&msg.service, zone);
         self.record_gateway(now, msg, &target, why, basis);
         self.open_try(msg, target)
@@ -275,8 +275,12 @@
         let (name, _) = self.claimant(msg.organisation.as_ref());
         self.finish_claim(&msg.service, &name);
         self.serve_queue(now, &msg.service);
+        if self.alone.get(&address) == Some(&msg.suspect) {
+            self.alone.remove(&address);
+            self.quarantine.end_alone(address);
+        }
         match msg.end {
-            TryEnd::Whole => self.quarantine.on_answer(now, msg.suspect),
+            TryEnd::Whole => self.quarantine.on_answer(msg.suspect),
             TryEnd::Lost | TryEnd::Broken => {
                 self.quarantine.on_death(now, address, &[msg.suspect]);
             }
@@ -338,6 +342,7 @@
             free,
             age,
             spilled: self.loads.spilled_to(&msg.service, zone),
+            spilled_then: self.loads.spilled_then(&msg.service, zone),
             senders: self.zone_size(),
             delay,
             headroom,
@@ -355,6 +360,7 @@
             free: 0,
             age: std::time::Duration::ZERO,
             spilled: 0,
+            spilled_then: 0,
             senders: 1,
             delay: std::time::Duration::ZERO,
             headroom: None,
@@ -397,16 +403,36 @@
         loads.map(|l| l.free).sum()
     }
 
-    /// Returns the reachable gateway of a zone that reported the most free slots.
-    fn roomiest(&self, now: Instant, service: &ServiceName, zone: &ZoneName) -> Option<HostName> {
-        let free = |loads: &SmallVec<[crate::control::ServiceLoad; 4]>| -> u32 {
-            let loads = loads.iter().filter(|l| l.service == *service);
-            loads.map(|l| l.free).sum()
-        };
-        let reports = self.loads.of_zone(zone);
-        let usable = reports.filter(|(host, _)| self.is_routable(now, host));
-        let best = usable.max_by_key(|(host, r)| (free(&r.loads), *host));
-        best.map(|(host, _)| host.clone())
+    /// Draws a reachable gateway of a zone by the free slots that each reported.
+    fn roomiest(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        zone: &ZoneName,
+    ) -> Option<HostName> {
+        let mut hosts: SmallVec<[(HostName, u32); 4]> = SmallVec::new();
+        for (host, report) in self.loads.of_zone(zone) {
+            if !self.is_routable(now, host) {
+                continue;
+            }
+            let loads = report.loads.iter().filter(|l| l.service == *service);
+            // A host without free slots may still have one soon.
+            let free: u32 = loads.map(|l| l.free).sum();
+            hosts.push((host.clone(), free.max(1)));
+        }
+        hosts.sort();
+        let whole: u32 = hosts.iter().map(|(_, free)| free).sum();
+        if whole == 0 {
+            return None;
+        }
+        let mut point = self.rng.random_range(0..whole);
+        for (host, free) in hosts {
+            match point.checked_sub(free) {
+                Some(left) => point = left,
+                None => return Some(host),
+            }
+        }
+        None
     }
 
     fn is_routable(&self, now: Instant, host: &HostName) -> bool {
--- a/src/host/loads.rs
+++ b/src/host/loads.rs
@@ -112,6 +112,8 @@
     entered: u32,
     foreign: u32,
     spilled: HashMap<ZoneName, u32>,
+    /// The requests of `spilled` that ran when the zone last reported.
+    spilled_then: HashMap<ZoneName, u32>,
     bytes_in: Option<Demand>,
     bytes_out: Option<Demand>,
 }
@@ -131,6 +133,10 @@
 
     /// Takes a host's report.
     pub fn report(&mut self, host: &HostName, report: Report) {
+        for own in self.own.values_mut() {
+            let spilled = own.spilled.get(&report.zone).copied().unwrap_or(0);
+            own.spilled_then.insert(report.zone.clone(), spilled);
+        }
         self.reports.insert(host.clone(), report);
     }
 
@@ -152,17 +158,6 @@
         self.reports.get(host)
     }
 
-    /// Takes slots off a host's report that this host is going to use, until
-    /// the next report.
-    pub fn use_slot(&mut self, host: &HostName, service: &ServiceName) {
-        let Some(report) = self.reports.get_mut(host) else {
-            return;
-        };
-        for load in report.loads.iter_mut().filter(|l| l.service == *service) {
-            load.free = load.free.saturating_sub(1);
-        }
-    }
-
     /// Counts a request that entered at this host.
     pub fn entered(&mut self, service: &ServiceName) {
         self.own.entry(service.clone()).or_default().entered += 1;
@@ -233,4 +228,11 @@
         own.and_then(|own| own.spilled.get(zone).copied())
             .unwrap_or(0)
     }
+
+    /// Returns the requests that this host had at a zone when the zone last reported.
+    pub fn spilled_then(&self, service: &ServiceName, zone: &ZoneName) -> u32 {
+        let own = self.own.get(service);
+        own.and_then(|own| own.spilled_then.get(zone).copied())
+            .unwrap_or(0)
+    }
 }
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     adoption::Source,
+    budget::Messages,
     control::{
         Beat,
         ControlReply,
@@ -37,6 +38,7 @@
         },
     },
     ledger::Ledger,
+    loan::LoanMessage,
     membership::{
         Facts,
         Gossip,
@@ -348,10 +350,10 @@
                 ControlReply::Beat(Box::new(own))
             }
             ControlRequest::Probe(_) => ControlReply::Probed(None),
-            ControlRequest::Loan(req) => {
+            ControlRequest::Loan(LoanMessage::Request(req)) => {
                 ControlReply::Loan(self.budgets.on_loan_request(now, &req))
             }
-            ControlRequest::Return(returned) => {
+            ControlRequest::Loan(LoanMessage::Return(returned)) => {
                 self.budgets.on_loan_return(now, &returned);
                 ControlReply::Done
             }
@@ -452,26 +454,25 @@
         }
     }
 
-    /// Sends the loan requests that are due.
+    /// Sends the loan messages that are due.
     pub(super) fn ask_for_loans(&mut self, now: Instant) {
-        for (to, req) in self.budgets.loan_requests(now) {
-            let Some(peer) = self.membership.peer(&to) else {
-                continue;
-            };
-            let address = peer.contact.peers;
-            let msg = ControlRequest::Loan(req);
-            self.send(Errand::Control { to, address, msg });
-        }
+        let messages = self.budgets.loan_messages(now);
+        self.send_loans(messages);
     }
 
     /// Gives all loans back before a stop.
     pub(super) fn return_loans(&mut self, now: Instant) {
-        for (to, returned) in self.budgets.return_all(now) {
+        let messages = self.budgets.return_all(now);
+        self.send_loans(messages);
+    }
+
+    fn send_loans(&self, messages: Messages) {
+        for (to, msg) in messages {
             let Some(peer) = self.membership.peer(&to) else {
                 continue;
             };
             let address = peer.contact.peers;
-            let msg = ControlRequest::Return(returned);
+            let msg = ControlRequest::Loan(msg);
             self.send(Errand::Control { to, address, msg });
         }
     }
--- a/src/host/queueing.rs
+++ b/src/host/queueing.rs
@@ -19,6 +19,7 @@
         },
     },
     pool::Pick,
+    quarantine::Admission,
     refusal::{
         Reason,
         Refusal, //
@@ -94,6 +95,13 @@
         let decision = pool.pick(now, msg.local_only, &mut self.rng);
         match decision.pick {
             Pick::Upstream { address, .. } => {
+                match self.quarantine.admit(now, msg.suspect, address) {
+                    Admission::Run => {}
+                    Admission::Alone => {
+                        self.alone.insert(address, msg.suspect);
+                    }
+                    Admission::Busy | Admission::Refused => return None,
+                }
                 pool.started(now, address);
                 let target = explain::Target::Upstream(address);
                 self.record_route(now, msg, target, why, basis);
--- a/src/host/start.rs
+++ b/src/host/start.rs
@@ -36,10 +36,7 @@
         Permit,
         RequestFingerprint, //
     },
-    quarantine::{
-        Admission,
-        Suspect, //
-    },
+    quarantine::Suspect,
     refusal::{
         Outcome,
         Reason,
@@ -189,11 +186,10 @@
     }
 
     /// Refuses a request that is like those that killed upstreams.
-    fn admit_suspect(&mut self, now: Instant, suspect: Suspect) -> Result<(), Refusal> {
-        match self.quarantine.admit(now, suspect) {
-            Admission::Run | Admission::Alone => Ok(()),
-            Admission::Busy => Err(Refusal::not_run(Reason::Overload)),
-            Admission::Refused => Err(Refusal::not_run(Reason::Quarantined)),
+    fn admit_suspect(&self, now: Instant, suspect: Suspect) -> Result<(), Refusal> {
+        match self.quarantine.is_refused(now, suspect) {
+            true => Err(Refusal::not_run(Reason::Quarantined)),
+            false => Ok(()),
         }
     }
 
@@ -267,7 +263,6 @@
         let running = Running {
             once,
             service: route.service.clone(),
-            suspect: msg.suspect,
             entered,
             foreign: msg.foreign && !entered,
         };
@@ -290,7 +285,6 @@
         if running.foreign {
             self.loads.foreign_ended(&running.service);
         }
-        self.quarantine.end_alone(running.suspect);
         let Some(permit) = running.once else {
             return;
         };
