Split the budgets by job; test a loan with both sides loaded

The new test runs lender and borrower under load at once: without the lender's withholding it fails.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -13,10 +13,28 @@
     time::Duration, //
 };
 
-use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+
+mod debit;
+mod loans;
+
+pub(crate) use debit::LOOK_AGAIN;
+pub use debit::{
+    Attempt,
+    Debit,
+    Refusal, //
+};
+use debit::{
+    RETRY_AFTER_MIN,
+    decide,
+    refused, //
+};
+pub use loans::{
+    ASK_PERIOD,
+    ASKS_MAX,
+    Messages, //
+};
 
 pub use crate::account::{
     Holding,
@@ -25,8 +43,6 @@
 use crate::{
     account::{
         Account,
-        Action,
-        Ask,
         Lender, //
     },
     bucket::Quota,
@@ -35,13 +51,7 @@
         Member,
         Revision, //
     },
-    loan::{
-        LoanMessage,
-        LoanReply,
-        LoanRequest,
-        LoanReturn,
-        RESTART_WITHHOLD, //
-    },
+    loan::RESTART_WITHHOLD,
     share::{
         self,
         MILLI_REQUESTS,
@@ -58,18 +68,10 @@
 /// The longest gap in a host's own calls after which it still spends its own
 /// share without asking whether the share is still its own.
 pub const PAUSE_MAX: Duration = Duration::from_secs(10);
-/// The most loan requests that a host sends in [`ASK_PERIOD`].
-pub const ASKS_MAX: usize = 32;
-/// The period of [`ASKS_MAX`].
-pub const ASK_PERIOD: Duration = Duration::from_millis(500);
-/// How often a held-back request looks again.
-pub(crate) const LOOK_AGAIN: Duration = Duration::from_millis(10);
 /// The shortest time that paced work waits.
 const PACE_MIN: Duration = Duration::from_millis(1);
 /// The longest time that paced work waits before it looks again.
 const PACE_MAX: Duration = Duration::from_millis(100);
-/// The shortest time that a refused caller is told to wait.
-const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 
 /// What a host's own shares are worked out from.
 #[derive(Clone, Debug)]
@@ -100,56 +102,6 @@
     AskedBeforePause,
 }
 
-/// Whether a request tries for the first time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Attempt {
-    /// It was not held back before.
-    First,
-    /// It was held back, and its first try was at this instant.
-    Again {
-        /// The instant of the first try.
-        since: Instant,
-    },
-}
-
-/// Why a debit was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// The shares and loans that this host holds are used up.
-    Rate,
-    /// The host holds no share, and nobody lends it one.
-    NoShare,
-    /// The host was paused and has not yet heard that its share is still its own.
-    Unvalidated,
-    /// The configuration knows no such quantity.
-    Unknown,
-    /// The host gave its shares back and stops.
-    Stopping,
-}
-
-/// The answer to a debit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Debit {
-    /// The amount was taken. Send at once: a start later than the debit is not accounted for.
-    Granted,
-    /// Hold the request back and try again with [`Attempt::Again`] at this
-    /// instant, or when a loan reply came in.
-    Wait {
-        /// When to try again.
-        until: Instant,
-    },
-    /// The request does not run.
-    Refused {
-        /// When to come back.
-        retry_after: Duration,
-        /// Why.
-        reason: Refusal,
-    },
-}
-
-/// The loan messages to send, each with the host that it goes to.
-pub type Messages = SmallVec<[(HostName, LoanMessage); 4]>;
-
 /// One host's budgets.
 #[derive(Debug)]
 pub struct Budgets {
@@ -373,110 +325,7 @@
         }
         let holdings = self.holdings.as_ref()?;
         let whole = find(&holdings.wholes, resource)?;
-        Some(lenders(whole, holdings, &self.host))
-    }
-
-    /// Returns the loan messages to send now, renewals among them. Call it at
-    /// each tick and after a debit that waits; at most [`ASKS_MAX`] go out in
-    /// [`ASK_PERIOD`].
-    pub fn loan_messages(&mut self, now: Instant) -> Messages {
-        self.observe(now);
-        let mut messages = Messages::new();
-        if self.stopping {
-            return messages;
-        }
-        if now.saturating_duration_since(self.asks_since) >= ASK_PERIOD {
-            self.asks = 0;
-            self.asks_since = now;
-        }
-        let active: Vec<Resource> = self.active.iter().cloned().collect();
-        for resource in active {
-            self.ask_for(now, resource, &mut messages);
-        }
-        messages
-    }
-
-    fn ask_for(&mut self, now: Instant, resource: Resource, messages: &mut Messages) {
-        let lenders = self.lenders_if_needed(&resource);
-        let Some(account) = self.accounts.get_mut(&resource) else {
-            return;
-        };
-        if let Some(lenders) = lenders {
-            account.set_lenders(lenders);
-        }
-        if !account.is_active(now) {
-            self.active.remove(&resource);
-            return;
-        }
-        let (host, incarnation) = (&self.host, self.incarnation);
-        let asks = account.asks(now, ASKS_MAX - self.asks);
-        self.asks += asks.len();
-        for ask in asks {
-            messages.push(loan_message(host, incarnation, resource.clone(), ask));
-        }
-    }
-
-    /// Answers another host's request; none where the request is older than one answered before.
-    pub fn on_loan_request(&mut self, now: Instant, req: &LoanRequest) -> Option<LoanReply> {
-        self.observe(now);
-        if self.stopping || self.unvalidated_since.is_some() {
-            return None;
-        }
-        let host = self.host.clone();
-        self.accounts.get_mut(&req.resource)?.lend(now, &host, req)
-    }
-
-    /// Takes the answer to an own request in.
-    pub fn on_loan_reply(&mut self, now: Instant, reply: &LoanReply) {
-        self.observe(now);
-        if reply.borrower != self.host || reply.incarnation != self.incarnation {
-            return;
-        }
-        if let Some(account) = self.accounts.get_mut(&reply.resource) {
-            account.take_reply(now, reply);
-        }
-    }
-
-    /// Takes back what a borrower gives up.
-    pub fn on_loan_return(&mut self, now: Instant, returned: &LoanReturn) {
-        self.observe(now);
-        if let Some(account) = self.accounts.get_mut(&returned.resource) {
-            account.take_back(now, returned);
-        }
-    }
-
-    /// Gives everything back for a graceful stop; no debit is granted from here on.
-    pub fn return_all(&mut self, now: Instant) -> Messages {
-        self.observe(now);
-        self.stopping = true;
-        let mut messages = Messages::new();
-        for (resource, account) in &mut self.accounts {
-            for ask in account.give_back(now) {
-                messages.push(loan_message(
-                    &self.host,
-                    self.incarnation,
-                    resource.clone(),
-                    ask,
-                ));
-            }
-        }
-        messages
-    }
-
-    /// Reports whether the stopping host holds nothing and lent out nothing, so
-    /// that its last heartbeat may say that it released its shares.
-    pub fn is_released(&mut self, now: Instant) -> bool {
-        self.observe(now);
-        if !self.stopping || now < self.spendable_from {
-            return false;
-        }
-        for account in self.accounts.values_mut() {
-            account.settle(now);
-            if !account.is_home() {
-                return false;
-            }
-        }
-        true
+        Some(loans::lenders(whole, holdings, &self.host))
     }
 
     /// Returns the quota that may be spent of a quantity at an instant, loans included.
@@ -500,115 +349,7 @@
     }
 }
 
-fn loan_message(
-    borrower: &HostName,
-    incarnation: Incarnation,
-    resource: Resource,
-    ask: Ask,
-) -> (HostName, LoanMessage) {
-    let borrower = borrower.clone();
-    let msg = match ask.action {
-        Action::Request { wanted } => LoanMessage::Request(LoanRequest {
-            resource,
-            borrower,
-            incarnation,
-            sequence: ask.sequence,
-            held: ask.held,
-            wanted,
-        }),
-        Action::Return { tokens } => LoanMessage::Return(LoanReturn {
-            resource,
-            borrower,
-            incarnation,
-            sequence: ask.sequence,
-            held: ask.held,
-            tokens,
-        }),
-    };
-    (ask.lender, msg)
-}
-
-fn decide(
-    account: &mut Account,
-    now: Instant,
-    amount: u64,
-    floor: u64,
-    attempt: Attempt,
-    reason: Refusal,
-) -> Debit {
-    let since = match attempt {
-        Attempt::First => now,
-        Attempt::Again { since } => since,
-    };
-    let park_until = since + PARK_MAX;
-    // Requests that were held back earlier go first.
-    let floor = floor.saturating_add(account.parked_before(now, park_until));
-    if account.take(now, amount, floor) {
-        account.unpark(park_until);
-        return Debit::Granted;
-    }
-    let refill = account.refill_time(now, amount.saturating_add(floor));
-    let left = park_until.saturating_duration_since(now);
-    let wait = match refill {
-        _ if account.may_borrow(now, park_until) => Some(LOOK_AGAIN),
-        Some(t) if t <= left => Some(t.max(LOOK_AGAIN)),
-        _ => None,
-    };
-    if let Some(wait) = wait
-        && !left.is_zero()
-        && (attempt != Attempt::First || account.park(now, park_until, amount))
-    {
-        return Debit::Wait {
-            until: (now + wait).min(park_until),
-        };
-    }
-    account.unpark(park_until);
-    account.count_refusal();
-    let reason = match (reason, account.quota().rate) {
-        (Refusal::Rate, 0) => Refusal::NoShare,
-        _ => reason,
-    };
-    refused(refill.unwrap_or_default().max(RETRY_AFTER_MIN), reason)
-}
-
-fn refused(retry_after: Duration, reason: Refusal) -> Debit {
-    Debit::Refused {
-        retry_after,
-        reason,
-    }
-}
-
 fn find<'a>(wholes: &'a [Whole], resource: &Resource) -> Option<&'a Whole> {
     let found = wholes.binary_search_by(|w| w.resource.cmp(resource));
     found.ok().map(|i| &wholes[i])
 }
-
-/// Returns the hosts that hold shares, those of the own zone first and the
-/// others from a place in the list that differs between hosts.
-fn lenders(whole: &Whole, holdings: &Holdings, host: &HostName) -> Vec<Lender> {
-    let mut lenders = lenders_in(whole, &holdings.ledger, host);
-    let mut others = Vec::new();
-    for ledger in &holdings.others {
-        others.extend(lenders_in(whole, ledger, host));
-    }
-    if !others.is_empty() {
-        let place = xxh3_64(host.as_str().as_bytes()) % others.len() as u64;
-        others.rotate_left(place as usize);
-    }
-    lenders.append(&mut others);
-    lenders
-}
-
-fn lenders_in(whole: &Whole, ledger: &Ledger, host: &HostName) -> Vec<Lender> {
-    let mut lenders = Vec::new();
-    if let Some(last) = ledger.members.last() {
-        for member in share::homes(&whole.resource, &last.hosts) {
-            let share = share::principal(whole, ledger, member);
-            if member.name == *host || share.is_zero() {
-                continue;
-            }
-            lenders.push(Lender::new(member.name.clone(), share));
-        }
-    }
-    lenders
-}
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -100,6 +100,26 @@
     assert_within(&fleet);
 }
 
+#[test]
+fn what_one_host_borrowed_the_lenders_do_not_spend() {
+    for (seed, slow) in [(16, 0), (17, 500)] {
+        let mut fleet = settled(seed, 1, 4);
+        fleet.faults = Faults {
+            lost: slow / 5,
+            repeated: slow,
+            slow,
+        };
+        for borrower in [0, 1, 2, 3, 0, 1] {
+            fleet.run(secs(6), |i, rng| match i == borrower {
+                true => poisson(rng, FLOOD * 4.0),
+                false => 0,
+            });
+            fleet.run(secs(8), |_, rng| poisson(rng, FLOOD));
+        }
+        assert_within(&fleet);
+    }
+}
+
 #[test]
 fn without_contact_each_host_spends_its_own_share() {
     let mut fleet = settled(5, 6, 2);
@@ -264,6 +284,7 @@
 proptest! {
     #![proptest_config(Config {
         cases: 12,
+        max_shrink_iters: 40,
         rng_seed: RngSeed::Fixed(20),
         failure_persistence: None,
         ..Config::default()
