--- a/src/util/id.rs
+++ b/src/util/id.rs
@@ -3,6 +3,8 @@
 //! Names are kept as bytes and become text only for display.
 
 use std::{
+    cell::RefCell,
+    collections::HashSet,
     fmt,
     str::FromStr, //
 };
@@ -12,7 +14,8 @@
     Deserialize,
     Deserializer,
     Serialize,
-    Serializer, //
+    Serializer,
+    de::Visitor, //
 };
 use sha2::{
     Digest,
@@ -91,13 +94,45 @@
 
         impl<'de> Deserialize<'de> for $type {
             fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-                let text = String::deserialize(d)?;
-                text.parse().map_err(serde::de::Error::custom)
+                d.deserialize_str(NameVisitor).map(Self)
             }
         }
     };
 }
 
+/// Reads a name; equal names that are read one after another share their bytes.
+struct NameVisitor;
+
+impl Visitor<'_> for NameVisitor {
+    type Value = Bytes;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a string")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Bytes, E> {
+        READ_NAMES.with_borrow_mut(|names| {
+            if let Some(name) = names.get(text.as_bytes()) {
+                return Ok(name.clone());
+            }
+            check_name(text).map_err(E::custom)?;
+            if names.len() >= READ_NAMES_MAX {
+                names.clear();
+            }
+            let name = Bytes::copy_from_slice(text.as_bytes());
+            names.insert(name.clone());
+            Ok(name)
+        })
+    }
+}
+
+/// The names that a thread remembers to share them.
+const READ_NAMES_MAX: usize = 1024;
+
+thread_local! {
+    static READ_NAMES: RefCell<HashSet<Bytes>> = RefCell::default();
+}
+
 name!(
     /// The name of a region.
     RegionName
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -214,6 +214,23 @@
     });
 }
 
+#[test]
+fn stale_answers_do_not_hide_a_write_that_took_effect() {
+    run(async {
+        let store = FakeStore::new();
+        apply(&store, set(1), write(1)).await.unwrap();
+        store.plan_get(HEAD_KEY, Fault::None);
+        store.plan_put(HEAD_KEY, Fault::LostAfter);
+        store.plan_get(HEAD_KEY, Fault::Stale);
+        store.plan_get(HEAD_KEY, Fault::Stale);
+        let applied = apply(&store, set(2), write(2)).await.unwrap();
+        assert_eq!(
+            (applied.generation, applied.read_back),
+            (Generation(2), true)
+        );
+    });
+}
+
 #[test]
 fn lost_write_is_told_from_one_that_took_effect() {
     run(async {
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -58,6 +58,7 @@
     late: Vec<LateWrite>,
     plan: VecDeque<Fault>,
     put_plan: Vec<(String, Fault)>,
+    get_plan: Vec<(String, Fault)>,
     down: bool,
 }
 
@@ -106,6 +107,11 @@
         }
     }
 
+    /// Plans how the next read of a key fails.
+    pub fn plan_get(&self, key: &str, fault: Fault) {
+        self.state().get_plan.push((key.to_owned(), fault));
+    }
+
     /// Returns all values that a key ever had.
     pub fn history(&self, key: &str) -> Vec<(Version, Bytes)> {
         self.state().objects.get(key).cloned().unwrap_or_default()
@@ -176,6 +182,12 @@
     }
 }
 
+/// Takes the first fault that is planned for a key.
+fn take(plan: &mut Vec<(String, Fault)>, key: &str) -> Option<Fault> {
+    let i = plan.iter().position(|(k, _)| k == key)?;
+    Some(plan.remove(i).1)
+}
+
 fn refused(key: &str) -> StoreError {
     StoreError::Refused {
         key: key.to_owned(),
@@ -194,7 +206,11 @@
     async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
         self.begin().await;
         let mut state = self.state();
-        let back = match state.next_fault() {
+        let mut fault = state.next_fault();
+        if let Some(planned) = take(&mut state.get_plan, key) {
+            fault = planned;
+        }
+        let back = match fault {
             Fault::Refused => return Err(refused(key)),
             Fault::LostBefore | Fault::LostAfter | Fault::Late(_) => return Err(unanswered()),
             Fault::Stale => 1,
@@ -217,8 +233,8 @@
         self.begin().await;
         let mut state = self.state();
         let mut fault = state.next_fault();
-        if let Some(i) = state.put_plan.iter().position(|(k, _)| k == key) {
-            fault = state.put_plan.remove(i).1;
+        if let Some(planned) = take(&mut state.put_plan, key) {
+            fault = planned;
         }
         match fault {
             Fault::None | Fault::Stale => state.write(key, value, condition),
