--- a/standins/src/bin/configuration-size.rs
+++ b/standins/src/bin/configuration-size.rs
@@ -7,7 +7,10 @@
 use std::{
     fs,
     net::Ipv4Addr,
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     time::Instant, //
 };
 
@@ -86,7 +89,7 @@
     }
 }
 
-fn make(base: &PathBuf, blocks: u32, file: &PathBuf) -> Result<()> {
+fn make(base: &Path, blocks: u32, file: &Path) -> Result<()> {
     let mut set = parse(&cardamomroad::config::parse::read(base)?)?;
     set.blocks = client_blocks(&set, blocks)?;
     set.sort();
@@ -126,7 +129,7 @@
     Ok(())
 }
 
-fn load(file: &PathBuf) -> Result<()> {
+fn load(file: &Path) -> Result<()> {
     let bytes = fs::read(file)?;
     println!("whole_set_bytes {}", bytes.len());
     memory("before")?;
