--- a/src/control.rs
+++ b/src/control.rs
@@ -37,7 +37,10 @@
         object::Set, //
     },
     connection::SendError,
-    credential::WithdrawnPage,
+    credential::{
+        WithdrawnAsk,
+        WithdrawnPage, //
+    },
     gateway::Gateway,
     host::news::Answer,
     ledger::{
@@ -45,9 +48,8 @@
         Revision, //
     },
     loan::{
-        LoanReply,
-        LoanRequest,
-        LoanReturn, //
+        LoanMessage,
+        LoanReply, //
     },
     membership::{
         Gossip,
@@ -122,14 +124,12 @@
     Beat(Box<Beat>),
     /// Asks to send a heartbeat to another host.
     Probe(HostName),
-    /// Asks for a loan.
-    Loan(LoanRequest),
-    /// Gives a loan back.
-    Return(LoanReturn),
+    /// Asks for a loan, or gives one back.
+    Loan(LoanMessage),
     /// Asks for what leads on from a generation, or for a whole set.
     Configuration(Option<Generation>),
     /// Compares withdrawn keys.
-    Withdrawn(WithdrawnPage),
+    Withdrawn(WithdrawnAsk),
     /// Passes suspect requests on.
     Suspects(Vec<SuspectEntry>),
     /// Asks for ledgers that are newer than these.
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     adoption::Source,
+    budget::Messages,
     control::{
         Beat,
         ControlReply,
@@ -23,6 +24,10 @@
         Ledgers,
         ServiceLoad, //
     },
+    credential::{
+        WithdrawnAsk,
+        WithdrawnPage, //
+    },
     host::{
         Host,
         errand::Errand,
@@ -33,8 +38,8 @@
         },
     },
     ledger::Ledger,
+    loan::LoanMessage,
     membership::{
-        Claim,
         Facts,
         Gossip,
         LoadSummary,
@@ -185,18 +190,7 @@
         let now = Instant::now();
         self.membership.on_reply(now, &msg.0.heartbeat);
         self.learn(now, &msg.0);
-        let h = &msg.0.heartbeat;
-        Some(Gossip {
-            host: h.from.clone(),
-            incarnation: h.incarnation,
-            stamp: h.stamp,
-            age_seconds: 0,
-            claim: match h.leaving {
-                true => Claim::Leaving,
-                false => Claim::Live,
-            },
-            contact: Some(h.contact.clone()),
-        })
+        self.membership.gossip_of(now, &msg.0.heartbeat.from)
     }
 }
 
@@ -308,7 +302,7 @@
                 refused: 0,
             },
         };
-        self.membership.set_facts(facts);
+        self.membership.set_facts(now, facts);
     }
 
     /// Returns the heartbeat to send to a host.
@@ -356,21 +350,18 @@
                 ControlReply::Beat(Box::new(own))
             }
             ControlRequest::Probe(_) => ControlReply::Probed(None),
-            ControlRequest::Loan(req) => {
+            ControlRequest::Loan(LoanMessage::Request(req)) => {
                 ControlReply::Loan(self.budgets.on_loan_request(now, &req))
             }
-            ControlRequest::Return(returned) => {
+            ControlRequest::Loan(LoanMessage::Return(returned)) => {
                 self.budgets.on_loan_return(now, &returned);
                 ControlReply::Done
             }
             ControlRequest::Configuration(have) => {
                 ControlReply::Configuration(self.configuration_since(have))
             }
-            ControlRequest::Withdrawn(page) => {
-                let reply = self.credentials.answer_page(&page);
-                self.credentials.on_page(&page);
-                self.publish_keys();
-                ControlReply::Withdrawn(reply)
+            ControlRequest::Withdrawn(ask) => {
+                ControlReply::Withdrawn(self.credentials.answer(&ask))
             }
             ControlRequest::Suspects(entries) => {
                 self.quarantine.merge(now, &entries);
@@ -394,7 +385,7 @@
                 self.membership.on_reply(now, &beat.heartbeat);
                 let h = &beat.heartbeat;
                 self.credentials
-                    .on_peer(asked, &h.contact.zone, h.facts.withdrawn, &h.facts.news);
+                    .on_peer(asked, h.facts.withdrawn, &h.facts.news);
                 self.learn(now, &beat);
             }
             (ControlRequest::Probe(target), Some(ControlReply::Probed(heard))) => {
@@ -405,8 +396,7 @@
                 self.budgets.on_loan_reply(now, &reply);
             }
             (ControlRequest::Withdrawn(_), Some(ControlReply::Withdrawn(page))) => {
-                self.credentials.on_page(&page);
-                self.publish_keys();
+                self.take_withdrawn(now, to, &page);
             }
             (ControlRequest::Suspects(_), Some(ControlReply::Suspects(entries))) => {
                 self.quarantine.merge(now, &entries);
@@ -450,7 +440,7 @@
             msg,
         };
         if h.facts.withdrawn != self.credentials.summary() {
-            self.send(ask(ControlRequest::Withdrawn(self.credentials.ask_page())));
+            self.send(ask(ControlRequest::Withdrawn(WithdrawnAsk::Latest)));
         }
         if h.facts.suspects != self.quarantine.summary() {
             let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
@@ -464,26 +454,25 @@
         }
     }
 
-    /// Sends the loan requests that are due.
+    /// Sends the loan messages that are due.
     pub(super) fn ask_for_loans(&mut self, now: Instant) {
-        for (to, req) in self.budgets.loan_requests(now) {
-            let Some(peer) = self.membership.peer(&to) else {
-                continue;
-            };
-            let address = peer.contact.peers;
-            let msg = ControlRequest::Loan(req);
-            self.send(Errand::Control { to, address, msg });
-        }
+        let messages = self.budgets.loan_messages(now);
+        self.send_loans(messages);
     }
 
     /// Gives all loans back before a stop.
     pub(super) fn return_loans(&mut self, now: Instant) {
-        for (to, returned) in self.budgets.return_all(now) {
+        let messages = self.budgets.return_all(now);
+        self.send_loans(messages);
+    }
+
+    fn send_loans(&self, messages: Messages) {
+        for (to, msg) in messages {
             let Some(peer) = self.membership.peer(&to) else {
                 continue;
             };
             let address = peer.contact.peers;
-            let msg = ControlRequest::Return(returned);
+            let msg = ControlRequest::Loan(msg);
             self.send(Errand::Control { to, address, msg });
         }
     }
@@ -553,6 +542,26 @@
         }
     }
 
+    /// Takes in withdrawn keys, and asks on where some are missing.
+    fn take_withdrawn(&mut self, now: Instant, from: HostName, page: &WithdrawnPage) {
+        let before = self.credentials.revision();
+        let next = self.credentials.on_page(page);
+        if self.credentials.revision() != before {
+            self.publish_keys();
+            self.tell_all(now);
+        }
+        let (Some(next), Some(peer)) = (next, self.membership.peer(&from)) else {
+            return;
+        };
+        let address = peer.contact.peers;
+        let msg = ControlRequest::Withdrawn(next);
+        self.send(Errand::Control {
+            to: from,
+            address,
+            msg,
+        });
+    }
+
     fn take_ledgers(&mut self, now: Instant, asked: Instant, received: Ledgers) {
         let is_of_zone = |zone: &ZoneName| *zone == self.cfg.zone;
         let from_own_zone = is_of_zone(&received.zone);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,9 +4,12 @@
 //! Production code never depends on this package. Each stand-in is a library
 //! with a thin program; tests, the demonstration and the benchmarks use both.
 
+pub mod caller;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod policy;
 pub mod process;
+pub mod receipt;
 pub mod store;
 pub mod upstream;
--- a/standins/src/policy/scenario.rs
+++ b/standins/src/policy/scenario.rs
@@ -15,8 +15,8 @@
 
 /// When the fault or change comes, after the start.
 pub const FAULT_AT: Duration = Duration::from_secs(100);
-/// When measuring begins, after the start.
-pub const MEASURE_AT: Duration = Duration::from_secs(40);
+/// When measuring begins where nothing happens, after the start.
+const MEASURE_AT: Duration = Duration::from_secs(40);
 /// The length of a run.
 const LENGTH: Duration = Duration::from_secs(280);
 /// The length of the run with the store out.
@@ -25,6 +25,8 @@
 const STORE_OUT: Duration = Duration::from_secs(600);
 /// How long a zone is cut off.
 const CUT: Duration = Duration::from_secs(90);
+/// The organisation that floods.
+const FLOODING: usize = 1;
 /// The factor of one organisation's short requests when it floods.
 const FLOOD: f64 = 12.0;
 /// The factor of one region's demand while measurements are stopped.
@@ -45,7 +47,7 @@
     RegionLost,
     /// A zone is drained for a deadline.
     Drain,
-    /// A region's short requests move to regions whose caches are cold.
+    /// A region's short requests are moved to upstreams whose caches are cold for them.
     ColdShift,
     /// Measurements stop, then a region's demand grows.
     MeasurementsStop,
@@ -90,6 +92,14 @@
         }
     }
 
+    /// Returns when measuring begins: with the fault, where there is one.
+    pub fn measure_at(self) -> Duration {
+        match self {
+            Self::Steady | Self::Skew => MEASURE_AT,
+            _ => FAULT_AT,
+        }
+    }
+
     /// Returns whether a region is lost.
     pub fn is_lost(self, at: Duration, region: usize) -> bool {
         self == Self::RegionLost && region == 0 && at >= FAULT_AT
@@ -135,13 +145,18 @@
     pub fn part(self, at: Duration, service: usize, organisation: usize, region: usize) -> f64 {
         let fault = at >= FAULT_AT;
         let factor = match self {
-            Self::Flood if fault && organisation == 0 && service == 0 => FLOOD,
+            Self::Flood if fault && self.floods(organisation) && service == 0 => FLOOD,
             Self::MeasurementsStop | Self::StoreOut if fault && region == 0 => SURGE,
             _ => 1.0,
         };
         PARTS[organisation] / REGIONS as f64 * factor
     }
 
+    /// Returns whether an organisation sends several times its rate.
+    pub fn floods(self, organisation: usize) -> bool {
+        self == Self::Flood && organisation == FLOODING
+    }
+
     /// Returns the host that gets most of an organisation's requests.
     pub fn pinned(self, organisation: usize) -> Option<usize> {
         (self == Self::Skew && organisation == 0).then_some(0)
--- a/standins/src/policy/tally.rs
+++ b/standins/src/policy/tally.rs
@@ -44,10 +44,32 @@
 /// Counts of one organisation at one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Count {
-    /// Requests inside the organisation's rate.
+    /// All requests.
+    pub offered: u64,
+    /// Requests inside the organisation's rate, as one bucket for the whole
+    /// fleet would count them.
     pub inside: u64,
-    /// Those that were refused.
-    pub refused: u64,
+    /// Requests that were refused, by reason: rate, overload, unreachable.
+    pub refused: [u64; 3],
+}
+
+impl Count {
+    /// Returns the requests that were not refused.
+    fn served(&self) -> u64 {
+        self.offered - self.refused.iter().sum::<u64>()
+    }
+
+    /// Returns by how many fewer than those inside the rate were served. Which
+    /// ones of an organisation over its rate are refused is all the same.
+    fn wrongful(&self) -> u64 {
+        self.inside.saturating_sub(self.served())
+    }
+
+    /// Returns the wrongful refusals for the rate.
+    fn wrongful_rate(&self) -> u64 {
+        let others = self.refused[1] + self.refused[2];
+        self.wrongful().saturating_sub(others)
+    }
 }
 
 /// The running counts of a run.
@@ -57,8 +79,10 @@
     pub added: Vec<Histogram<u64>>,
     /// Counts by service and organisation.
     pub counts: [[Count; ORGANISATIONS]; SERVICES],
-    /// Wrongful refusals by reason: rate, overload, unreachable.
-    pub wrongful: [u64; 3],
+    /// The time that finished requests held their slots, in seconds, by service.
+    pub held: [f64; SERVICES],
+    /// The requests that finished, by service.
+    pub finished: [u64; SERVICES],
     /// Requests that met an upstream whose slots were all taken.
     pub overloads: u64,
     /// Requests started beyond an organisation's rate and burst.
@@ -77,7 +101,8 @@
         Self {
             added: (0..SERVICES).map(|_| histogram()).collect(),
             counts: Default::default(),
-            wrongful: [0; 3],
+            held: [0.0; SERVICES],
+            finished: [0; SERVICES],
             overloads: 0,
             over_rate: 0,
             lost: 0,
@@ -95,24 +120,21 @@
     }
 
     /// Counts a refusal.
-    pub fn refused(&mut self, service: usize, organisation: usize, inside: bool, why: Refused) {
-        if !inside {
-            return;
-        }
-        self.counts[service][organisation].refused += 1;
-        self.wrongful[why as usize] += 1;
+    pub fn refused(&mut self, service: usize, organisation: usize, why: Refused) {
+        self.counts[service][organisation].refused[why as usize] += 1;
     }
 
-    /// Returns the figures of the run. `capacities` are the requests that each
-    /// service could serve; `link` is the busiest minute of all over its cap.
-    pub fn figures(&self, capacities: [f64; SERVICES], link: f64) -> Figures {
+    /// Returns the figures of the run. `slots` are the seconds that the live
+    /// upstreams' slots offered; `link` is the busiest minute of all over its cap.
+    pub fn figures(&self, slots: [f64; SERVICES], link: f64) -> Figures {
         let ms = |service: usize, q: f64| {
             let units = self.added[service].value_at_quantile(q) as f64;
             units * LATENCY_UNIT.as_secs_f64() * 1e3
         };
         let inside: u64 = self.counts.iter().flatten().map(|c| c.inside).sum();
         let per_million = |n: u64| n as f64 / inside.max(1) as f64 * MILLION;
-        let shares = (0..SERVICES).map(|s| worst_share(&self.counts[s], capacities[s]));
+        let shares =
+            (0..SERVICES).map(|s| worst_share(&self.counts[s], self.capacity(s, slots[s])));
         Figures {
             short_p50_ms: ms(0, 0.5),
             short_p99_ms: ms(0, 0.99),
@@ -121,8 +143,8 @@
             link_peak: link,
             drain_ratio: self.drain_ratio(),
             worst_share: shares.fold(1.0, f64::min),
-            wrongful_ppm: per_million(self.wrongful.iter().sum()),
-            wrongful_rate_ppm: per_million(self.wrongful[0]),
+            wrongful_ppm: per_million(self.sum(Count::wrongful)),
+            wrongful_rate_ppm: per_million(self.sum(Count::wrongful_rate)),
             overloads: self.overloads,
             over_rate: self.over_rate,
             lost: self.lost,
@@ -130,6 +152,16 @@
         }
     }
 
+    /// Returns the requests that the slots could serve at the mean time that
+    /// requests held them.
+    fn capacity(&self, service: usize, slots: f64) -> f64 {
+        slots * self.finished[service] as f64 / self.held[service].max(f64::MIN_POSITIVE)
+    }
+
+    fn sum(&self, count: impl Fn(&Count) -> u64) -> u64 {
+        self.counts.iter().flatten().map(count).sum()
+    }
+
     fn drain_ratio(&self) -> Option<f64> {
         let bound = self.drain_bound?;
         let at = self.drained_at?;
@@ -141,7 +173,7 @@
 fn worst_share(counts: &[Count; ORGANISATIONS], capacity: f64) -> f64 {
     let claims: Vec<Claim> = counts.iter().map(|c| Claim::new(c.inside, 1)).collect();
     let entitled = divide(capacity as u64, &claims);
-    let served = counts.iter().map(|c| c.inside - c.refused);
+    let served = counts.iter().map(Count::served);
     let parts = served.zip(entitled).filter(|(_, e)| *e > 0);
     parts.map(|(s, e)| s as f64 / e as f64).fold(1.0, f64::min)
 }
--- a/standins/src/policy/world.rs
+++ b/standins/src/policy/world.rs
@@ -62,7 +62,6 @@
     },
     scenario::{
         FAULT_AT,
-        MEASURE_AT,
         Policy,
         SKEW,
         Scenario,
@@ -119,6 +118,8 @@
     pub host: usize,
     /// The gateway whose upstream runs it.
     pub gateway: usize,
+    /// The gateway of the same zone that passed it on.
+    pub passed_by: Option<usize>,
     /// The upstream's zone and index there.
     pub server: (usize, usize),
     /// Bytes of the upload.
@@ -135,8 +136,6 @@
     pub best: Duration,
     /// Delays of the way that are not simulated as events.
     pub way: Duration,
-    /// Whether it is inside its organisation's rate.
-    pub inside: bool,
     /// Whether it counts.
     pub measured: bool,
     /// When it was held back first.
@@ -201,7 +200,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             hosts: setup::hosts(d, &set, start),
-            servers: setup::servers(d, start),
+            servers: setup::servers(d),
             links: vec![LinkMeter::default(); REGIONS * (REGIONS - 1)],
             callers: setup::callers(),
             reqs: Vec::new(),
@@ -233,7 +232,7 @@
             self.now = at;
             self.handle(event);
         }
-        self.tally.figures(self.capacities(), self.link_peak())
+        self.tally.figures(self.slot_seconds(), self.link_peak())
     }
 
     fn handle(&mut self, event: Event) {
@@ -244,7 +243,10 @@
             Event::Served(id) => self.served(id),
             Event::Answer(id) => self.answer(id),
             Event::Tick => self.tick(),
-            Event::Plan => self.plan(),
+            Event::Plan => {
+                self.at(cardamomroad::planner::PLAN_PERIOD, Event::Plan);
+                self.step_planners();
+            }
             Event::Publish(region) => self.publish(region),
         }
     }
@@ -314,12 +316,14 @@
         let upload = self.d.services[service].upload.as_ref();
         let transfer = upload.map_or(0.0, |u| size / u.uplink);
         let inside = self.inside[organisation].debit(self.now, MILLI_REQUESTS);
-        let measured = self.offset() >= MEASURE_AT;
-        self.tally.counts[service][organisation].inside += u64::from(inside && measured);
+        let measured = self.offset() >= self.scenario.measure_at();
+        let count = &mut self.tally.counts[service][organisation];
+        count.inside += u64::from(inside && measured);
+        count.offered += u64::from(measured);
         let Some(host) = self.entry(organisation, zone) else {
             if measured {
-                let why = Refused::Unreachable;
-                self.tally.refused(service, organisation, inside, why);
+                self.tally
+                    .refused(service, organisation, Refused::Unreachable);
             }
             return;
         };
@@ -328,6 +332,7 @@
             service,
             host,
             gateway: host,
+            passed_by: None,
             server: (0, 0),
             size,
             left: 0,
@@ -336,7 +341,6 @@
             deadline: self.now + Duration::from_secs(2),
             best: nearest * 2 + work + Duration::from_secs_f64(transfer),
             way: delay(region_of(self.hosts[host].zone)) * 2,
-            inside,
             measured,
             since: None,
             reserved: None,
@@ -404,6 +408,10 @@
             Debit::Granted => {
                 let within = self.started[organisation].debit(self.now, MILLI_REQUESTS);
                 self.tally.over_rate += u64::from(!within);
+                let zone = self.hosts[host].zone;
+                if let Some(req) = &self.reqs[id] {
+                    self.observed.count(zone, req.service);
+                }
                 self.place(id);
             }
             Debit::Wait { until } => {
@@ -422,8 +430,7 @@
             return;
         };
         if req.measured {
-            self.tally
-                .refused(req.service, req.organisation, req.inside, why);
+            self.tally.refused(req.service, req.organisation, why);
         }
     }
 
@@ -432,7 +439,7 @@
         let Some(req) = self.remove(id) else {
             return;
         };
-        self.tally.lost += u64::from(req.measured);
+        self.tally.lost += 1;
         if req.runs {
             self.release(&req);
         }
@@ -443,7 +450,7 @@
         let Some(req) = self.remove(id) else {
             return;
         };
-        if req.measured {
+        if req.measured && !self.scenario.floods(req.organisation) {
             let latency = self.now - req.born + req.way;
             self.tally
                 .answered(req.service, latency.saturating_sub(req.best));
@@ -472,8 +479,9 @@
         most / self.d.link.bytes_per_minute().0 as f64
     }
 
-    /// Returns the requests that the live upstreams could serve while measured.
-    fn capacities(&self) -> [f64; SERVICES] {
+    /// Returns the seconds of slots that live upstreams offered while measured.
+    fn slot_seconds(&self) -> [f64; SERVICES] {
+        let begin = self.scenario.measure_at();
         let at = |service: usize| {
             let sizing = &self.d.services[service];
             let zones = (0..ZONES).map(|zone| {
@@ -484,10 +492,10 @@
                 } else {
                     self.scenario.length()
                 };
-                (open - MEASURE_AT).as_secs_f64()
+                open.saturating_sub(begin).as_secs_f64()
             });
             let slots = sizing.servers_per_zone() as f64 * f64::from(sizing.slots);
-            zones.sum::<f64>() * slots / sizing.mean_hold()
+            zones.sum::<f64>() * slots
         };
         [at(0), at(1)]
     }
@@ -501,8 +509,9 @@
         }
     }
 
-    fn plan(&mut self) {
-        self.at(cardamomroad::planner::PLAN_PERIOD, Event::Plan);
+    /// Lets all planners take a step, as they do from time to time and when the
+    /// configuration changes.
+    pub(super) fn step_planners(&mut self) {
         for region in 0..REGIONS {
             if !self.step_planner(region) {
                 continue;
