--- a/standins/src/policy/planning.rs
+++ b/standins/src/policy/planning.rs
@@ -5,6 +5,7 @@
 use cardamomroad::{
     config::object,
     drain::Progress,
+    loan::LoanMessage,
     lookup,
     planner::view::{
         Capacity,
@@ -144,18 +145,30 @@
             if self.policy == Policy::StaticShares {
                 continue;
             }
-            for (lender, req) in self.hosts[host].budgets.loan_requests(self.now) {
+            for (lender, message) in self.hosts[host].budgets.loan_messages(self.now) {
                 let Some(to) = self.hosts.iter().position(|h| h.name == lender) else {
                     continue;
                 };
                 if !self.reaches(zone, self.hosts[to].zone) {
                     continue;
                 }
-                let reply = self.hosts[to].budgets.on_loan_request(self.now, &req);
-                if let Some(reply) = reply {
-                    self.hosts[host].budgets.on_loan_reply(self.now, &reply);
-                }
+                self.pass_on(host, to, &message);
+            }
+        }
+    }
+
+    /// Lets one host hear another's word about a loan.
+    fn pass_on(&mut self, from: usize, to: usize, message: &LoanMessage) {
+        let lender = &mut self.hosts[to].budgets;
+        let reply = match message {
+            LoanMessage::Request(req) => lender.on_loan_request(self.now, req),
+            LoanMessage::Return(returned) => {
+                lender.on_loan_return(self.now, returned);
+                None
             }
+        };
+        if let Some(reply) = reply {
+            self.hosts[from].budgets.on_loan_reply(self.now, &reply);
         }
     }
 
