--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -60,6 +60,9 @@
 /// The time between two looks at a condition that only a status shows.
 const WAIT_STEP: Duration = Duration::from_millis(20);
 
+/// The tokens that one request takes.
+const TOKENS_PER_REQUEST: u64 = 1000;
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Fleet {
@@ -245,6 +248,24 @@
         Ok(())
     }
 
+    /// Waits until every running host may start so many requests of an organisation at once.
+    pub async fn wait_for_budget(
+        &self,
+        organisation: &str,
+        requests: u64,
+    ) -> Result<(), StandinError> {
+        let name = format!("organisation/{organisation}");
+        let tokens = requests * TOKENS_PER_REQUEST;
+        for host in self.hosts.iter().filter(|h| h.is_running()) {
+            host.wait_until(&format!("budget of {organisation}"), |s| {
+                let of_it = s.budgets.iter().find(|b| b.name == name);
+                of_it.is_some_and(|b| b.tokens >= tokens)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Returns the upstreams of a zone.
     pub fn upstreams_in<'a>(
         &'a self,
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -23,6 +23,7 @@
     let key = demonstration_key("hue-fitters");
     let caller = Caller::new(fleet.caller("fitter", "dispatch").with_key(&key));
 
+    fleet.wait_for_budget("hue-fitters", 3).await.unwrap();
     let answer = caller.lookup().await.unwrap();
     assert!(!answer.hosts.is_empty(), "{answer:?}");
 
