--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -206,22 +206,22 @@
             cause: "it names no host".to_owned(),
         })?;
         let id = (!ask.idempotent).then(|| first.request_id(&self.token()));
-        let mut tries = 0;
+        let mut tried = Vec::new();
         loop {
-            let host = hosts[tries as usize % hosts.len()].address;
+            let host = hosts[0].address;
             let mut reply = self.exchange(host, &ask, id.as_deref()).await;
-            tries += 1;
-            reply.tries = tries;
+            tried.push(host);
+            reply.tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             reply.latency = started.elapsed();
-            if tries >= self.options.tries || !self.repeats(&ask, &reply) {
+            if reply.tries >= self.options.tries || !self.repeats(&ask, &reply) {
                 self.state().tally.add(&reply);
                 return Ok(reply);
             }
             log::debug!("event=repeat host={host} token={} {reply}", ask.token);
             self.forget_lookup();
-            if let Ok(answer) = self.lookup().await {
-                hosts = lookup::others_first(&answer.hosts, &hosts, host);
-            }
+            let answer = self.lookup().await;
+            let new = answer.as_ref().map_or(&[][..], |a| &a.hosts);
+            hosts = lookup::untried_first(new, &hosts, &tried);
         }
     }
 
--- a/standins/src/caller/lookup.rs
+++ b/standins/src/caller/lookup.rs
@@ -72,11 +72,11 @@
     Err(last)
 }
 
-/// Returns the hosts to go on with after one failed: all new and old ones, that one last.
-pub(super) fn others_first(
+/// Returns the hosts to go on with, new and old ones, the least tried first.
+pub(super) fn untried_first(
     new: &[LookupHost],
     old: &[LookupHost],
-    failed: SocketAddr,
+    tried: &[SocketAddr],
 ) -> Vec<LookupHost> {
     let mut hosts: Vec<LookupHost> = Vec::new();
     for host in new.iter().chain(old) {
@@ -85,6 +85,6 @@
         }
         hosts.push(host.clone());
     }
-    hosts.sort_by_key(|h| h.address == failed);
+    hosts.sort_by_key(|h| tried.iter().filter(|t| **t == h.address).count());
     hosts
 }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -40,7 +40,10 @@
 use self::objects::Objects;
 pub use self::{
     objects::WriteConflict,
-    service::serve,
+    service::{
+        serve,
+        spawn, //
+    },
     switches::{
         Stale,
         SwitchChange,
--- a/standins/src/store/service.rs
+++ b/standins/src/store/service.rs
@@ -1,6 +1,7 @@
 //! The object API and the control calls over HTTP.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -44,13 +45,17 @@
     SwitchChange, //
 };
 use crate::{
-    error::Dropped,
+    error::{
+        Dropped,
+        StandinError, //
+    },
     http::{
         Answer,
         answer,
         json,
         query, //
     },
+    process,
 };
 
 /// The header that names the caller.
@@ -81,6 +86,15 @@
     }
 }
 
+/// Serves an empty store on a loopback port, for tests inside one process.
+pub async fn spawn() -> Result<(Arc<Store>, SocketAddr), StandinError> {
+    let listener = process::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let address = process::local_address(&listener)?;
+    let store = Store::shared();
+    tokio::spawn(serve(listener, Arc::clone(&store)));
+    Ok((store, address))
+}
+
 async fn handle(store: &Store, req: Request<Incoming>) -> Result<Answer, Dropped> {
     if req.uri().path().starts_with("/control/") {
         return Ok(control(store, req).await);
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -57,7 +57,10 @@
         Load,
         Reports, //
     },
-    service::serve,
+    service::{
+        serve,
+        spawn, //
+    },
 };
 use self::{
     log::Log,
@@ -187,6 +190,11 @@
         }
     }
 
+    /// Waits until a condition on the counts holds.
+    pub async fn wait_for(&self, mut holds: impl FnMut(&Counts) -> bool) {
+        self.wait_until(|state| holds(&state.log.counts)).await;
+    }
+
     /// Changes the switches and returns them all.
     pub fn switch(&self, change: SwitchChange) -> Switches {
         self.update(|state| {
--- a/standins/src/upstream/service.rs
+++ b/standins/src/upstream/service.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt::Write as _,
+    net::SocketAddr,
     pin::pin,
     sync::Arc,
     time::Duration, //
@@ -37,7 +38,7 @@
 };
 
 use super::{
-    CRASH_EXIT_CODE, Upstream,
+    CRASH_EXIT_CODE, Options, Upstream,
     answer_body::AnswerBody,
     behaviour::{
         Behaviour,
@@ -56,12 +57,16 @@
     scan::Scanned,
 };
 use crate::{
-    error::Dropped,
+    error::{
+        Dropped,
+        StandinError, //
+    },
     http::{
         Answer,
         answer,
         json, //
     },
+    process,
     receipt::{
         Meter,
         Receipt, //
@@ -89,6 +94,15 @@
     }
 }
 
+/// Serves an upstream on a loopback port, for tests inside one process.
+pub async fn spawn(options: Options) -> Result<(Arc<Upstream>, SocketAddr), StandinError> {
+    let listener = process::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let address = process::local_address(&listener)?;
+    let upstream = Upstream::new(options);
+    tokio::spawn(serve(listener, Arc::clone(&upstream)));
+    Ok((upstream, address))
+}
+
 async fn serve_connection(stream: TcpStream, connection: u64, upstream: Arc<Upstream>) {
     // Answers are small; waiting to fill a segment would only delay them.
     let _ = stream.set_nodelay(true);
