--- a/src/publish/chunk.rs
+++ b/src/publish/chunk.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -23,8 +24,8 @@
     },
 };
 
-/// The mean number of objects in a chunk above which a kind gets more chunks.
-const OBJECTS_PER_CHUNK: usize = 512;
+/// The mean size of a kind's chunks above which it gets more of them.
+const MEAN_CHUNK_BYTES: usize = 32 << 10;
 /// The most chunks of a kind, so that the head stays far under the store's limit.
 const CHUNKS_MAX: usize = 4096;
 /// The largest chunk.
@@ -114,7 +115,8 @@
     held: usize,
     chunks: &mut Chunks,
 ) -> Result<Vec<ChunkDigest>, PublishError> {
-    let count = chunk_count(objects.len(), held);
+    let whole = encode(objects)?;
+    let count = chunk_count(whole.len(), held);
     let mut buckets = vec![Vec::new(); count];
     for object in objects {
         let hash = xxh3_64(object.id().to_string().as_bytes());
@@ -123,8 +125,7 @@
     let mut digests = Vec::with_capacity(count);
     for mut bucket in buckets {
         bucket.sort_by(|a, b| a.id().cmp(b.id()));
-        let chunk = rmp_serde::to_vec(&bucket);
-        let chunk = chunk.map_err(|e| PublishError::malformed(T::KIND.as_str(), &e))?;
+        let chunk = encode(&bucket)?;
         let bytes = chunk.len();
         let digest = chunks.insert(chunk.into());
         if bytes > CHUNK_MAX_BYTES {
@@ -139,10 +140,14 @@
     Ok(digests)
 }
 
+fn encode<T: Serialize>(objects: &[T]) -> Result<Vec<u8>, PublishError> {
+    rmp_serde::to_vec(objects).map_err(|e| PublishError::malformed("cardamomroad/chunk", &e))
+}
+
 /// Returns the number of chunks of a kind, a power of two. The number held
 /// stays until it is far off, because another number changes every chunk.
-fn chunk_count(objects: usize, held: usize) -> usize {
-    let fitting = objects.div_ceil(OBJECTS_PER_CHUNK).next_power_of_two();
+fn chunk_count(bytes: usize, held: usize) -> usize {
+    let fitting = bytes.div_ceil(MEAN_CHUNK_BYTES).next_power_of_two();
     let fitting = fitting.min(CHUNKS_MAX);
     if held.is_power_of_two() && held <= 2 * fitting && fitting <= 2 * held {
         return held;
--- a/src/publish/reader.rs
+++ b/src/publish/reader.rs
@@ -138,10 +138,7 @@
         let key = digest.key();
         let object = read(store, &key).await?;
         match object {
-            Some(object) if ChunkDigest::of(&object.value) == *digest => {
-                self.chunks.insert(object.value);
-                Ok(())
-            }
+            Some(object) if self.chunks.insert(object.value.clone()) == *digest => Ok(()),
             _ => Err(PublishError::ChunkLost(key)),
         }
     }
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -18,7 +18,10 @@
 use cardamomroad::{
     config::{
         index::Index,
-        object::Set, //
+        object::{
+            Pool,
+            Set, //
+        },
     },
     error::StoreError,
     publish::{
@@ -27,6 +30,7 @@
             Publication,
             apply, //
         },
+        chunk::cut,
         head::{
             HEAD_KEY,
             Head,
@@ -180,6 +184,24 @@
     });
 }
 
+#[test]
+fn kind_of_large_objects_is_cut_into_more_chunks() {
+    let mut set = example("skyglass");
+    let pool = set.pools[0].clone();
+    for i in 0..400_u16 {
+        let ports = (0..1000).map(|port| format!("10.0.0.1:{}", 1000 + port).parse().unwrap());
+        set.pools.push(Pool {
+            name: format!("p{i}").parse().unwrap(),
+            upstreams: ports.collect(),
+            ..pool.clone()
+        });
+    }
+    let (manifest, chunks) = cut(&set, None).unwrap();
+    for digest in manifest.all_chunks() {
+        assert!(chunks.get(digest).unwrap().len() < VALUE_MAX_BYTES / 2);
+    }
+}
+
 #[test]
 fn lost_answer_is_resolved_by_reading_back() {
     run(async {
