--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -223,7 +223,7 @@
         };
         for (i, object) in objects.into_iter().enumerate() {
             let line = lines.at(object.span().start);
-            match reader.read(object) {
+            match reader.read(i, object) {
                 Ok(object) => {
                     self.places.add(T::KIND, file, line);
                     T::all_mut(&mut self.set).push(object);
--- a/src/config/parse/object.rs
+++ b/src/config/parse/object.rs
@@ -1,6 +1,9 @@
 //! Reading of one object, with a fault for each field that is at fault.
 
-use std::marker::PhantomData;
+use std::{
+    cell::OnceCell,
+    marker::PhantomData, //
+};
 
 use toml::{
     Spanned,
@@ -44,6 +47,8 @@
 /// Reads objects of one kind from a file's text.
 pub(super) struct ObjectReader<'a, T> {
     text: &'a str,
+    /// The file read once more, where an object of it is at fault.
+    again: OnceCell<Option<DeTable<'a>>>,
     kind: PhantomData<T>,
 }
 
@@ -51,73 +56,91 @@
     pub(super) fn new(text: &'a str) -> Self {
         Self {
             text,
+            again: OnceCell::new(),
             kind: PhantomData,
         }
     }
 
-    /// Reads an object.
-    pub(super) fn read(&self, value: Spanned<DeValue<'a>>) -> Result<T, Unread> {
-        match T::deserialize(ValueDeserializer::from(value.clone())) {
+    /// Reads the object that stands at an index among its kind in the file.
+    pub(super) fn read(&self, index: usize, value: Spanned<DeValue<'a>>) -> Result<T, Unread> {
+        match T::deserialize(ValueDeserializer::from(value)) {
             Ok(object) => Ok(object),
-            Err(e) => Err(self.explain(value.into_inner(), &e)),
+            Err(e) => Err(self.explain(index, &e)),
         }
     }
 
-    /// Finds all fields at fault. Each given field is tried alone in the place
-    /// of the same field of an example that can be read.
-    fn explain(&self, value: DeValue<'a>, e: &Error) -> Unread {
-        let mut unread = Unread {
-            name: None,
-            fields: Vec::new(),
-        };
-        let DeValue::Table(table) = value else {
-            unread.fields.push(unnamed(e));
-            return unread;
+    /// Returns an object as it stands in the file, for messages.
+    fn value(&self, index: usize) -> Option<&DeValue<'a>> {
+        let again = || DeTable::parse(self.text).ok().map(Spanned::into_inner);
+        let table = self.again.get_or_init(again).as_ref()?;
+        let objects = table.get(T::KIND.as_str())?.get_ref().as_array()?;
+        objects.get(index).map(Spanned::get_ref)
+    }
+
+    /// Finds all fields at fault.
+    fn explain(&self, index: usize, e: &Error) -> Unread {
+        let example = Example::new(T::KIND);
+        let (Some(DeValue::Table(table)), Some(example)) = (self.value(index), example) else {
+            return Unread {
+                name: None,
+                fields: vec![unnamed(e)],
+            };
         };
+        let mut fields = self.given(table, &example);
+        fields.extend(self.missing(table, &example));
+        if fields.is_empty() {
+            fields.push(unnamed(e));
+        }
         let name = table.get("name").or_else(|| table.get("net"));
-        unread.name = name.and_then(|name| name.get_ref().as_str().map(str::to_owned));
-        let example = example(T::KIND);
-        let Ok(example_table) = DeTable::parse(example) else {
-            unread.fields.push(unnamed(e));
-            return unread;
-        };
-        let example_table = example_table.into_inner();
-        for (key, value) in &table {
-            let problem = if example_table.contains_key(key.get_ref().as_ref()) {
-                let Err(e) = self.with(&example_table, key, Some(value)) else {
+        let name = name.and_then(|name| name.get_ref().as_str());
+        Unread {
+            name: name.map(str::to_owned),
+            fields,
+        }
+    }
+
+    /// Finds given fields at fault. Each is tried alone in the place of the
+    /// same field of an example that can be read.
+    fn given(&self, table: &DeTable<'a>, example: &Example) -> Vec<UnreadField> {
+        let mut fields = Vec::new();
+        for (key, value) in table {
+            let problem = if example.table.contains_key(key) {
+                let Err(e) = self.with(&example.table, key, Some(value)) else {
                     continue;
                 };
                 Problem::Malformed {
                     value: self.shown(value),
                     cause: e.message().trim().to_owned(),
-                    example: example_line(example, key.get_ref()),
+                    example: example.line(key.get_ref()),
                 }
             } else {
-                let known: Vec<_> = example_table.keys().map(|k| k.get_ref().as_ref()).collect();
-                let known = known.join(", ");
+                let known = example.fields();
                 Problem::UnknownField { known }
             };
-            unread.fields.push(UnreadField {
+            fields.push(UnreadField {
                 name: Some(key.get_ref().to_string()),
                 offset: Some(key.span().start),
                 problem,
             });
         }
-        for key in example_table.keys() {
-            if table.contains_key(key) || self.with(&example_table, key, None).is_ok() {
+        fields
+    }
+
+    /// Finds fields that have to be there and are not.
+    fn missing(&self, table: &DeTable<'a>, example: &Example) -> Vec<UnreadField> {
+        let mut fields = Vec::new();
+        for key in example.table.keys() {
+            if table.contains_key(key) || self.with(&example.table, key, None).is_ok() {
                 continue;
             }
-            let example = example_line(example, key.get_ref());
-            unread.fields.push(UnreadField {
+            let example = example.line(key.get_ref());
+            fields.push(UnreadField {
                 name: Some(key.get_ref().to_string()),
                 offset: None,
                 problem: Problem::MissingField { example },
             });
         }
-        if unread.fields.is_empty() {
-            unread.fields.push(unnamed(e));
-        }
-        unread
+        fields
     }
 
     /// Reads an example with one field set to another value or left out.
@@ -157,14 +180,38 @@
     }
 }
 
-/// Returns the line of an example that holds a field.
-fn example_line(example: &str, field: &str) -> String {
-    let holds = |line: &&str| {
-        line.split_once(" = ")
-            .is_some_and(|(name, _)| name == field)
-    };
-    let line = example.lines().find(holds);
-    line.unwrap_or_default().to_owned()
+/// An object of a kind with all its fields.
+struct Example {
+    text: &'static str,
+    table: DeTable<'static>,
+}
+
+impl Example {
+    fn new(kind: Kind) -> Option<Self> {
+        let text = example(kind);
+        let table = DeTable::parse(text).ok()?.into_inner();
+        Some(Self { text, table })
+    }
+
+    /// Returns the names of all fields.
+    fn fields(&self) -> String {
+        let fields: Vec<_> = self
+            .table
+            .keys()
+            .map(|key| key.get_ref().as_ref())
+            .collect();
+        fields.join(", ")
+    }
+
+    /// Returns the line that holds a field.
+    fn line(&self, field: &str) -> String {
+        let holds = |line: &&str| {
+            let name = line.split_once(" = ").map(|(name, _)| name);
+            name == Some(field)
+        };
+        let line = self.text.lines().find(holds);
+        line.unwrap_or_default().to_owned()
+    }
 }
 
 /// Returns an object of a kind with all its fields.
--- a/standins/src/bin/configuration-size.rs
+++ b/standins/src/bin/configuration-size.rs
@@ -53,6 +53,8 @@
 const HOST_BITS: u32 = 8;
 /// The changes that `load` applies one after another.
 const CHANGES: u64 = 20;
+/// More writes than a head remembers.
+const WRITES: u32 = 100;
 
 #[derive(Parser)]
 struct Arguments {
@@ -113,6 +115,11 @@
         sizes.map(|c| c.len()).max().unwrap_or(0)
     );
     println!("head_bytes {}", head.encode()?.len());
+    let mut old = head.clone();
+    for _ in 0..WRITES {
+        old = Head::new(Some(&old), WriteId::random(), head.manifest.clone());
+    }
+    println!("head_bytes_after_{WRITES}_writes {}", old.encode()?.len());
     let changed = changed(&set, 0);
     let (next, next_chunks) = cut(&changed, Some(&head.manifest))?;
     let new = next.all_chunks().filter(|d| chunks.get(d).is_none());
