--- a/src/lookup.rs
+++ b/src/lookup.rs
@@ -141,9 +141,9 @@
     generation: Generation,
     blocks: Arc<Blocks>,
     /// For each class all zones, best first.
-    order: Arc<Vec<Arc<[ZoneId]>>>,
+    order: Arc<Vec<Order>>,
     /// The order for clients of no block: this host's own zone first.
-    fallback: Arc<[ZoneId]>,
+    fallback: Order,
     zones: Arc<Places>,
     hosts: Vec<Arc<ZoneHosts>>,
     homes: Arc<Homes>,
@@ -157,6 +157,9 @@
 /// The index of a zone in the configuration.
 type ZoneId = u16;
 
+/// Zones by distance; those of one group are equally far.
+type Order = Arc<[SmallVec<[ZoneId; 4]>]>;
+
 /// The zones and the distances between them.
 #[derive(Clone, Debug, Default)]
 struct Places {
@@ -184,20 +187,23 @@
     }
 
     /// Returns all zones, the `near` ones first and the rest by distance from the first.
-    fn order(&self, near: &[ZoneName]) -> Arc<[ZoneId]> {
-        let mut order: Vec<ZoneId> = near
+    fn order(&self, near: &[ZoneName]) -> Order {
+        let named: Vec<ZoneId> = near
             .iter()
             .filter_map(|z| self.ids.get(z).copied())
             .collect();
-        let home = order.first().copied();
-        let named = order.len();
-        for id in self.ids.values() {
-            if !order[..named].contains(id) {
-                order.push(*id);
-            }
-        }
-        order[named..].sort_by_key(|&id| (self.delay(home, id), id));
-        order.into()
+        let home = named.first().copied();
+        let mut rest: Vec<(Duration, ZoneId)> = self
+            .ids
+            .values()
+            .filter(|id| !named.contains(id))
+            .map(|&id| (self.delay(home, id), id))
+            .collect();
+        rest.sort();
+        let far = rest.chunk_by(|a, b| a.0 == b.0);
+        let far = far.map(|group| group.iter().map(|&(_, id)| id).collect());
+        let near = named.iter().map(|&id| SmallVec::from_iter([id]));
+        near.chain(far).collect()
     }
 
     fn delay(&self, home: Option<ZoneId>, id: ZoneId) -> Duration {
@@ -320,17 +326,19 @@
             .flatten()
             .map(|h| xxh3_64(h.as_str().as_bytes()))
             .collect();
-        let closed = |z: &&ZoneId| self.closed.contains(z);
-        let open = order.iter().filter(|z| !closed(z));
+        let hash = client_hash(client);
+        let order = order.iter().flat_map(|group| turned(group, hash));
+        let closed = |z: &ZoneId| self.closed.contains(z);
+        let open = order.clone().filter(|z| !closed(z));
         let mut hosts = SmallVec::new();
         let mut zones = 0;
-        for &zone in open.chain(order.iter().filter(closed)) {
+        for zone in open.chain(order.filter(closed)) {
             if zones == ZONES_MAX || hosts.len() == HOSTS_MAX {
                 break;
             }
             let first = zones == 0;
             let room = if first { HOSTS_BEST } else { 1 };
-            let found = self.best_of(zone, client, &homes, room);
+            let found = self.best_of(zone, hash, &homes, room);
             zones += usize::from(!found.is_empty());
             for host in found {
                 hosts.push(named(host, first));
@@ -352,12 +360,11 @@
     fn best_of(
         &self,
         zone: ZoneId,
-        client: IpAddr,
+        client: u64,
         homes: &[u64],
         room: usize,
     ) -> SmallVec<[&Host; HOSTS_MAX]> {
         let mut best: SmallVec<[(Preference, &Host); HOSTS_MAX]> = SmallVec::new();
-        let client = client_hash(client);
         for (hash, host) in &self.hosts[usize::from(zone)].usable {
             let preference = Preference {
                 live: host.standing == Standing::Live,
@@ -388,6 +395,13 @@
 /// The thousandths of a host's capacity below which others are preferred.
 const SPARE_MIN: u16 = 100;
 
+/// Returns a group of equally distant zones from a point that the client's hash
+/// gives, so that callers spread over them when a nearer zone is gone.
+fn turned(group: &[ZoneId], hash: u64) -> impl Iterator<Item = ZoneId> + Clone {
+    let (back, front) = group.split_at(mix(hash) as usize % group.len().max(1));
+    front.iter().chain(back).copied()
+}
+
 fn client_hash(client: IpAddr) -> u64 {
     match client {
         IpAddr::V4(a) => xxh3_64(&a.octets()),
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -2,15 +2,12 @@
 //!
 //! When slots are short, the next one goes to the organisation that is
 //! furthest below its weighted max-min part ([`crate::fairness`]); within an
-//! organisation the oldest request goes first. A request waits for a bounded
-//! time, so that a refusal still leaves the caller time to go elsewhere.
-
-use std::{
-    collections::{
-        BTreeMap,
-        VecDeque, //
-    },
-    time::Duration, //
+//! organisation the oldest request goes first. A request waits for a part of
+//! the time that its caller does, so that a refusal leaves time to go elsewhere.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
 };
 
 use smallvec::SmallVec;
@@ -21,8 +18,8 @@
     util::id::OrganisationName, //
 };
 
-/// The longest time that a request waits for a slot.
-pub const WAIT_MAX: Duration = Duration::from_secs(1);
+/// A request waits for this part of the time that is left before its deadline.
+const WAIT_DIVISOR: u32 = 2;
 /// The most requests of one organisation that wait at one gateway for one service.
 pub const WAITING_MAX: usize = 64;
 
@@ -70,8 +67,8 @@
         false
     }
 
-    /// Lets a request wait until a slot is free, [`WAIT_MAX`] has passed or its
-    /// deadline has. Gives the ticket back where too many wait already.
+    /// Lets a request wait until a slot is free or half of the time before its
+    /// deadline has passed. Gives the ticket back where too many wait already.
     pub fn push(
         &mut self,
         now: Instant,
@@ -84,7 +81,7 @@
         if line.len() >= WAITING_MAX {
             return Err(ticket);
         }
-        let until = deadline.min(now + WAIT_MAX);
+        let until = now + deadline.saturating_duration_since(now) / WAIT_DIVISOR;
         line.push_back(Waiting { ticket, until });
         self.slots.wait(organisation, weight);
         Ok(())
@@ -112,8 +109,8 @@
     pub fn expire(&mut self, now: Instant) -> SmallVec<[T; 4]> {
         let mut late = SmallVec::new();
         for (organisation, line) in &mut self.waiting {
-            while line.front().is_some_and(|w| w.until <= now) {
-                late.extend(line.pop_front().map(|w| w.ticket));
+            while let Some(i) = line.iter().position(|w| w.until <= now) {
+                late.extend(line.remove(i).map(|w| w.ticket));
                 self.slots.give_up(organisation);
             }
         }
--- a/src/route.rs
+++ b/src/route.rs
@@ -48,8 +48,10 @@
     pub delay: Duration,
     /// What the link there can still take; `None` within the region.
     pub headroom: Option<ByteSize>,
-    /// Whether it drains or leaves.
+    /// Whether it gets no more work: it has been drained, or leaves.
     pub drained: bool,
+    /// Whether it is being drained and keeps some work until the plan has moved it.
+    pub draining: bool,
     /// Whether it can be reached.
     pub reachable: bool,
 }
@@ -61,6 +63,8 @@
     pub hops: u8,
     /// The bytes that it is expected to bring onto a link.
     pub bytes: ByteSize,
+    /// Whether it is known to run for long, as an upload does.
+    pub long: bool,
 }
 
 /// The zone that serves, with what was decided from.
@@ -92,6 +96,8 @@
     OwnZone,
     /// The plan moves this part of the traffic.
     Planned,
+    /// The request runs for long and would hold up the drain of its zone.
+    LongLeavesDrain,
     /// The own zone has no room; another of the region has.
     SpillRegion,
     /// The region has no room; another region and the link have.
@@ -163,6 +169,12 @@
         return (Target::Own, Reason::HopLimit);
     }
     let planned = draw(candidates, rng).unwrap_or(own);
+    if req.long
+        && candidates[planned].draining
+        && let (Target::Zone(zone), _) = spill(own, candidates, considered)
+    {
+        return (Target::Zone(zone), Reason::LongLeavesDrain);
+    }
     if planned == own && open(own) {
         return (Target::Own, Reason::OwnZone);
     }
@@ -184,7 +196,7 @@
     let best = |same: bool| {
         (0..candidates.len())
             .filter(|&i| i != own && (candidates[i].region == *region) == same)
-            .filter(|&i| considered[i].against.is_none())
+            .filter(|&i| considered[i].against.is_none() && !candidates[i].draining)
             .min_by_key(|&i| (candidates[i].delay, std::cmp::Reverse(candidates[i].free)))
     };
     if let Some(i) = best(true) {
@@ -259,8 +271,6 @@
 /// what ran when the zone reported, and its part of the slots that were free
 /// then, at least one while any was.
 fn spill_bound(c: &Candidate) -> u32 {
-    if c.free == 0 {
-        return 0;
-    }
-    c.spilled_then + (c.free / c.senders.max(1)).max(1)
+    let part = (c.free / c.senders.max(1)).max(c.free.min(1));
+    c.spilled_then + part
 }
--- a/standins/src/policy/choice.rs
+++ b/standins/src/policy/choice.rs
@@ -86,10 +86,15 @@
             return true;
         };
         let (host, service) = (req.host, req.service);
-        let bytes = self.estimate(service, req.size);
+        let size = req.size;
+        let bytes = self.estimate(service, size);
         let own = self.hosts[host].zone;
         let mut candidates = self.candidates(host, service);
-        let request = Request { hops: 0, bytes };
+        let request = Request {
+            hops: 0,
+            bytes,
+            long: size > 0.0,
+        };
         for _ in 0..CHOICES {
             let (zone, placed) = match route::choose(own, &candidates, request, &mut self.rng).to {
                 Target::Own => (own, self.local(id, host, false)),
@@ -103,7 +108,7 @@
             if placed {
                 return true;
             }
-            candidates[zone].free = 0;
+            candidates[zone].drained = true;
         }
         false
     }
@@ -167,6 +172,7 @@
             delay: if far { self.d.delay } else { ZONE_DELAY },
             headroom,
             drained: drains && weight == 0,
+            draining: drains && weight > 0,
             reachable: !self.is_known_dead(zone) && !self.scenario.is_cut(self.offset(), own, zone),
         }
     }
--- a/standins/src/policy/deployment.rs
+++ b/standins/src/policy/deployment.rs
@@ -82,6 +82,8 @@
     pub busy: f64,
     /// The mean time that a warm upstream works on a request.
     pub work: Duration,
+    /// How long a caller waits for its request to be taken.
+    pub deadline: Duration,
     /// The bytes of a request that is no upload.
     pub request: u64,
     /// The bytes of an answer.
@@ -149,6 +151,7 @@
             slots: 4,
             busy: 0.55,
             work: Duration::from_millis(80),
+            deadline: Duration::from_secs(2),
             request: 1_000,
             answer: 20_000,
             upload: None,
@@ -159,6 +162,7 @@
             slots: 3,
             busy: 0.5,
             work: Duration::from_millis(200),
+            deadline: Duration::from_secs(10),
             request: 0,
             answer: 1_000,
             upload: Some(Upload {
@@ -184,6 +188,7 @@
             slots: 6,
             busy: 0.55,
             work: Duration::from_millis(60),
+            deadline: Duration::from_secs(2),
             request: 1_000,
             answer: 60_000,
             upload: None,
@@ -194,6 +199,7 @@
             slots: 3,
             busy: 0.5,
             work: Duration::from_millis(200),
+            deadline: Duration::from_secs(10),
             request: 0,
             answer: 1_000,
             upload: Some(Upload {
--- a/standins/src/policy/planning.rs
+++ b/standins/src/policy/planning.rs
@@ -7,12 +7,15 @@
     drain::Progress,
     loan::LoanMessage,
     lookup,
-    planner::view::{
-        Capacity,
-        Demand,
-        LinkLoad,
-        Standing,
-        View, //
+    planner::{
+        PLAN_PERIOD,
+        view::{
+            Capacity,
+            Demand,
+            LinkLoad,
+            Standing,
+            View, //
+        }, //
     },
     pool::upstream::{
         Reported,
@@ -292,8 +295,9 @@
         }
     }
 
-    /// Returns how long the uploads that run in the drained zone still take at
-    /// the clients' full rate, and the time that a plan takes to spread.
+    /// Returns how long the drain takes at least. Links and slots have room for
+    /// the traffic at once, so that it is what the longest running request still
+    /// takes at its client's full rate, after one plan has been made and spread.
     fn longest_left(&self) -> Duration {
         let mut longest = Duration::ZERO;
         for req in self.reqs.iter().flatten() {
@@ -305,7 +309,7 @@
             let whole = Duration::from_secs_f64(transfer) + req.work;
             longest = longest.max(whole.saturating_sub(self.now - req.began));
         }
-        longest + PLAN_SPREAD
+        longest + PLAN_PERIOD + PLAN_SPREAD
     }
 
     /// Takes a step of a region's planner; false where it cannot publish.
--- a/standins/src/policy/tally.rs
+++ b/standins/src/policy/tally.rs
@@ -133,8 +133,8 @@
         };
         let inside: u64 = self.counts.iter().flatten().map(|c| c.inside).sum();
         let per_million = |n: u64| n as f64 / inside.max(1) as f64 * MILLION;
-        let shares =
-            (0..SERVICES).map(|s| worst_share(&self.counts[s], self.capacity(s, slots[s])));
+        let entitled = |s: usize| entitled(&self.counts[s], self.capacity(s, slots[s]));
+        let entitled = [entitled(0), entitled(1)];
         Figures {
             short_p50_ms: ms(0, 0.5),
             short_p99_ms: ms(0, 0.99),
@@ -142,7 +142,7 @@
             upload_p99_ms: ms(1, 0.99),
             link_peak: link,
             drain_ratio: self.drain_ratio(),
-            worst_share: shares.fold(1.0, f64::min),
+            worst_share: self.worst_share(&entitled),
             wrongful_ppm: per_million(self.sum(Count::wrongful)),
             wrongful_rate_ppm: per_million(self.sum(Count::wrongful_rate)),
             overloads: self.overloads,
@@ -158,6 +158,36 @@
         slots * self.finished[service] as f64 / self.held[service].max(f64::MIN_POSITIVE)
     }
 
+    /// Returns the least part of its max-min entitlement that an organisation got.
+    ///
+    /// One that stays inside its rate is judged at each service. One that goes
+    /// beyond it has no claim on which of its requests are served, so that it is
+    /// judged by the slots' time that it got at all services together.
+    fn worst_share(&self, entitled: &[Vec<u64>; SERVICES]) -> f64 {
+        let mut worst: f64 = 1.0;
+        for o in 0..ORGANISATIONS {
+            let mut time = (0.0, 0.0);
+            let mut over = false;
+            for (s, entitled) in entitled.iter().enumerate() {
+                let c = &self.counts[s][o];
+                let (served, entitled) = (c.served().min(c.inside) as f64, entitled[o] as f64);
+                let hold = self.held[s] / self.finished[s].max(1) as f64;
+                time = (
+                    time.0 + served.min(entitled) * hold,
+                    time.1 + entitled * hold,
+                );
+                over |= c.offered > c.inside;
+                if c.offered == c.inside && entitled > 0.0 {
+                    worst = worst.min(served / entitled);
+                }
+            }
+            if over && time.1 > 0.0 {
+                worst = worst.min(time.0 / time.1);
+            }
+        }
+        worst
+    }
+
     fn sum(&self, count: impl Fn(&Count) -> u64) -> u64 {
         self.counts.iter().flatten().map(count).sum()
     }
@@ -169,13 +199,10 @@
     }
 }
 
-/// Returns the least part of its max-min entitlement that an organisation got.
-fn worst_share(counts: &[Count; ORGANISATIONS], capacity: f64) -> f64 {
+/// Returns the max-min entitlement of each organisation, in requests.
+fn entitled(counts: &[Count; ORGANISATIONS], capacity: f64) -> Vec<u64> {
     let claims: Vec<Claim> = counts.iter().map(|c| Claim::new(c.inside, 1)).collect();
-    let entitled = divide(capacity as u64, &claims);
-    let served = counts.iter().map(Count::served);
-    let parts = served.zip(entitled).filter(|(_, e)| *e > 0);
-    parts.map(|(s, e)| s as f64 / e as f64).fold(1.0, f64::min)
+    divide(capacity as u64, &claims)
 }
 
 /// What one run came to.
--- a/standins/src/policy/world.rs
+++ b/standins/src/policy/world.rs
@@ -338,7 +338,7 @@
             left: 0,
             work,
             born: self.now,
-            deadline: self.now + Duration::from_secs(2),
+            deadline: self.now + self.d.services[service].deadline,
             best: nearest * 2 + work + Duration::from_secs_f64(transfer),
             way: delay(region_of(self.hosts[host].zone)) * 2,
             measured,
--- a/tests/lookup.rs
+++ b/tests/lookup.rs
@@ -179,6 +179,21 @@
     );
 }
 
+#[test]
+fn callers_of_a_lost_region_spread_over_zones_that_are_equally_far() {
+    let mut set = set(vec![block("10.0.0.0/8", "bac-b")]);
+    set.links
+        .iter_mut()
+        .for_each(|l| l.delay = Duration::from_millis(35));
+    let mut all = hosts(1);
+    all.retain(|h| !h.zone.as_str().starts_with("bac"));
+    let table = Table::new(Generation(3), &set, &"bac-a".parse().unwrap(), &all);
+    let answer = |i: u32| table.answer(IpAddr::V4(std::net::Ipv4Addr::from(0x0a02_0000 + i)), None);
+    let nam = (0..1000).filter(|i| answer(*i).hosts[0].zone.as_str() == "nam-a");
+    let nam = nam.count();
+    assert!((450..550).contains(&nam), "{nam} of 1000 go to nam-a");
+}
+
 #[test]
 fn a_leaving_host_is_never_named() {
     let mut all = hosts(2);
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -37,6 +37,7 @@
         delay: Duration::from_millis(if far { 35 } else { 1 }),
         headroom: far.then_some(ByteSize(10_000_000)),
         drained: false,
+        draining: false,
         reachable: true,
     }
 }
@@ -51,6 +52,7 @@
     let req = Request {
         hops,
         bytes: ONE_MB,
+        long: false,
     };
     choose(0, zones, req, &mut StdRng::seed_from_u64(5))
 }
@@ -81,6 +83,11 @@
     assert_eq!(choose_from(&all, 0).reason, Reason::NoRoom);
     all[1].spilled_then = 1;
     assert_eq!(choose_from(&all, 0).reason, Reason::SpillRegion);
+    all[1].free = 0;
+    assert_eq!(choose_from(&all, 0).reason, Reason::NoRoom);
+    all[1].spilled = 0;
+    let again = choose_from(&all, 0).reason;
+    assert_eq!(again, Reason::SpillRegion, "what ended may be replaced");
 }
 
 #[test]
@@ -114,6 +121,7 @@
     let req = Request {
         hops: 0,
         bytes: ONE_MB,
+        long: false,
     };
     let mut rng = StdRng::seed_from_u64(5);
     let mut moved = 0;
@@ -125,3 +133,27 @@
     all[2].drained = true;
     assert_eq!(choose_from(&all, 0).reason, Reason::OwnZone);
 }
+
+#[test]
+fn long_requests_leave_a_draining_zone_first_and_nothing_spills_into_one() {
+    let mut all = zones([9, 9, 9]);
+    all[0].draining = true;
+    assert_eq!(choose_from(&all, 0).reason, Reason::OwnZone);
+    let upload = Request {
+        hops: 0,
+        bytes: ONE_MB,
+        long: true,
+    };
+    let decide = |all: &[Candidate]| choose(0, all, upload, &mut StdRng::seed_from_u64(5));
+    let left = decide(&all);
+    assert_eq!(left.reason, Reason::LongLeavesDrain);
+    assert_eq!(left.to, Target::Zone("bac-b".parse().unwrap()));
+    all[1].draining = true;
+    assert_eq!(decide(&all).to, Target::Zone("nam-a".parse().unwrap()));
+    all[2].reachable = false;
+    assert_eq!(
+        decide(&all).reason,
+        Reason::OwnZone,
+        "better here than refused"
+    );
+}
