--- /dev/null
+++ b/standins/src/demo/losses.rs
@@ -0,0 +1,108 @@
+//! Stops and kills of entry hosts under load.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    Demo,
+    LARGE,
+    REMOTE_SERVICE,
+    expect,
+    heading,
+    load,
+    say, //
+};
+use crate::{
+    caller::{
+        Ask,
+        Upload, //
+    },
+    error::StandinError,
+    upstream::WaitFor,
+};
+
+/// The host that is stopped.
+const STOPPED: &str = "bac-a-2";
+/// The host that is killed.
+const KILLED: &str = "bac-a-1";
+/// Requests of the load: senders and requests of each.
+const SENDERS: u32 = 8;
+const EACH: u32 = 60;
+/// The time of each request at the upstream.
+const WORK_MS: u64 = 10;
+/// The upload that runs while the host stops: about a second.
+const UPLOAD_BYTES: u64 = 1_000_000;
+const UPLOAD_CHUNK: u64 = 10_000;
+const UPLOAD_PAUSE: Duration = Duration::from_millis(10);
+
+impl Demo {
+    pub(super) async fn show_graceful_stop(&mut self) -> Result<(), StandinError> {
+        heading("SIGTERM stops a host under load and cuts no request");
+        let address = self.fleet.host(STOPPED)?.callers();
+        self.fleet.wait_for_budget("hue-fitters", 1).await?;
+        let fitter = self.caller("hue-fitters", REMOTE_SERVICE);
+        let upload = Upload::new(UPLOAD_BYTES).with_pace(UPLOAD_CHUNK, UPLOAD_PAUSE);
+        let ask = Ask::new(hyper::Method::PUT, "/videos/7", true).with_upload(upload);
+        let uploading = tokio::spawn(async move { fitter.send_to(address, &ask, None).await });
+        self.wait_for_upload().await?;
+        let caller = Arc::new(self.caller(LARGE, "dispatch"));
+        let ask = Ask::get("/histories/9").with_header("x-standin-delay-ms", WORK_MS);
+        let busy = Arc::clone(&caller);
+        let loading = tokio::spawn(async move { load(&busy, &ask, SENDERS, EACH).await });
+        let host = self.fleet.host_mut(STOPPED)?;
+        say(format!("SIGTERM to {STOPPED}, with an upload running"));
+        let status = host.stop().await?;
+        let uploaded = uploading.await.map_err(|e| gone(&e))?;
+        say(format!("upload: {uploaded}"));
+        loading.await.map_err(|e| gone(&e))??;
+        say(format!("load: {}", caller.tally()));
+        say(format!("{STOPPED} ended with {status}"));
+        expect(uploaded.receipt().is_some(), "the whole upload", &uploaded)?;
+        let whole = caller.tally().with_verdict("whole");
+        let sent = u64::from(SENDERS * EACH);
+        expect(whole == sent, "every request served", caller.tally())?;
+        expect(status.success(), "exit code 0", status)?;
+        self.fleet.list_hosts().await
+    }
+
+    async fn wait_for_upload(&self) -> Result<(), StandinError> {
+        let providers = self.fleet.upstreams().iter();
+        for upstream in providers.filter(|u| u.service().as_str() == REMOTE_SERVICE) {
+            let received = upstream.counts().await?.received + UPLOAD_CHUNK;
+            let wait = WaitFor {
+                received,
+                ..WaitFor::default()
+            };
+            upstream.wait(wait).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn show_kill(&mut self) -> Result<(), StandinError> {
+        heading("SIGKILL of a host loses no idempotent request");
+        let caller = Arc::new(self.caller(LARGE, "dispatch"));
+        let ask = Ask::get("/histories/10").with_header("x-standin-delay-ms", WORK_MS);
+        let busy = Arc::clone(&caller);
+        let loading = tokio::spawn(async move { load(&busy, &ask, SENDERS, EACH).await });
+        while caller.tally().total() < u64::from(SENDERS * EACH) / 4 {
+            tokio::task::yield_now().await;
+        }
+        say(format!("SIGKILL to {KILLED}"));
+        self.fleet.host_mut(KILLED)?.kill().await?;
+        loading.await.map_err(|e| gone(&e))??;
+        let tally = caller.tally();
+        say(format!("load: {tally}"));
+        let sent = u64::from(SENDERS * EACH);
+        let whole = tally.with_verdict("whole");
+        expect(whole == sent, "every request served", &tally)
+    }
+}
+
+fn gone(e: &tokio::task::JoinError) -> StandinError {
+    StandinError::Call {
+        target: "a sender".to_owned(),
+        cause: e.to_string(),
+    }
+}
--- /dev/null
+++ b/standins/src/demo/requests.rs
@@ -0,0 +1,158 @@
+//! Look-up, requests, explanations and refusals.
+
+use std::sync::Arc;
+
+use super::{
+    Demo,
+    LARGE,
+    REMOTE_SERVICE,
+    REMOTE_ZONE,
+    expect,
+    heading,
+    load,
+    say, //
+};
+use crate::{
+    caller::{
+        Ask,
+        Verdict, //
+    },
+    error::StandinError,
+};
+
+/// A trace id that the demonstration chooses, to find its hops again.
+const TRACE_ID: &str = "c0ffee00c0ffee00c0ffee00c0ffee00";
+/// The organisation that goes over its rate.
+const SMALL: &str = "lao-cai-stations";
+/// Requests at once that are more than its rate and burst.
+const TOO_MANY: u32 = 60;
+/// The host that forwards to another region.
+const SENDING_HOST: &str = "bac-a-1";
+
+impl Demo {
+    pub(super) async fn show_lookup(&self) -> Result<(), StandinError> {
+        heading("look-up: which entry hosts to use for dispatch");
+        let caller = self.caller(LARGE, "dispatch");
+        let answer = caller.lookup().await?;
+        say(format!(
+            "generation={} ttl_ms={}",
+            answer.generation, answer.ttl_ms
+        ));
+        for host in &answer.hosts {
+            say(format!(
+                "{} zone={} address={} weight={}",
+                host.host, host.zone, host.address, host.weight
+            ));
+        }
+        expect(!answer.hosts.is_empty(), "a host in the look-up", "none")
+    }
+
+    /// Returns the id of the request that was served.
+    pub(super) async fn show_served(&self) -> Result<String, StandinError> {
+        heading("a request is served, with the key checked and stripped");
+        let caller = self.caller(LARGE, "dispatch");
+        let reply = caller.send(&Ask::get("/histories/clock-7")).await?;
+        say(&reply);
+        let receipt = reply.receipt();
+        expect(receipt.is_some(), "a whole answer", &reply)?;
+        for upstream in self.fleet.upstreams() {
+            for entry in upstream.log().await?.entries {
+                if entry.path != "/histories/clock-7" {
+                    continue;
+                }
+                say(format!(
+                    "{} saw organisation={} id={}",
+                    upstream.name(),
+                    entry.organisation,
+                    entry.id
+                ));
+                let keyed = entry.head.contains("demo-key-");
+                expect(!keyed, "a head without the key", &entry.head)?;
+                expect(entry.organisation == LARGE, LARGE, &entry.organisation)?;
+            }
+        }
+        let id = reply.request_id.unwrap_or_default();
+        expect(!id.is_empty(), "a request id in the answer", "none")?;
+        Ok(id)
+    }
+
+    pub(super) async fn show_explanation(&self, id: &str) -> Result<(), StandinError> {
+        heading("cardamomroad explain tells where the request went, and why");
+        let host = id.split('/').next().unwrap_or_default();
+        let operators = self.fleet.host(host)?.operators().to_string();
+        let args = ["explain", "--host", &operators, "--request", id];
+        let text = self.fleet.operate_well(&args).await?;
+        for line in text.lines() {
+            say(line);
+        }
+        expect(!text.trim().is_empty(), "an explanation", "nothing")
+    }
+
+    pub(super) async fn show_forwarded(&self) -> Result<(), StandinError> {
+        heading("a request is forwarded to another region, one span a hop");
+        let caller = self.caller("hue-fitters", REMOTE_SERVICE);
+        let sender = self.fleet.host(SENDING_HOST)?;
+        self.fleet.wait_for_budget("hue-fitters", 1).await?;
+        let traceparent = format!("00-{TRACE_ID}-00f067aa0ba902b7-01");
+        let ask = Ask::get("/inspections/7").with_header("traceparent", traceparent);
+        let reply = caller.send_to(sender.callers(), &ask, None).await;
+        say(&reply);
+        expect(reply.receipt().is_some(), "a whole answer", &reply)?;
+        let mut hops = 0;
+        for host in self.fleet.hosts() {
+            let log = std::fs::read_to_string(host.log()).unwrap_or_default();
+            for line in log.lines().filter(|l| l.contains(TRACE_ID)) {
+                hops += 1;
+                say(format!("{}: {}", host.name(), line.trim()));
+            }
+        }
+        for upstream in self.fleet.upstreams() {
+            for entry in upstream.log().await?.entries {
+                let spans = entry.head.lines();
+                for line in spans.filter(|l| l.contains(TRACE_ID)) {
+                    expect(
+                        upstream.zone().as_str() == REMOTE_ZONE,
+                        "an upstream in the other region",
+                        upstream.zone(),
+                    )?;
+                    hops += 1;
+                    say(format!("{}: {line}", upstream.name()));
+                }
+            }
+        }
+        expect(hops >= 3, "two hosts and an upstream in the trace", hops)
+    }
+
+    pub(super) async fn show_refusal(&self) -> Result<(), StandinError> {
+        heading("a request without a valid key is refused, with the reason");
+        let options = self.fleet.caller("stranger", "dispatch");
+        let stranger = crate::caller::Caller::new(options.with_key("not-a-key"));
+        let reply = stranger.send(&Ask::get("/histories/1")).await?;
+        say(&reply);
+        let refused = reply.reason.as_deref() == Some("key-unknown");
+        expect(refused, "reason key-unknown", &reply)?;
+        let not_run = reply.outcome.as_deref() == Some("not-run");
+        expect(not_run, "outcome not-run", &reply)
+    }
+
+    pub(super) async fn show_rate(&self) -> Result<(), StandinError> {
+        heading("an organisation over its rate is told when to come back");
+        let caller = Arc::new(self.caller(SMALL, "dispatch"));
+        let replies = load(&caller, &Ask::get("/parts/1"), TOO_MANY, 1).await?;
+        let of_rate = |r: &&crate::caller::Reply| r.reason.as_deref() == Some("rate");
+        let refused = replies.iter().filter(of_rate);
+        let served = replies
+            .iter()
+            .filter(|r| matches!(r.verdict, Verdict::Whole(_)))
+            .count();
+        say(format!(
+            "{TOO_MANY} requests at once: {served} served, {} refused for rate",
+            refused.clone().count()
+        ));
+        let first = refused.clone().next();
+        expect(first.is_some(), "a refusal for rate", caller.tally())?;
+        let after = first.and_then(|r| r.retry_after);
+        say(format!("retry-after: {after:?} seconds"));
+        expect(after.is_some(), "retry-after", caller.tally())
+    }
+}
--- a/standins/src/error.rs
+++ b/standins/src/error.rs
@@ -94,6 +94,14 @@
         /// The name.
         name: String,
     },
+    /// The demonstration did not show something.
+    #[error("not seen: {what}; found instead: {found}")]
+    NotSeen {
+        /// What should have been seen.
+        what: String,
+        /// What was seen.
+        found: String,
+    },
     /// A configuration set could not be read or written.
     #[error("the configuration set is not usable: {0}")]
     Set(String),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! with a thin program; tests, the demonstration and the benchmarks use both.
 
 pub mod caller;
+pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod http;
