--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -62,6 +62,8 @@
 
 /// The bytes that a request of unknown length is expected to bring onto a link.
 const LENGTH_UNKNOWN_BYTES: u64 = 64 * 1024;
+/// The length from which a request is known to run for long.
+const LONG_BYTES: u64 = 1_000_000;
 /// The one-way delay between zones of one region.
 const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
 
@@ -128,6 +130,7 @@
         let request = route::Request {
             hops: 0,
             bytes: ByteSize(msg.length.unwrap_or(LENGTH_UNKNOWN_BYTES)),
+            long: msg.length.is_none_or(|bytes| bytes >= LONG_BYTES),
         };
         let decision = route::choose(own, &candidates, request, &mut self.rng);
         let basis = basis(&decision);
@@ -334,6 +337,7 @@
             None => (ZONE_DELAY, None),
         };
         let (free, age, reachable) = self.free_in(now, &msg.service, zone);
+        let is_draining = self.is_drained(zone, &msg.service);
         let tried = |t: &Target| matches!(t, Target::Gateway { zone: z, .. } if z == zone);
         Some(Candidate {
             zone: zone.clone(),
@@ -346,7 +350,9 @@
             senders: self.zone_size(),
             delay,
             headroom,
-            drained: self.is_drained(zone, &msg.service),
+            // The own zone goes on until the plan has moved its work away.
+            drained: is_draining && *zone != self.cfg.zone,
+            draining: is_draining,
             reachable: reachable && !msg.tried.iter().any(tried),
         })
     }
@@ -365,6 +371,7 @@
             delay: std::time::Duration::ZERO,
             headroom: None,
             drained: false,
+            draining: false,
             reachable: true,
         })
     }
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -457,7 +457,7 @@
                 callers: self.cfg.callers,
                 incarnation: self.cfg.incarnation,
                 stamp: self.membership.stamp(now),
-                standing: self.drained_standing(&self.cfg.name, &self.cfg.zone, Standing::Live),
+                standing: self.drained_standing(&self.cfg.name, Standing::Live),
                 spare: MILLI as u16,
             });
         }
@@ -481,21 +481,19 @@
             callers: peer.contact.callers,
             incarnation: peer.incarnation,
             stamp: peer.stamp,
-            standing: self.drained_standing(&peer.name, &peer.contact.zone, standing),
+            standing: self.drained_standing(&peer.name, standing),
             spare: self.spare(&peer.name),
         })
     }
 
     /// Returns how a host looks, given the planned drains of hosts.
-    fn drained_standing(&self, host: &HostName, zone: &ZoneName, standing: Standing) -> Standing {
+    fn drained_standing(&self, host: &HostName, standing: Standing) -> Standing {
         let Some(index) = &self.index else {
             return standing;
         };
-        let drains = |target: &DrainTarget| match target {
-            DrainTarget::Host(name) => name == host,
-            DrainTarget::Zone(name) => name == zone,
-            DrainTarget::Pool(_) | DrainTarget::Upstream(_) => false,
-        };
+        // A zone's drain closes the zone by the plan, in steps that the caps allow.
+        let drains =
+            |target: &DrainTarget| matches!(target, DrainTarget::Host(name) if name == host);
         match index.set().drains.iter().any(|d| drains(&d.target)) {
             true => Standing::Leaving,
             false => standing,
