--- a/src/host/roles.rs
+++ b/src/host/roles.rs
@@ -5,7 +5,6 @@
     Context,
     Handler, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     host::Host,
@@ -19,10 +18,7 @@
     },
     membership::PeerState,
     role::Role,
-    util::id::{
-        HostName,
-        ZoneName, //
-    },
+    util::id::ZoneName,
 };
 
 /// Hosts that stand for a role at once.
@@ -79,14 +75,12 @@
                 None => return false,
             },
         };
-        let text = role.to_string();
-        let rank = |host: &HostName| xxh3_64_with_seed(host.as_str().as_bytes(), seed(&text));
-        let own = rank(&self.cfg.name);
+        let own = role.rank(&self.cfg.name);
         let mut before = 0;
         for zone in &zones {
             for peer in self.membership.zone_hosts(zone) {
                 let usable = self.membership.state(now, &peer.name) == Some(PeerState::Live);
-                before += usize::from(usable && rank(&peer.name) < own);
+                before += usize::from(usable && role.rank(&peer.name) < own);
             }
         }
         before < CANDIDATES
@@ -164,7 +158,3 @@
         revision.unwrap_or_default()
     }
 }
-
-fn seed(text: &str) -> u64 {
-    xxh3_64_with_seed(text.as_bytes(), 0)
-}
--- a/src/role.rs
+++ b/src/role.rs
@@ -16,6 +16,11 @@
     sleep_until, //
 };
 
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
+
 use crate::{
     error::StoreError,
     gateway::Gateway,
@@ -31,6 +36,7 @@
         ObjectStore, //
     },
     util::id::{
+        HostName,
         RegionName,
         Version,
         ZoneName, //
@@ -58,6 +64,12 @@
     pub fn key(&self) -> String {
         format!("{LEASE_PREFIX}{self}")
     }
+
+    /// Ranks a host for the role by rendezvous hashing; the lowest ranks stand for it.
+    pub fn rank(&self, host: &HostName) -> u64 {
+        let seed = xxh3_64(self.to_string().as_bytes());
+        xxh3_64_with_seed(host.as_str().as_bytes(), seed)
+    }
 }
 
 impl fmt::Display for Role {
--- a/standins/src/capacity/peers.rs
+++ b/standins/src/capacity/peers.rs
@@ -40,6 +40,7 @@
         PERIOD,
         Probe, //
     },
+    role::Role,
     store::{
         ListedHost,
         ListedState, //
@@ -87,6 +88,9 @@
 
 use crate::error::StandinError;
 
+/// The name of the real host.
+pub const REAL: &str = "real";
+
 /// Bytes that passed between the light peers and the real host.
 #[derive(Debug, Default)]
 pub struct Traffic {
@@ -131,7 +135,7 @@
         let mut lights = HashMap::new();
         let mut listed = Vec::new();
         let mut listeners = Vec::new();
-        for i in 0..number {
+        for (i, name) in names(zone, number)?.into_iter().enumerate() {
             let listener = crate::process::bind(SocketAddr::from(([127, 0, 4, 1], 0))).await?;
             let address = crate::process::local_address(&listener)?;
             let name: HostName =
@@ -254,6 +258,27 @@
     }
 }
 
+/// Returns names of light hosts that leave the zone's relay to the real host.
+fn names(zone: &ZoneName, number: usize) -> Result<Vec<HostName>, StandinError> {
+    let malformed = |_| StandinError::Ended {
+        name: "light host".to_owned(),
+        said: "its name is malformed".to_owned(),
+    };
+    let relay = Role::Relay(zone.clone());
+    let real = relay.rank(&REAL.parse().map_err(malformed)?);
+    let mut names = Vec::new();
+    for i in 0.. {
+        if names.len() == number {
+            break;
+        }
+        let name: HostName = format!("light-{i:04}").parse().map_err(malformed)?;
+        if relay.rank(&name) > real {
+            names.push(name);
+        }
+    }
+    Ok(names)
+}
+
 async fn periods(peers: Arc<Peers>) {
     let mut period = interval(PERIOD);
     let names: Vec<HostName> = peers.lights.keys().cloned().collect();
--- a/standins/src/capacity/trial.rs
+++ b/standins/src/capacity/trial.rs
@@ -48,7 +48,10 @@
 };
 
 use super::{
-    peers::Peers,
+    peers::{
+        Peers,
+        REAL, //
+    },
     process::{
         processor_time,
         resident_bytes, //
@@ -129,8 +132,8 @@
         let [callers, host_peers, operators] = addresses;
         let mut listed = peers.listed.clone();
         listed.push(ListedHost {
-            name: "real".parse().map_err(|_| StandinError::Ended {
-                name: "real".to_owned(),
+            name: REAL.parse().map_err(|_| StandinError::Ended {
+                name: REAL.to_owned(),
                 said: String::new(),
             })?,
             zone,
@@ -296,7 +299,7 @@
 fn start_entry(zone: &str, store: SocketAddr) -> Result<(Child, [SocketAddr; 3]), StandinError> {
     let path = beside("cardamomroad-entry")?;
     let mut child = Command::new(&path)
-        .args(["--name", "real", "--zone", zone])
+        .args(["--name", REAL, "--zone", zone])
         .args(["--callers", "127.0.4.2:0", "--peers", "127.0.4.2:0"])
         .args(["--operators", "127.0.4.2:0", "--store", &store.to_string()])
         .env("CARDAMOMROAD_FLEET_SECRET", SECRET)
