--- a/standins/src/capacity/peers.rs
+++ b/standins/src/capacity/peers.rs
@@ -138,13 +138,6 @@
         for (i, name) in names(zone, number)?.into_iter().enumerate() {
             let listener = crate::process::bind(SocketAddr::from(([127, 0, 4, 1], 0))).await?;
             let address = crate::process::local_address(&listener)?;
-            let name: HostName =
-                format!("light-{i:03}")
-                    .parse()
-                    .map_err(|_| StandinError::Ended {
-                        name: "light host".to_owned(),
-                        said: String::new(),
-                    })?;
             let contact = Contact {
                 zone: zone.clone(),
                 callers: address,
