--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -59,7 +59,7 @@
 /// Ticks in one heartbeat period.
 const TICKS_PER_PERIOD: u64 = PERIOD.as_millis() as u64 / TICK.as_millis() as u64;
 /// Heartbeat periods between two reads of the platform's list.
-const LIST_PERIODS: u64 = 30;
+const LIST_PERIODS: u64 = 300;
 /// Heartbeat periods between two looks at the upstreams' own reports.
 const HEALTH_PERIODS: u64 = 2;
 /// Suspect requests that one message passes on.
