--- a/standins/tests/faults.rs
+++ b/standins/tests/faults.rs
@@ -110,6 +110,32 @@
         .await
         .unwrap();
     assert_eq!(host.status().await.unwrap().generation, Some(second));
+
+    // Nobody is left to ask, and the store answers with the older generation.
+    let up = StoreChange {
+        down: Some(false),
+        ..StoreChange::default()
+    };
+    for name in ["bac-a-1", "bac-b-1"] {
+        fleet.host_mut(name).unwrap().kill().await.unwrap();
+    }
+    fleet.store().switch(&up).await.unwrap();
+    fleet.host_mut("bac-b-1").unwrap().restart().await.unwrap();
+    let host = fleet.host("bac-b-1").unwrap();
+    for _ in 0..25 {
+        let generation = host.status().await.unwrap().generation;
+        assert_eq!(generation, None, "a stale answer came into force");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let current = StoreChange {
+        freeze: Some(false),
+        ..StoreChange::default()
+    };
+    fleet.store().switch(&current).await.unwrap();
+    host.wait_until("a configuration", |s| s.generation.is_some())
+        .await
+        .unwrap();
+    assert_eq!(host.status().await.unwrap().generation, Some(second));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -241,7 +267,7 @@
         let address = fleet.callers()[i % 3];
         let caller = caller.clone();
         tasks.spawn(async move {
-            let ask = Ask::get("/histories/1").with_header("x-standin-delay-ms", 30);
+            let ask = Ask::get("/opening-hours").with_header("x-standin-delay-ms", 100);
             for _ in 0..5 {
                 caller.send_to(address, &ask, None).await;
             }
