Prove the division of slots with warm upstreams

Cause: the proof passed with the division taken out, since cold upstreams held each host back and not the division.

--- a/standins/tests/faults.rs
+++ b/standins/tests/faults.rs
@@ -254,7 +254,12 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn gateways_together_stay_within_the_slots_of_each_upstream() {
-    let fleet = FleetBuilder::new(small_set(&["bac-a"], 2))
+    let mut set = small_set(&["bac-a"], 2);
+    for pool in &mut set.pools {
+        // Warm upstreams, so that nothing but the division of slots holds hosts back.
+        pool.warm_up = Duration::from_millis(100);
+    }
+    let fleet = FleetBuilder::new(set)
         .with_hosts_per_zone(3)
         .start()
         .await
