--- a/standins/src/fleet/entry_host.rs
+++ b/standins/src/fleet/entry_host.rs
@@ -7,6 +7,7 @@
         PathBuf, //
     },
     process::ExitStatus,
+    time::Duration,
 };
 
 use cardamomroad::{
@@ -161,6 +162,11 @@
         self.process.signal(Signal::CONT)
     }
 
+    /// Returns the processor time that its process has spent.
+    pub fn cpu_time(&self) -> Result<Duration, StandinError> {
+        self.process.cpu_time()
+    }
+
     /// Returns what it says of itself.
     pub async fn status(&self) -> Result<Status, StandinError> {
         get_json(self.operators, "/status").await
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -12,6 +12,7 @@
         ExitStatus,
         Stdio, //
     },
+    time::Duration,
 };
 
 use rustix::process::{
@@ -39,6 +40,11 @@
 /// The folder of test programs, beside which the other programs stand.
 const TEST_FOLDER: &str = "deps";
 
+/// The place of `utime` in `/proc/PID/stat` after the program's name; `stime` follows.
+const STAT_UTIME_FIELD: usize = 11;
+/// The units of processor time in `/proc/PID/stat`.
+const TICKS_PER_SECOND: u32 = 100;
+
 /// Returns the path of a program that was built with the running one.
 pub fn binary(name: &str) -> Result<PathBuf, StandinError> {
     let running = std::env::current_exe().map_err(|cause| StandinError::Io {
@@ -145,6 +151,21 @@
         })
     }
 
+    /// Returns the processor time that it has spent, in user and system mode.
+    pub fn cpu_time(&self) -> Result<Duration, StandinError> {
+        let path = format!("/proc/{}/stat", self.pid());
+        let failed = |cause| StandinError::Io {
+            what: format!("reading {path}"),
+            cause,
+        };
+        let text = std::fs::read_to_string(&path).map_err(failed)?;
+        let after_name = text.rsplit(')').next().unwrap_or_default();
+        let fields = after_name.split_whitespace();
+        let times = fields.skip(STAT_UTIME_FIELD).take(2);
+        let ticks: u64 = times.filter_map(|t| t.parse::<u64>().ok()).sum();
+        Ok(Duration::from_secs(ticks) / TICKS_PER_SECOND)
+    }
+
     /// Waits for its end.
     pub async fn wait(&mut self) -> Result<ExitStatus, StandinError> {
         let ended = timeout(WAIT_MAX, self.child.wait()).await;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! Production code never depends on this package. Each stand-in is a library
 //! with a thin program; tests, the demonstration and the benchmarks use both.
 
+pub mod bench;
 pub mod caller;
 pub mod demo;
 pub mod error;
