--- /dev/null
+++ b/standins/tests/proof_answers.rs
@@ -0,0 +1,130 @@
+//! A caller receives the whole answer to its own request, or one that it can
+//! tell is broken.
+
+#[path = "support/proof.rs"]
+mod proof;
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use cardamomroad_standins::caller::{
+    Ask,
+    Repeats,
+    Upload,
+    Verdict, //
+};
+use proof::{
+    LARGE,
+    caller,
+    fleet,
+    options, //
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use tokio::{
+    task::JoinSet,
+    time::timeout, //
+};
+
+/// The paths of a service in the own zone and of one behind a hop.
+const PATHS: [&str; 2] = ["/histories/1", "/inspections/1"];
+/// The seed of delays, deadlines and cancels.
+const SEED: u64 = 7;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_breaks_off_is_never_closed_as_whole() {
+    let fleet = fleet(1, &[]).await;
+    let never = options(&fleet, "c", LARGE, "dispatch").with_repeats(Repeats::Never);
+    let caller = cardamomroad_standins::caller::Caller::new(never);
+    let host = fleet.host("bac-a-1").unwrap().callers();
+    for path in PATHS {
+        for chunked in [false, true] {
+            for break_after in [1, 200, 70_000] {
+                let mut ask = Ask::get(path)
+                    .with_header("x-standin-length", 100_000)
+                    .with_header("x-standin-break-after", break_after);
+                if chunked {
+                    ask = ask.with_header("x-standin-chunked", 1);
+                }
+                let reply = caller.send_to(host, &ask, None).await;
+                let text = format!("{path} chunked={chunked} after={break_after}: {reply}");
+                assert_eq!(reply.verdict, Verdict::Broken, "{text}");
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_and_cancelled_answers_never_reach_another_request() {
+    let fleet = fleet(1, &["--queue", "64"]).await;
+    let caller = caller(&fleet, "c", LARGE, "dispatch");
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut running = JoinSet::new();
+    let host = fleet.host("bac-a-1").unwrap().callers();
+    for i in 0..300 {
+        let path = PATHS[i % 2];
+        let delay: u64 = rng.random_range(0..40);
+        let mut ask = Ask::get(path)
+            .with_header("x-standin-delay-ms", delay)
+            .with_header("x-standin-length", rng.random_range(0..50_000));
+        if rng.random_ratio(1, 3) {
+            ask = ask.with_deadline(Duration::from_millis(delay / 2 + 1));
+        }
+        let give_up = rng.random_ratio(1, 4);
+        let patience = Duration::from_millis(if give_up { delay / 2 } else { 20_000 });
+        let caller = Arc::clone(&caller);
+        running.spawn(async move {
+            // Dropping the request closes its connection.
+            timeout(patience, caller.send_to(host, &ask, None))
+                .await
+                .ok()
+        });
+        if running.len() < 8 {
+            continue;
+        }
+        running.join_next().await.unwrap().unwrap();
+    }
+    running.join_all().await;
+    let tally = caller.tally();
+    assert_eq!(tally.with_verdict("wrong"), 0, "{tally}");
+    assert!(tally.with_verdict("whole") >= 100, "{tally}");
+    assert!(tally.with_reason("deadline") >= 10, "{tally}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn uploads_arrive_whole_over_a_hop() {
+    let fleet = fleet(1, &[]).await;
+    let caller = caller(&fleet, "c", proof::OTHER, "workbench");
+    let host = fleet.host("bac-a-1").unwrap().callers();
+    for length in [0, 1, 65_536, 3_000_001] {
+        let ask = Ask::new(hyper::Method::PUT, "/videos/1", true);
+        let ask = ask.with_upload(Upload::new(length));
+        let reply = caller.send_to(host, &ask, None).await;
+        assert!(
+            reply.receipt().is_some(),
+            "{length}: {reply} {:?}",
+            reply.verdict
+        );
+    }
+    let broken = Upload {
+        break_after: Some(200_000),
+        ..Upload::new(1_000_000)
+    };
+    let ask = Ask::new(hyper::Method::PUT, "/videos/2", true).with_upload(broken);
+    let reply = caller.send_to(host, &ask, None).await;
+    assert!(reply.receipt().is_none(), "{reply}");
+    let whole = proof::all_entries(&fleet);
+    let whole = whole.iter().filter(|e| e.path == "/videos/2");
+    for entry in whole {
+        let ending = entry.ending;
+        assert_ne!(
+            ending,
+            Some(cardamomroad_standins::upstream::Ending::Answered)
+        );
+    }
+}
--- /dev/null
+++ b/standins/tests/support/proof.rs
@@ -0,0 +1,105 @@
+//! What the proofs on real processes share.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use cardamomroad_standins::{
+    caller::{
+        Caller,
+        Options, //
+    },
+    fleet::{
+        Fleet,
+        FleetBuilder,
+        demonstration_key,
+        example,
+        limit,
+        narrow, //
+    },
+    upstream::Entry,
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::timeout,
+};
+
+/// The organisation that most proofs send for.
+pub const LARGE: &str = "hanoi-stations";
+/// Another organisation.
+pub const OTHER: &str = "hue-fitters";
+/// The zone that alone provides `workbench`, so that others have to forward to it.
+pub const FAR_ZONE: &str = "trung-a";
+/// The longest time that a raw exchange takes.
+const EXCHANGE_MAX: Duration = Duration::from_secs(20);
+
+/// Returns a fleet over two zones of two regions, where no rate is in the way.
+pub async fn fleet(hosts_per_zone: usize, upstream_args: &[&str]) -> Fleet {
+    let mut set = example("thanh-clockworks").unwrap();
+    narrow(&mut set, &["bac-a", FAR_ZONE], 2);
+    let far = |p: &cardamomroad::config::object::Pool| p.zone.as_str() == FAR_ZONE;
+    set.pools
+        .retain(|p| p.service.as_str() != "workbench" || far(p));
+    for o in set.organisations.clone() {
+        limit(&mut set, &o.name, 10_000, 10_000);
+    }
+    let builder = FleetBuilder::new(set).with_hosts_per_zone(hosts_per_zone);
+    let builder = builder
+        .with_upstream_args(upstream_args)
+        .with_log_level("debug");
+    let fleet = builder.start().await.unwrap();
+    for organisation in [LARGE, OTHER] {
+        fleet.wait_for_budget(organisation, 200).await.unwrap();
+    }
+    fleet
+}
+
+/// Returns a caller with the organisation's key.
+pub fn caller(fleet: &Fleet, name: &str, organisation: &str, service: &str) -> Arc<Caller> {
+    Arc::new(Caller::new(options(fleet, name, organisation, service)))
+}
+
+/// Returns the options of a caller with the organisation's key.
+pub fn options(fleet: &Fleet, name: &str, organisation: &str, service: &str) -> Options {
+    let options = fleet.caller(name, service);
+    options.with_key(&demonstration_key(organisation))
+}
+
+/// Returns every request that any process of any upstream received.
+pub fn all_entries(fleet: &Fleet) -> Vec<Entry> {
+    let logs = fleet.upstreams().iter().map(|u| u.file_log().unwrap());
+    logs.flatten().collect()
+}
+
+/// Returns how often each token started to run at all upstreams together.
+pub fn starts(fleet: &Fleet) -> BTreeMap<String, u32> {
+    let mut starts = BTreeMap::new();
+    for entry in all_entries(fleet) {
+        if entry.started_ms.is_some() {
+            *starts.entry(entry.token).or_default() += 1;
+        }
+    }
+    starts
+}
+
+/// Sends bytes on a connection of their own and returns all that comes back.
+pub async fn raw(address: SocketAddr, request: &str) -> String {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // A reset after the answer is no fault.
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    };
+    timeout(EXCHANGE_MAX, exchange).await.unwrap()
+}
