--- a/standins/tests/proof_answers.rs
+++ b/standins/tests/proof_answers.rs
@@ -34,6 +34,8 @@
 
 /// The paths of a service in the own zone and of one behind a hop.
 const PATHS: [&str; 2] = ["/histories/1", "/inspections/1"];
+/// More than a host's part of the link carries in a second.
+const LONG_UPLOAD_BYTES: u64 = 40_000_000;
 /// The seed of delays, deadlines and cancels.
 const SEED: u64 = 7;
 
@@ -131,3 +133,14 @@
         );
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_upload_over_a_link_is_paced_and_not_refused_for_its_length() {
+    let fleet = fleet(2, &[]).await;
+    let caller = caller(&fleet, "c", proof::OTHER, "workbench");
+    let host = fleet.host("bac-a-1").unwrap().callers();
+    let ask = Ask::new(hyper::Method::PUT, "/videos/long", true);
+    let ask = ask.with_upload(Upload::new(LONG_UPLOAD_BYTES));
+    let reply = admitted(&caller, host, &ask).await;
+    assert!(reply.receipt().is_some(), "{reply}: {:?}", reply.verdict);
+}
