--- a/standins/tests/proof_keys.rs
+++ b/standins/tests/proof_keys.rs
@@ -65,7 +65,10 @@
     let fleet = fleet(1, &[]).await;
     let key = demonstration_key(OTHER);
     for upstream in fleet.upstreams() {
-        upstream.set_needles(&[key.clone()]).await.unwrap();
+        upstream
+            .set_needles(std::slice::from_ref(&key))
+            .await
+            .unwrap();
     }
     let mut served = 0;
     for host in fleet.hosts() {
