Test that endless stale answers leave the outcome unknown, and that every fault of an object is told

Both tests were missing: with the wait for the version and the comparison taken out of the read-back, and with only the first fault of an object kept, all earlier tests passed.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -231,14 +231,14 @@
 
 #[test]
 fn all_faults_are_reported_at_once() {
-    let text =
-        "schema = 1\n[[zone]]\nname = \"A\"\n[[pool]]\nslots = \"x\"\n[[region]]\nname = 1\n";
+    let text = "schema = 1\n[[zone]]\nname = \"A\"\n[[pool]]\nslots = \"x\"\n\
+                connections = \"y\"\n[[region]]\nname = 1\n";
     let faults = parse(&[source(text)]).unwrap_err().0;
     let lines: Vec<_> = faults
         .iter()
         .map(|f| f.place.as_ref().unwrap().line)
         .collect();
-    assert_eq!(lines, [2, 3, 4, 4, 4, 4, 4, 4, 5, 7]);
+    assert_eq!(lines, [2, 3, 4, 4, 4, 4, 4, 5, 6, 8]);
 }
 
 #[test]
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -253,6 +253,25 @@
     });
 }
 
+#[test]
+fn stale_answers_without_end_leave_the_outcome_unknown() {
+    run(async {
+        let store = FakeStore::new();
+        apply(&store, set(1), write(1)).await.unwrap();
+        store.plan_get(HEAD_KEY, Fault::None);
+        store.plan_put(HEAD_KEY, Fault::LostAfter);
+        for _ in 0..100 {
+            store.plan_get(HEAD_KEY, Fault::Stale);
+        }
+        let unknown = apply(&store, set(2), write(2)).await;
+        assert!(
+            matches!(unknown, Err(PublishError::Unknown { .. })),
+            "{unknown:?}"
+        );
+        assert_eq!(in_force(&store).len(), 2);
+    });
+}
+
 #[test]
 fn lost_write_is_told_from_one_that_took_effect() {
     run(async {
