Tell the generation that the head names when a write is found by reading back

Cause: a repeated write whose first read of the head was stale by two returned the generation after that stale head (3) in place of its own (4).

--- a/src/publish/apply.rs
+++ b/src/publish/apply.rs
@@ -123,7 +123,10 @@
         base,
         value,
     };
-    applied.read_back = moving.run().await?;
+    if let Some(generation) = moving.run().await? {
+        applied.generation = generation;
+        applied.read_back = true;
+    }
     Ok(applied)
 }
 
@@ -242,8 +245,8 @@
 
 /// What the head tells about a write whose condition did not hold.
 enum Found {
-    /// The head holds this write.
-    Own,
+    /// The head holds this write, which led to this generation.
+    Own(Generation),
     /// The same generation is in force as before, at another version.
     Touched(Version),
     /// Another write led on from the base.
@@ -253,12 +256,13 @@
 }
 
 impl<S: ObjectStore> Move<'_, S> {
-    /// Moves the head; returns whether that was found only by reading back.
+    /// Moves the head. Where that was found only by reading back, returns the
+    /// generation that the head tells.
     ///
     /// A try without an answer is repeated under the same condition. Once the
     /// store answers that the condition does not hold, no earlier try can take
     /// effect any more, and the head tells whether one did.
-    async fn run(self) -> Result<bool, PublishError> {
+    async fn run(self) -> Result<Option<Generation>, PublishError> {
         let version = self.base.as_ref().map(|base| base.version);
         let mut condition = version.map_or(Condition::Absent, Condition::At);
         let mut in_doubt = false;
@@ -266,7 +270,7 @@
         loop {
             let put = self.store.put(HEAD_KEY, self.value.clone(), condition);
             let e = match put.await {
-                Ok(_) => return Ok(false),
+                Ok(_) => return Ok(None),
                 Err(e) => e,
             };
             let StoreError::Conflict { current, .. } = e else {
@@ -277,7 +281,7 @@
                 continue;
             };
             match self.find(current, in_doubt).await {
-                Ok(Found::Own) => return Ok(true),
+                Ok(Found::Own(generation)) => return Ok(Some(generation)),
                 Ok(Found::Other(head)) => return Err(self.conflict(head).await),
                 Ok(Found::Touched(version)) if pauses.wait().await => {
                     condition = Condition::At(version);
@@ -299,8 +303,8 @@
             return Ok(Found::Undecided);
         };
         let head = Head::decode(&object.value)?;
-        if head.generation_of(self.id).is_some() {
-            return Ok(Found::Own);
+        if let Some(generation) = head.generation_of(self.id) {
+            return Ok(Found::Own(generation));
         }
         if base.is_some_and(|base| base.head == head) {
             return Ok(Found::Touched(object.version));
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -243,8 +243,8 @@
         apply(&store, set(1), write(1)).await.unwrap();
         store.plan_get(HEAD_KEY, Fault::None);
         store.plan_put(HEAD_KEY, Fault::LostAfter);
-        store.plan_get(HEAD_KEY, Fault::Stale);
-        store.plan_get(HEAD_KEY, Fault::Stale);
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
         let applied = apply(&store, set(2), write(2)).await.unwrap();
         assert_eq!(
             (applied.generation, applied.read_back),
@@ -261,7 +261,7 @@
         store.plan_get(HEAD_KEY, Fault::None);
         store.plan_put(HEAD_KEY, Fault::LostAfter);
         for _ in 0..100 {
-            store.plan_get(HEAD_KEY, Fault::Stale);
+            store.plan_get(HEAD_KEY, Fault::Stale(1));
         }
         let unknown = apply(&store, set(2), write(2)).await;
         assert!(
@@ -369,6 +369,21 @@
     });
 }
 
+#[test]
+fn repeated_write_tells_its_generation_though_the_first_read_is_stale() {
+    run(async {
+        let store = FakeStore::new();
+        for burst in 1..5 {
+            apply(&store, set(burst), write(burst.into()))
+                .await
+                .unwrap();
+        }
+        store.plan([Fault::Stale(2)]);
+        let again = apply(&store, set(4), write(4)).await.unwrap();
+        assert_eq!((again.generation, again.read_back), (Generation(4), true));
+    });
+}
+
 #[test]
 fn store_that_is_down_publishes_nothing_and_says_so() {
     run(async {
@@ -422,7 +437,7 @@
         apply(&store, set(2), write(2)).await.unwrap();
         let mut reader = Reader::new();
         reader.refresh(&store).await.unwrap();
-        store.plan([Fault::Stale]);
+        store.plan([Fault::Stale(1)]);
         assert_eq!(reader.refresh(&store).await.unwrap(), None);
         assert_eq!(reader.generation(), Some(Generation(2)));
     });
@@ -435,7 +450,7 @@
         apply(&store, set(1), write(1)).await.unwrap();
         apply(&store, set(2), write(2)).await.unwrap();
         let mut reader = Reader::new();
-        store.plan([Fault::Stale]);
+        store.plan([Fault::Stale(1)]);
         reader.refresh(&store).await.unwrap();
         assert_eq!(reader.generation(), Some(Generation(1)));
         assert!(!reader.confirm(&store).await.unwrap());
@@ -494,7 +509,7 @@
         1 => Just(Fault::LostBefore),
         2 => Just(Fault::LostAfter),
         2 => (1..9_u32).prop_map(Fault::Late),
-        2 => Just(Fault::Stale),
+        2 => (1..4_usize).prop_map(Fault::Stale),
     ]
 }
 
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -39,8 +39,8 @@
     LostAfter,
     /// The call is lost for the caller, and a write takes effect so many calls later.
     Late(u32),
-    /// A read answers with the value before the current one.
-    Stale,
+    /// A read answers with the value so many before the current one.
+    Stale(usize),
 }
 
 struct LateWrite {
@@ -213,7 +213,7 @@
         let back = match fault {
             Fault::Refused => return Err(refused(key)),
             Fault::LostBefore | Fault::LostAfter | Fault::Late(_) => return Err(unanswered()),
-            Fault::Stale => 1,
+            Fault::Stale(back) => back,
             Fault::None => 0,
         };
         let values = state.objects.get(key).map_or(&[][..], Vec::as_slice);
@@ -237,7 +237,7 @@
             fault = planned;
         }
         match fault {
-            Fault::None | Fault::Stale => state.write(key, value, condition),
+            Fault::None | Fault::Stale(_) => state.write(key, value, condition),
             Fault::Refused => Err(refused(key)),
             Fault::LostBefore => Err(unanswered()),
             Fault::LostAfter => {
