--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod http;
