Pass stamps on in 13 bytes each, and prove a host gone by unanswered probes

So stamps are packed now, by hash of name and incarnation; a host passes each on twice, the one that went on most first. Own zone and other zones now have separate room.

Silence in gossip is therefore no proof: a host that the list dropped is probed first, and is Gone only after its probes were left unanswered for 120 s. Forgetting counts from there; it counted from the last stamp before, and forgot a host at the moment that it would have been Gone.

--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -36,7 +36,7 @@
     pub duration_ms: u64,
 }
 
-/// What the owner of a [`Lease`] does next.
+/// What the owner of a [`Lease`](crate::lease::Lease) does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Nothing before this instant, but to read the record now and then.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -13,7 +13,9 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
 use rand::Rng;
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::{
@@ -39,7 +41,8 @@
     Heartbeat,
     LoadSummary,
     NewsAge,
-    SetSummary, //
+    SetSummary,
+    StampEntry, //
 };
 pub use peer::{
     Listed,
@@ -58,22 +61,22 @@
 pub const OTHER_ZONES_MAX_MILLI: usize = 3_000;
 /// Hosts of each other zone that it keeps.
 pub const OTHER_ZONE_HOSTS: usize = 8;
-/// Entries that a heartbeat passes on.
-pub const GOSSIP_ENTRIES: usize = 6;
+/// Changes that a heartbeat passes on.
+pub const GOSSIP_ENTRIES: usize = 4;
+/// Stamps of other hosts that a heartbeat passes on.
+pub const STAMP_ENTRIES: usize = 16;
 /// Hosts that are asked to probe a host that did not answer.
 pub const INDIRECT_FANOUT: usize = 2;
 /// How long a suspect host stays routable.
 pub const SUSPECT_BOUND: Duration = Duration::from_secs(5);
 /// How long after it was heard a host is not suspected on another's word.
 pub const HEARD_BOUND: Duration = Duration::from_secs(2);
-/// How long a host that the platform's list dropped must be silent to be gone.
+/// How long a host that the platform's list dropped must leave probes unanswered to be gone.
 pub const GONE_SILENCE: Duration = Duration::from_secs(120);
 /// How long a host that is gone is remembered.
 pub const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// A longer time between two ticks means that this process did not run.
 pub const PAUSE_BOUND: Duration = Duration::from_secs(5);
-/// A host that knows this part fewer hosts is told where they listen.
-const NEWCOMER_DIVISOR: usize = 16;
 /// Low bits of an incarnation that tell processes started in one millisecond apart.
 const INCARNATION_NOISE_BITS: u32 = 12;
 
@@ -205,16 +208,14 @@
     pub fn heartbeat<R: Rng>(&mut self, now: Instant, to: &HostName, rng: &mut R) -> Heartbeat {
         let zone = self.peers.get(to).map(|p| &p.contact.zone);
         let far = zone.is_some_and(|z| *z != self.contact.zone);
-        self.compose(now, rng, far, false)
+        self.compose(now, rng, far, usize::MAX)
     }
 
     /// Takes in a heartbeat and returns the answer.
     pub fn on_heartbeat<R: Rng>(&mut self, now: Instant, h: &Heartbeat, rng: &mut R) -> Heartbeat {
         self.merge(now, h);
         let far = h.contact.zone != self.contact.zone;
-        let known = self.peers.len();
-        let newcomer = usize::from(h.known) < known - known / NEWCOMER_DIVISOR;
-        let mut reply = self.compose(now, rng, far, newcomer);
+        let mut reply = self.compose(now, rng, far, h.known.into());
         // A process with a smaller incarnation than known learns that it is not the latest.
         let known = self.peers.get(&h.from);
         if let Some(later) = known.filter(|p| p.incarnation > h.incarnation) {
@@ -243,7 +244,7 @@
             return;
         }
         if peer.suspect(now) {
-            peer.repeats = repeats;
+            peer.pass_on(now, repeats);
         }
     }
 
@@ -265,7 +266,7 @@
             peer.indirect - 1
         };
         if heard.is_none() && peer.indirect == 0 && peer.suspect(now) {
-            peer.repeats = repeats;
+            peer.pass_on(now, repeats);
         }
     }
 
@@ -280,8 +281,8 @@
         self.ticked = now;
         let listening = self.listening;
         self.peers.retain(|_, p| {
-            let silent_since = p.heard.unwrap_or(p.known_since).max(listening);
-            p.listed != Listed::Absent || now < silent_since + GONE_SILENCE + FORGET_AFTER
+            let long = |t: Instant| now >= t.max(listening) + GONE_SILENCE + FORGET_AFTER;
+            p.listed != Listed::Absent || !p.suspected.is_some_and(long)
         });
     }
 
@@ -316,6 +317,24 @@
         for gossip in &h.gossip {
             self.on_gossip(now, gossip);
         }
+        self.merge_stamps(now, h.stamps.clone());
+    }
+
+    fn merge_stamps(&mut self, now: Instant, mut packed: Bytes) {
+        let mut entries: SmallVec<[StampEntry; STAMP_ENTRIES]> = SmallVec::new();
+        while let Some(entry) = StampEntry::read(&mut packed) {
+            entries.push(entry);
+        }
+        entries.sort_unstable();
+        let repeats = self.repeats();
+        for peer in self.peers.values_mut() {
+            let Ok(i) = entries.binary_search_by_key(&peer.life, |e| e.life) else {
+                continue;
+            };
+            if peer.refresh(now, &entries[i]) {
+                peer.pass_on(now, repeats);
+            }
+        }
     }
 
     fn on_gossip(&mut self, now: Instant, g: &Gossip) {
@@ -334,7 +353,7 @@
             return;
         };
         if peer.merge(now, g) {
-            peer.repeats = repeats;
+            peer.pass_on(now, repeats);
         }
     }
 
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -2,13 +2,18 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
+use bytes::{
+    Buf,
+    BufMut,
+    Bytes, //
+};
 use serde::{
     Deserialize,
     Serialize, //
 };
 use smallvec::SmallVec;
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     membership::GOSSIP_ENTRIES,
@@ -166,6 +171,48 @@
     pub known: u16,
     /// What else it tells.
     pub facts: Facts,
-    /// What it passes on.
+    /// Changes that it passes on.
     pub gossip: SmallVec<[Gossip; GOSSIP_ENTRIES]>,
+    /// Stamps of other hosts, packed by [`StampEntry::write`].
+    pub stamps: Bytes,
+}
+
+/// The latest stamp of a host that the receiver is likely to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StampEntry {
+    /// The hash of the host's name and incarnation.
+    pub life: u64,
+    /// Its stamp.
+    pub stamp: u32,
+    /// Seconds since the stamp was heard, rounded up.
+    pub age_seconds: u8,
+}
+
+impl StampEntry {
+    /// The length of a packed entry.
+    pub const BYTES: usize = size_of::<u64>() + size_of::<u32>() + size_of::<u8>();
+
+    /// Returns the hash of a host's name and incarnation.
+    pub fn life(host: &HostName, incarnation: Incarnation) -> u64 {
+        xxh3_64_with_seed(host.as_str().as_bytes(), incarnation.0)
+    }
+
+    /// Appends the packed entry.
+    pub fn write(&self, buf: &mut impl BufMut) {
+        buf.put_u64(self.life);
+        buf.put_u32(self.stamp);
+        buf.put_u8(self.age_seconds);
+    }
+
+    /// Takes the next packed entry.
+    pub fn read(buf: &mut impl Buf) -> Option<Self> {
+        if buf.remaining() < Self::BYTES {
+            return None;
+        }
+        Some(Self {
+            life: buf.get_u64(),
+            stamp: buf.get_u32(),
+            age_seconds: buf.get_u8(),
+        })
+    }
 }
--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -1,6 +1,9 @@
 //! What one host knows of another, and what it takes it for.
 
-use tokio::time::Instant;
+use tokio::time::{
+    Duration,
+    Instant, //
+};
 
 use crate::{
     membership::{
@@ -11,7 +14,8 @@
             Claim,
             Contact,
             Facts,
-            Gossip, //
+            Gossip,
+            StampEntry, //
         }, //
     },
     util::id::{
@@ -21,6 +25,11 @@
     },
 };
 
+/// The oldest stamp that look-ups give out, half of the window of the ids.
+pub const NAMEABLE_AGE: Duration = Duration::from_secs(60);
+/// How often each host passes a stamp on; more than once, so that it spreads.
+const STAMP_PASSES: u8 = 2;
+
 /// What a host takes another for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerState {
@@ -32,7 +41,7 @@
     Unreachable,
     /// It said, or the platform's list says, that it is leaving.
     Leaving,
-    /// The platform's list dropped it and it was silent for [`GONE_SILENCE`].
+    /// The platform's list dropped it and no probe of it was answered for [`GONE_SILENCE`].
     Gone,
 }
 
@@ -67,13 +76,19 @@
     pub facts: Option<Facts>,
     /// What the platform's last list says of it.
     pub listed: Listed,
-    pub(super) known_since: Instant,
+    /// The hash of its name and incarnation.
+    pub(super) life: u64,
     pub(super) leaving: bool,
     pub(super) suspected: Option<Instant>,
     /// Whether a direct probe failed and indirect ones are due.
     pub(super) unanswered: bool,
     /// Indirect probes under way.
     pub(super) indirect: usize,
+    /// The stamp that was passed on last, and how often the present one was.
+    pub(super) passed: Stamp,
+    pub(super) passes: u8,
+    /// When others should first hear of its last change.
+    pub(super) changed: Instant,
     /// How often its last change is still to be passed on.
     pub(super) repeats: u32,
 }
@@ -81,6 +96,7 @@
 impl Peer {
     pub(super) fn new(name: HostName, contact: Contact, now: Instant) -> Self {
         Self {
+            life: StampEntry::life(&name, Incarnation::default()),
             name,
             contact,
             incarnation: Incarnation::default(),
@@ -88,19 +104,21 @@
             heard: None,
             facts: None,
             listed: Listed::default(),
-            known_since: now,
             leaving: false,
             suspected: None,
             unanswered: false,
             indirect: 0,
+            passed: Stamp::default(),
+            passes: 0,
+            changed: now,
             repeats: 0,
         }
     }
 
     /// Returns what the host is taken for by one that has listened since `listening`.
     pub(super) fn state(&self, now: Instant, listening: Instant) -> PeerState {
-        let silent_since = self.heard.unwrap_or(self.known_since).max(listening);
-        if self.listed == Listed::Absent && now >= silent_since + GONE_SILENCE {
+        let silent = |t: Instant| now >= t.max(listening) + GONE_SILENCE;
+        if self.listed == Listed::Absent && self.suspected.is_some_and(silent) {
             return PeerState::Gone;
         }
         let suspected = self.suspected.map(|t| now.saturating_duration_since(t));
@@ -116,6 +134,18 @@
         PeerState::Live
     }
 
+    /// Tells whether other hosts may not know it from the platform's list.
+    pub(super) fn is_unlisted(&self) -> bool {
+        matches!(self.listed, Listed::Unknown | Listed::Absent)
+    }
+
+    /// Tells whether its stamp is young enough to be given out in a look-up.
+    ///
+    /// The stamp's age shortens the time in which ids made with it may begin.
+    pub fn is_nameable(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|t| now < t + NAMEABLE_AGE)
+    }
+
     /// Merges a claim; returns whether others should hear of the change.
     ///
     /// A larger incarnation wins; within one, a larger stamp does. So a host
@@ -131,6 +161,7 @@
                 ..Self::new(self.name.clone(), self.contact.clone(), now)
             };
             self.incarnation = g.incarnation;
+            self.life = StampEntry::life(&self.name, g.incarnation);
         }
         if let Some(contact) = &g.contact {
             self.contact = contact.clone();
@@ -153,6 +184,45 @@
         changed || reborn
     }
 
+    /// Merges a stamp of its present life; returns whether others should hear of a change.
+    pub(super) fn refresh(&mut self, now: Instant, entry: &StampEntry) -> bool {
+        let stamp = Stamp(entry.stamp.into());
+        if stamp <= self.stamp {
+            return false;
+        }
+        self.stamp = stamp;
+        let age = Duration::from_secs(entry.age_seconds.into());
+        self.heard = self.heard.max(now.checked_sub(age));
+        self.clear_suspicion()
+    }
+
+    /// Returns the ticks since the stamp that was passed on last.
+    pub(super) fn advance(&self) -> u64 {
+        self.stamp.0.saturating_sub(self.passed.0)
+    }
+
+    /// Returns the stamp to pass on, unless it is too old to be of use. It counts
+    /// as passed on after [`STAMP_PASSES`] times.
+    pub(super) fn pass_stamp(&mut self, now: Instant) -> Option<StampEntry> {
+        self.passes += 1;
+        if self.passes >= STAMP_PASSES {
+            self.passed = self.stamp;
+            self.passes = 0;
+        }
+        let age_seconds = u8::try_from(age_seconds(now, self.heard)).ok()?;
+        Some(StampEntry {
+            life: self.life,
+            stamp: u32::try_from(self.stamp.0).ok()?,
+            age_seconds,
+        })
+    }
+
+    /// Has others told of a change.
+    pub(super) fn pass_on(&mut self, now: Instant, repeats: u32) {
+        self.changed = now;
+        self.repeats = repeats;
+    }
+
     pub(super) fn suspect(&mut self, now: Instant) -> bool {
         let changed = self.suspected.is_none();
         self.suspected.get_or_insert(now);
@@ -184,7 +254,7 @@
 
 impl Gossip {
     fn heard_at(&self, now: Instant) -> Option<Instant> {
-        now.checked_sub(std::time::Duration::from_secs(self.age_seconds.into()))
+        now.checked_sub(Duration::from_secs(self.age_seconds.into()))
     }
 }
 
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -1,7 +1,16 @@
 //! Whom a host probes, and what it passes on.
 
-use std::net::SocketAddr;
+use std::{
+    cmp::Reverse,
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::Duration, //
+};
 
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use rand::{
     Rng,
     seq::{
@@ -14,17 +23,25 @@
 
 use crate::{
     membership::{
-        GOSSIP_ENTRIES, INDIRECT_FANOUT, Membership, OTHER_ZONES_MAX_MILLI, OTHER_ZONES_MIN_MILLI,
+        GOSSIP_ENTRIES,
+        HEARD_BOUND,
+        INDIRECT_FANOUT,
+        Membership,
+        OTHER_ZONES_MAX_MILLI,
+        OTHER_ZONES_MIN_MILLI,
+        STAMP_ENTRIES,
         ZONE_FANOUT,
         message::{
             Facts,
             Gossip,
-            Heartbeat, //
+            Heartbeat,
+            StampEntry, //
         },
         peer::{
+            Listed,
             Peer,
             PeerState, //
-        },
+        }, //
     },
     util::id::{
         HostName,
@@ -34,6 +51,16 @@
 
 /// Entries that a heartbeat to another zone passes on.
 const FAR_GOSSIP_ENTRIES: usize = 2;
+/// A host that knows this part fewer hosts is a newcomer.
+const NEWCOMER_DIVISOR: usize = 16;
+/// Hosts that a newcomer is told of by each message.
+const NEWCOMER_ENTRIES: usize = 24;
+/// The part of the stamps that is of other zones' hosts.
+const FAR_STAMPS_DIVISOR: usize = 4;
+/// A stamp that was heard longer ago is news to few.
+const NEWS_AGE: Duration = Duration::from_secs(8);
+/// Stamps that are left out for each change, so that no message grows long.
+const STAMPS_PER_CHANGE: usize = 3;
 
 /// A probe to send now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,17 +87,29 @@
     /// Returns the probes to send now; call it once every [`super::PERIOD`].
     pub fn probes<R: Rng>(&mut self, now: Instant, rng: &mut R) -> SmallVec<[Probe; 4]> {
         let mut probes = SmallVec::new();
+        probes.extend(self.next_absent(now));
         for _ in 0..ZONE_FANOUT {
             probes.extend(self.next_in_zone(now, rng));
         }
-        for _ in 0..self.other_zone_probes(now) {
-            probes.extend(self.next_in_other_zone(now, rng));
+        let zones = self.other_zones(now);
+        for _ in 0..self.other_zone_probes(zones.len()) {
+            probes.extend(self.next_in_other_zone(now, &zones, rng));
         }
         self.add_indirect(now, rng, &mut probes);
         probes.dedup();
         probes
     }
 
+    /// Probes the host that the list dropped and that was heard longest ago, so
+    /// that its silence is known to be one.
+    fn next_absent(&self, now: Instant) -> Option<Probe> {
+        let absent = |p: &&Peer| p.listed == Listed::Absent && self.is_probed(now, p);
+        let quiet = |p: &&Peer| p.heard.is_none_or(|t| now >= t + HEARD_BOUND);
+        let due = self.peers.values().filter(absent).filter(quiet);
+        due.min_by_key(|p| (p.unanswered || p.suspected.is_some(), p.heard))
+            .map(direct)
+    }
+
     /// Goes round the own zone in random order, so that each host has its turn.
     fn next_in_zone<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Option<Probe> {
         if self.round.is_empty() {
@@ -87,9 +126,14 @@
     }
 
     /// Goes round the other zones in random order, to a random host of each.
-    fn next_in_other_zone<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Option<Probe> {
+    fn next_in_other_zone<R: Rng>(
+        &mut self,
+        now: Instant,
+        zones: &[ZoneName],
+        rng: &mut R,
+    ) -> Option<Probe> {
         if self.zone_round.is_empty() {
-            self.zone_round = self.other_zones(now);
+            self.zone_round = zones.to_vec();
             self.zone_round.shuffle(rng);
         }
         let zone = self.zone_round.pop()?;
@@ -102,8 +146,7 @@
 
     /// Returns the heartbeats to other zones now, so that the hosts of this zone
     /// together reach each other zone about once a period.
-    fn other_zone_probes(&mut self, now: Instant) -> usize {
-        let zones = self.other_zones(now).len();
+    fn other_zone_probes(&mut self, zones: usize) -> usize {
         if zones == 0 {
             return 0;
         }
@@ -115,17 +158,14 @@
     }
 
     fn other_zones(&self, now: Instant) -> Vec<ZoneName> {
-        let mut zones = Vec::new();
+        let mut zones = BTreeSet::new();
         for peer in self.peers.values() {
             let zone = &peer.contact.zone;
-            if *zone == self.contact.zone || !self.is_probed(now, peer) {
-                continue;
+            if *zone != self.contact.zone && self.is_probed(now, peer) {
+                zones.insert(zone);
             }
-            zones.push(zone.clone());
         }
-        zones.sort_unstable();
-        zones.dedup();
-        zones
+        zones.into_iter().cloned().collect()
     }
 
     fn add_indirect<R: Rng>(
@@ -173,15 +213,22 @@
         now: Instant,
         rng: &mut R,
         far: bool,
-        newcomer: bool,
+        known: usize,
     ) -> Heartbeat {
-        let limit = if far && !newcomer {
+        let newcomer = known < self.peers.len() - self.peers.len() / NEWCOMER_DIVISOR;
+        let limit = if far {
             FAR_GOSSIP_ENTRIES
         } else {
             GOSSIP_ENTRIES
         };
-        let mut gossip = self.changes(now, limit);
-        self.fill(now, rng, limit, newcomer, &mut gossip);
+        let mut gossip = self.changes(now, limit - 1, newcomer);
+        let others = if newcomer { NEWCOMER_ENTRIES } else { 1 };
+        self.introduce(now, rng, others, known < self.peers.len(), &mut gossip);
+        let room = STAMP_ENTRIES.saturating_sub(gossip.len() * STAMPS_PER_CHANGE);
+        let stamps = match far {
+            true => Bytes::new(),
+            false => self.stamps(now, room),
+        };
         Heartbeat {
             from: self.me.clone(),
             contact: self.contact.clone(),
@@ -191,6 +238,7 @@
             known: u16::try_from(self.peers.len()).unwrap_or(u16::MAX),
             facts: self.facts_at(now),
             gossip,
+            stamps,
         }
     }
 
@@ -203,26 +251,33 @@
         }
     }
 
-    /// Passes on the changes that were passed on least.
-    fn changes(&mut self, now: Instant, limit: usize) -> SmallVec<[Gossip; GOSSIP_ENTRIES]> {
+    /// Passes on the latest changes that were not passed on often enough, first
+    /// those of hosts that others may not know.
+    fn changes(
+        &mut self,
+        now: Instant,
+        limit: usize,
+        newcomer: bool,
+    ) -> SmallVec<[Gossip; GOSSIP_ENTRIES]> {
         let mut changed: Vec<&mut Peer> =
             self.peers.values_mut().filter(|p| p.repeats > 0).collect();
-        changed.sort_by_key(|p| std::cmp::Reverse(p.repeats));
+        changed.sort_by_key(|p| Reverse((p.is_unlisted(), p.changed, p.repeats)));
         let mut gossip = SmallVec::new();
         for peer in changed.into_iter().take(limit) {
             peer.repeats -= 1;
-            gossip.push(peer.gossip(now, true));
+            gossip.push(peer.gossip(now, newcomer || peer.is_unlisted()));
         }
         gossip
     }
 
-    /// Fills up with hosts at random, so that their stamps stay known.
-    fn fill<R: Rng>(
+    /// Adds hosts at random, so that whoever missed a change still hears of it,
+    /// and a receiver that knows fewer hosts learns where they listen.
+    fn introduce<R: Rng>(
         &self,
         now: Instant,
         rng: &mut R,
-        limit: usize,
-        newcomer: bool,
+        count: usize,
+        with_contact: bool,
         gossip: &mut SmallVec<[Gossip; GOSSIP_ENTRIES]>,
     ) {
         let heard: Vec<&Peer> = self
@@ -230,11 +285,39 @@
             .values()
             .filter(|p| p.heard.is_some() && self.is_probed(now, p))
             .collect();
-        for peer in heard.sample(rng, limit - gossip.len()) {
+        for peer in heard.sample(rng, count) {
             if gossip.iter().any(|g| g.host == peer.name) {
                 continue;
             }
-            gossip.push(peer.gossip(now, newcomer));
+            gossip.push(peer.gossip(now, with_contact));
+        }
+    }
+
+    /// Packs stamps of the own zone's hosts and some of others.
+    fn stamps(&mut self, now: Instant, room: usize) -> Bytes {
+        let mut buf = BytesMut::with_capacity(room * StampEntry::BYTES);
+        let far = room / FAR_STAMPS_DIVISOR;
+        for (in_zone, room) in [(true, room - far), (false, far)] {
+            self.pack_stamps(now, in_zone, room, &mut buf);
+        }
+        buf.freeze()
+    }
+
+    /// Packs the stamps that went on most since they were passed on last, of
+    /// these first the ones that were heard lately, for they are news to most.
+    fn pack_stamps(&mut self, now: Instant, in_zone: bool, room: usize, buf: &mut BytesMut) {
+        let own = &self.contact.zone;
+        let is_news = |p: &&mut Peer| p.advance() > 0 && (p.contact.zone == *own) == in_zone;
+        let mut news: Vec<&mut Peer> = self.peers.values_mut().filter(is_news).collect();
+        if news.len() > room {
+            let lately = |p: &Peer| p.heard.is_some_and(|t| now < t + NEWS_AGE);
+            news.select_nth_unstable_by_key(room, |p| Reverse((lately(p), p.advance())));
+            news.truncate(room);
+        }
+        for peer in news {
+            if let Some(entry) = peer.pass_stamp(now) {
+                entry.write(buf);
+            }
         }
     }
 }
