--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,405 @@
+//! The tasks of a host: errands of the actor, its clock, and the store.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::{
+    Request,
+    Uri, //
+};
+use tokio::{
+    sync::{
+        Mutex,
+        mpsc::UnboundedReceiver, //
+    },
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval,
+        timeout, //
+    },
+};
+
+use crate::{
+    adoption::{
+        Confirmation,
+        Source,
+        Step, //
+    },
+    body::full,
+    config::{
+        diff::{
+            Delta,
+            DeltaError, //
+        },
+        index::{
+            Index,
+            IndexError, //
+        },
+        object::Set,
+    },
+    control::{
+        self,
+        CONTROL_TIMEOUT,
+        Configuration,
+        ControlReply,
+        ControlRequest,
+        SET_TIMEOUT, //
+    },
+    error::StoreError,
+    gateway::{
+        Gateway,
+        head, //
+    },
+    host::{
+        configuration::{
+            Adopt,
+            FetchFailed,
+            HeadConfirmed,
+            HeadSeen, //
+        },
+        errand::Errand,
+        news::{
+            Answered,
+            Listed,
+            TICK,
+            Tick, //
+        },
+    },
+    planning,
+    publish::{
+        self,
+        head::HEAD_KEY,
+        reader::{
+            Reader,
+            Update, //
+        },
+    },
+    relay,
+    store::{
+        Condition,
+        ObjectStore, //
+    },
+    util::id::{
+        Generation,
+        HostName,
+        Version,
+        ZoneName, //
+    },
+};
+
+/// How long an upstream's own report may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Starts the tasks that serve the actor.
+pub fn spawn<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    zone: ZoneName,
+    seeds: Vec<SocketAddr>,
+    errands: UnboundedReceiver<Errand>,
+) {
+    tokio::spawn(keep_time(gw.clone()));
+    tokio::spawn(meet_seeds(gw.clone(), seeds));
+    relay::spawn(gw.clone(), store.clone(), zone);
+    planning::spawn(gw.clone(), store.clone());
+    tokio::spawn(run_errands(gw, store, errands));
+}
+
+async fn keep_time(gw: Arc<Gateway>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        if gw.host.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Makes the seeds known: they may answer where the store does not.
+async fn meet_seeds(gw: Arc<Gateway>, seeds: Vec<SocketAddr>) {
+    for address in seeds {
+        let Ok(beat) = gw.host.send(crate::host::news::Greeting).await else {
+            return;
+        };
+        let msg = ControlRequest::Beat(beat);
+        let asked = Instant::now();
+        let Ok(reply) = control::call(&gw, address, &msg, CONTROL_TIMEOUT).await else {
+            continue;
+        };
+        let ControlReply::Beat(beat) = &reply else {
+            continue;
+        };
+        let to = beat.heartbeat.from.clone();
+        let answered = Answered {
+            to,
+            asked,
+            msg,
+            reply: Some(reply),
+        };
+        if gw.host.send(answered).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn run_errands<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    mut errands: UnboundedReceiver<Errand>,
+) {
+    let reader = Arc::new(Mutex::new(Reader::new()));
+    while let Some(errand) = errands.recv().await {
+        tokio::spawn(run_errand(
+            gw.clone(),
+            store.clone(),
+            reader.clone(),
+            errand,
+        ));
+    }
+}
+
+async fn run_errand<S: ObjectStore>(
+    gw: Arc<Gateway>,
+    store: Arc<S>,
+    reader: Arc<Mutex<Reader>>,
+    errand: Errand,
+) {
+    match errand {
+        Errand::Control { to, address, msg } => ask(&gw, to, address, msg).await,
+        Errand::Adoption(step) => adopt(&gw, &*store, &reader, step).await,
+        Errand::List => list(&gw, &*store).await,
+        Errand::Health(addresses) => {
+            for address in addresses {
+                tokio::spawn(health(gw.clone(), address));
+            }
+        }
+    }
+}
+
+async fn ask(gw: &Gateway, to: HostName, address: SocketAddr, msg: ControlRequest) {
+    let asked = Instant::now();
+    let reply = match control::call(gw, address, &msg, CONTROL_TIMEOUT).await {
+        Ok(reply) => Some(reply),
+        Err(e) => {
+            log::debug!(event = "control-failed", to:%, cause:% = e; "");
+            None
+        }
+    };
+    let answered = Answered {
+        to,
+        asked,
+        msg,
+        reply,
+    };
+    // The actor ends only with the process.
+    let _ = gw.host.send(answered).await;
+}
+
+async fn list<S: ObjectStore>(gw: &Gateway, store: &S) {
+    gw.metrics.store_calls.inc();
+    match store.hosts().await {
+        Ok(hosts) => {
+            let _ = gw.host.send(Listed(hosts)).await;
+        }
+        Err(e) => log::warn!(event = "list-not-read", cause:% = e; ""),
+    }
+}
+
+async fn adopt<S: ObjectStore>(gw: &Gateway, store: &S, reader: &Mutex<Reader>, step: Step) {
+    match step {
+        Step::Ask => {
+            list(gw, store).await;
+            see_head(gw, store).await;
+        }
+        Step::Confirm { version } => confirm(gw, store, version).await,
+        Step::Fetch { generation, source } => fetch(gw, store, reader, generation, source).await,
+        Step::Wait { .. } => {}
+    }
+}
+
+/// Reads the store's head, and tells the actor where it was read.
+pub async fn see_head<S: ObjectStore>(gw: &Gateway, store: &S) {
+    gw.metrics.store_calls.inc();
+    match publish::read_head(store).await {
+        Ok(Some(head)) => {
+            let msg = HeadSeen {
+                version: head.version,
+                generation: Some(head.head.generation()),
+            };
+            let _ = gw.host.send(msg).await;
+        }
+        Ok(None) => log::debug!(event = "nothing-published"; ""),
+        Err(e) => log::warn!(event = "head-not-read", cause:% = e; ""),
+    }
+}
+
+/// Writes the head back unchanged: that succeeds only on the current version.
+async fn confirm<S: ObjectStore>(gw: &Gateway, store: &S, asked: Version) {
+    gw.metrics.store_calls.inc_by(2);
+    let answer = match store.get(HEAD_KEY).await {
+        Ok(Some(object)) if object.version == asked => {
+            match store
+                .put(HEAD_KEY, object.value, Condition::At(asked))
+                .await
+            {
+                Ok(new) => Confirmation::Current { new },
+                Err(StoreError::Conflict { current, .. }) => Confirmation::Moved { current },
+                Err(_) => return,
+            }
+        }
+        Ok(Some(object)) => Confirmation::Moved {
+            current: Some(object.version),
+        },
+        Ok(None) | Err(_) => return,
+    };
+    let _ = gw.host.send(HeadConfirmed { asked, answer }).await;
+}
+
+async fn fetch<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    reader: &Mutex<Reader>,
+    wanted: Generation,
+    source: Source,
+) {
+    let held = gw.index.load_full();
+    let generation = held.as_ref().map(|index| index.generation());
+    let found = match &source {
+        Source::Store(_) => from_store(gw, store, reader, generation).await,
+        Source::Peer(host) => from_peer(gw, host, generation).await,
+    };
+    let Some(fetched) = found else {
+        log::warn!(event = "generation-not-fetched", generation:% = wanted; "");
+        let _ = gw.host.send(FetchFailed(source)).await;
+        return;
+    };
+    // A large set takes a while to compile; requests go on meanwhile.
+    let compiled = tokio::task::spawn_blocking(move || compile(held.as_deref(), fetched)).await;
+    match compiled {
+        Ok(Ok((index, deltas))) => {
+            let msg = Adopt {
+                index: Arc::new(index),
+                deltas,
+                source,
+            };
+            let _ = gw.host.send(msg).await;
+        }
+        Ok(Err(e)) => {
+            log::error!(event = "generation-refused", generation:% = wanted, cause:% = e; "");
+            let _ = gw.host.send(FetchFailed(source)).await;
+        }
+        Err(e) => log::error!(event = "generation-refused", generation:% = wanted, cause:% = e; ""),
+    }
+}
+
+/// A configuration as it was fetched.
+enum Fetched {
+    /// A whole set.
+    Whole(Generation, Box<Set>),
+    /// What leads on from the configuration that is held.
+    Deltas(Vec<Delta>),
+}
+
+/// Compiles what was fetched, and returns the deltas that led to it.
+fn compile(held: Option<&Index>, fetched: Fetched) -> Result<(Index, Vec<Delta>), IndexError> {
+    let deltas = match fetched {
+        Fetched::Whole(generation, set) => {
+            return Ok((Index::new(generation, *set)?, Vec::new()));
+        }
+        Fetched::Deltas(deltas) => deltas,
+    };
+    let mut next: Option<Index> = None;
+    for delta in &deltas {
+        next = match next.as_ref().or(held) {
+            Some(index) => Some(index.with_delta(delta)?),
+            None => None,
+        };
+    }
+    let (held, from) = (Generation(0), deltas.first().map(|d| d.from));
+    let from = from.unwrap_or_default();
+    let index = next.ok_or(DeltaError::WrongBase { from, held })?;
+    Ok((index, deltas))
+}
+
+/// Reads what the store has after a generation; the reader keeps the chunks,
+/// so that the next change costs only those that it alters.
+async fn from_store<S: ObjectStore>(
+    gw: &Gateway,
+    store: &S,
+    reader: &Mutex<Reader>,
+    held: Option<Generation>,
+) -> Option<Fetched> {
+    gw.metrics.store_calls.inc();
+    let mut reader = reader.lock().await;
+    let fetched = match reader.refresh(store).await {
+        Ok(Some(Update::Delta(delta))) if Some(delta.from) == held => {
+            return Some(Fetched::Deltas(vec![*delta]));
+        }
+        Ok(Some(Update::Whole(generation, set))) => return Some(Fetched::Whole(generation, set)),
+        Ok(_) => reader.whole(),
+        Err(e) => Err(e),
+    };
+    match fetched {
+        Ok(found) => found.map(|(generation, set)| Fetched::Whole(generation, Box::new(set))),
+        Err(e) => {
+            log::warn!(event = "set-not-read", cause:% = e; "");
+            None
+        }
+    }
+}
+
+async fn from_peer(gw: &Gateway, host: &HostName, held: Option<Generation>) -> Option<Fetched> {
+    let address = gw
+        .host
+        .send(crate::host::news::AddressOf(host.clone()))
+        .await
+        .ok()??;
+    let msg = ControlRequest::Configuration(held);
+    let reply = control::call(gw, address, &msg, SET_TIMEOUT).await;
+    match reply {
+        Ok(ControlReply::Configuration(Configuration::Whole(generation, set))) => {
+            Some(Fetched::Whole(generation, set))
+        }
+        Ok(ControlReply::Configuration(Configuration::Deltas(deltas))) => {
+            Some(Fetched::Deltas(deltas))
+        }
+        Ok(_) => None,
+        Err(e) => {
+            log::debug!(event = "set-not-read", from:% = host, cause:% = e; "");
+            None
+        }
+    }
+}
+
+/// Asks an upstream for its health and its load.
+async fn health(gw: Arc<Gateway>, address: SocketAddr) {
+    let measured = Instant::now();
+    let health = get(&gw, address, "/.health").await;
+    let load = get(&gw, address, "/.load").await;
+    let msg = crate::host::loads::Reported {
+        address,
+        measured,
+        health,
+        load,
+    };
+    let _ = gw.host.send(msg).await;
+}
+
+async fn get(gw: &Gateway, address: SocketAddr, path: &'static str) -> Option<Bytes> {
+    use http_body_util::BodyExt;
+    let mut req = Request::new(full(Bytes::new()));
+    *req.uri_mut() = Uri::from_static(path);
+    head::set(req.headers_mut(), "host", address);
+    let exchange = timeout(HEALTH_TIMEOUT, gw.connections.send(address, req)).await;
+    let exchange = exchange.ok()?.ok()?;
+    let body = timeout(HEALTH_TIMEOUT, exchange.res.into_body().collect()).await;
+    let body = body.ok()?.ok()?;
+    exchange.lease.give_back();
+    Some(body.to_bytes())
+}
--- /dev/null
+++ b/src/config/index.rs
@@ -0,0 +1,327 @@
+//! The compiled form of a configuration set, as the hosts use it.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    net::IpAddr,
+    sync::Arc, //
+};
+
+use thiserror::Error;
+
+use crate::{
+    blocks::{
+        Blocks,
+        Change, //
+    },
+    config::{
+        diff::{
+            Delta,
+            DeltaError,
+            Edits, //
+        },
+        kind::Kind,
+        object::{
+            Block,
+            Key,
+            Link,
+            Organisation,
+            Pool,
+            Route,
+            Set,
+            Zone, //
+        },
+        path::normal_path,
+    },
+    util::id::{
+        Generation,
+        KeyDigest,
+        ObjectName,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// A set that no host can use; [`check`](crate::config::check) refuses such sets.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum IndexError {
+    /// An object names another that is not in the set.
+    #[error("{object:?} refers to {target:?}, which is not in the set; check the set first")]
+    Dangling {
+        /// The referring object.
+        object: String,
+        /// The missing name.
+        target: String,
+    },
+    /// The delta does not lead on from the snapshot.
+    #[error(transparent)]
+    Delta(#[from] DeltaError),
+}
+
+/// An immutable snapshot of one generation, shared by pointer.
+#[derive(Clone, Debug)]
+pub struct Index {
+    generation: Generation,
+    set: Set,
+    routes: HashMap<String, Vec<usize>>,
+    route_names: HashMap<ObjectName, usize>,
+    services: HashSet<ServiceName>,
+    organisations: HashMap<OrganisationName, usize>,
+    keys: HashMap<KeyDigest, usize>,
+    pools: HashMap<ServiceName, Vec<usize>>,
+    zones: HashMap<ZoneName, usize>,
+    regions: HashMap<RegionName, Vec<ZoneName>>,
+    links: HashMap<RegionName, HashMap<RegionName, usize>>,
+    blocks: Arc<Blocks>,
+}
+
+impl Index {
+    /// Compiles a sorted set.
+    pub fn new(generation: Generation, mut set: Set) -> Result<Self, IndexError> {
+        let blocks = std::mem::take(&mut set.blocks);
+        let index = Self::with_blocks(generation, set, Arc::new(Blocks::new(&blocks)))?;
+        index.check_near(&blocks)?;
+        Ok(index)
+    }
+
+    /// Returns the snapshot of the generation that a delta leads to; what the
+    /// delta does not change of the client blocks is shared.
+    pub fn with_delta(&self, delta: &Delta) -> Result<Self, IndexError> {
+        let mut set = self.set.clone();
+        delta.without_blocks().apply(self.generation, &mut set)?;
+        let edits = &delta.changes.blocks;
+        let blocks = self.edited_blocks(edits)?;
+        let index = Self::with_blocks(delta.to, set, blocks)?;
+        index.check_near(&edits.put)?;
+        if !delta.changes.zones.removed.is_empty() {
+            index.check_all_near()?;
+        }
+        Ok(index)
+    }
+
+    /// Returns the generation.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Returns the set that was compiled, without its client blocks, which
+    /// are kept in [`Index::blocks`] only.
+    pub fn set(&self) -> &Set {
+        &self.set
+    }
+
+    /// Returns the client blocks.
+    pub fn blocks(&self) -> &Arc<Blocks> {
+        &self.blocks
+    }
+
+    /// Returns a copy of the whole set, with its client blocks.
+    pub fn to_whole_set(&self) -> Set {
+        let mut set = self.set.clone();
+        set.blocks.reserve_exact(self.blocks.len());
+        for (net, class) in self.blocks.iter() {
+            let near = self.blocks.near(class).into();
+            set.blocks.push(Block { net, near });
+        }
+        set.blocks.sort_unstable_by_key(|block| block.net);
+        set
+    }
+
+    /// Returns the route of a request: of the routes that take its method, the
+    /// one with the longest prefix of its path.
+    ///
+    /// A prefix matches whole path segments. A path that an upstream could
+    /// read in two ways matches no route, see [`normal_path`].
+    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        let path = normal_path(path)?;
+        let mut end = path.len();
+        loop {
+            if let Some(route) = self.route_at(method, &path[..end]) {
+                return Some(route);
+            }
+            end = match path[..end].strip_suffix('/') {
+                Some("") => return None,
+                Some(shorter) => shorter.len(),
+                None => path[..end].rfind('/')? + 1,
+            };
+        }
+    }
+
+    /// Returns the route with a name.
+    pub fn route_named(&self, name: &ObjectName) -> Option<&Route> {
+        let &i = self.route_names.get(name)?;
+        self.set.routes.get(i)
+    }
+
+    /// Returns whether a service is configured.
+    pub fn has_service(&self, name: &ServiceName) -> bool {
+        self.services.contains(name)
+    }
+
+    /// Returns an organisation.
+    pub fn organisation(&self, name: &OrganisationName) -> Option<&Organisation> {
+        let &i = self.organisations.get(name)?;
+        self.set.organisations.get(i)
+    }
+
+    /// Returns the key with a digest.
+    pub fn key(&self, digest: &KeyDigest) -> Option<&Key> {
+        let &i = self.keys.get(digest)?;
+        self.set.keys.get(i)
+    }
+
+    /// Returns a service's pool in a zone.
+    pub fn pool(&self, service: &ServiceName, zone: &ZoneName) -> Option<&Pool> {
+        self.pools(service).find(|pool| pool.zone == *zone)
+    }
+
+    /// Returns all pools of a service.
+    pub fn pools(&self, service: &ServiceName) -> impl Iterator<Item = &Pool> {
+        let indices = self.pools.get(service).map_or(&[][..], Vec::as_slice);
+        indices.iter().filter_map(|&i| self.set.pools.get(i))
+    }
+
+    /// Returns a zone.
+    pub fn zone(&self, name: &ZoneName) -> Option<&Zone> {
+        let &i = self.zones.get(name)?;
+        self.set.zones.get(i)
+    }
+
+    /// Returns the region of a zone.
+    pub fn region_of(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.zone(zone).map(|zone| &zone.region)
+    }
+
+    /// Returns the zones of a region.
+    pub fn zones_in(&self, region: &RegionName) -> &[ZoneName] {
+        self.regions.get(region).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the link from one region to another.
+    pub fn link(&self, from: &RegionName, to: &RegionName) -> Option<&Link> {
+        let &i = self.links.get(from)?.get(to)?;
+        self.set.links.get(i)
+    }
+
+    /// Returns the zones nearest to a client, best first; none where no block holds it.
+    pub fn near(&self, client: IpAddr) -> &[ZoneName] {
+        let class = self.blocks.class_of(client);
+        class.map_or(&[], |class| self.blocks.near(class))
+    }
+
+    fn edited_blocks(&self, edits: &Edits<Block>) -> Result<Arc<Blocks>, IndexError> {
+        if edits.is_empty() {
+            return Ok(Arc::clone(&self.blocks));
+        }
+        let mut changes = Vec::with_capacity(edits.put.len() + edits.removed.len());
+        for &net in &edits.removed {
+            if !self.blocks.contains(net) {
+                let (kind, id) = (Kind::Block, net.to_string());
+                let held = self.generation;
+                return Err(DeltaError::Missing { kind, id, held }.into());
+            }
+            changes.push(Change::Remove(net));
+        }
+        changes.extend(edits.put.iter().cloned().map(Change::Put));
+        Ok(Arc::new(self.blocks.with_changes(&changes)))
+    }
+
+    /// Returns an error where a block names a zone that is not in the set.
+    fn check_near(&self, blocks: &[Block]) -> Result<(), IndexError> {
+        for block in blocks {
+            for zone in &block.near {
+                if !self.zones.contains_key(zone) {
+                    return Err(dangling(&block.net, zone));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_all_near(&self) -> Result<(), IndexError> {
+        for (net, class) in self.blocks.iter() {
+            for zone in self.blocks.near(class) {
+                if !self.zones.contains_key(zone) {
+                    return Err(dangling(&net, zone));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn route_at(&self, method: &str, prefix: &str) -> Option<&Route> {
+        for &i in self.routes.get(prefix)? {
+            let route = &self.set.routes[i];
+            if route.methods.is_empty() || route.methods.iter().any(|m| m == method) {
+                return Some(route);
+            }
+        }
+        None
+    }
+
+    fn with_blocks(
+        generation: Generation,
+        set: Set,
+        blocks: Arc<Blocks>,
+    ) -> Result<Self, IndexError> {
+        let mut index = Self {
+            generation,
+            blocks,
+            set: Set::default(),
+            routes: HashMap::new(),
+            route_names: HashMap::new(),
+            services: HashSet::new(),
+            organisations: HashMap::new(),
+            keys: HashMap::new(),
+            pools: HashMap::new(),
+            zones: HashMap::new(),
+            regions: HashMap::new(),
+            links: HashMap::new(),
+        };
+        for (i, zone) in set.zones.iter().enumerate() {
+            index.zones.insert(zone.name.clone(), i);
+            let zones = index.regions.entry(zone.region.clone()).or_default();
+            zones.push(zone.name.clone());
+        }
+        for (i, link) in set.links.iter().enumerate() {
+            let links = index.links.entry(link.from.clone()).or_default();
+            links.insert(link.to.clone(), i);
+        }
+        for (i, organisation) in set.organisations.iter().enumerate() {
+            index.organisations.insert(organisation.name.clone(), i);
+        }
+        for (i, route) in set.routes.iter().enumerate() {
+            let routes = index.routes.entry(route.prefix.clone()).or_default();
+            routes.push(i);
+            index.route_names.insert(route.name.clone(), i);
+        }
+        for (i, key) in set.keys.iter().enumerate() {
+            if !index.organisations.contains_key(&key.organisation) {
+                return Err(dangling(&key.name, &key.organisation));
+            }
+            index.keys.insert(key.digest, i);
+        }
+        for (i, pool) in set.pools.iter().enumerate() {
+            if !index.zones.contains_key(&pool.zone) {
+                return Err(dangling(&pool.name, &pool.zone));
+            }
+            let pools = index.pools.entry(pool.service.clone()).or_default();
+            pools.push(i);
+        }
+        index.services = set.services.iter().map(|s| s.name.clone()).collect();
+        index.set = set;
+        Ok(index)
+    }
+}
+
+/// Returns the error of a reference to a missing object.
+fn dangling(object: &dyn ToString, target: &dyn ToString) -> IndexError {
+    IndexError::Dangling {
+        object: object.to_string(),
+        target: target.to_string(),
+    }
+}
