Pace long uploads instead of refusing them, and pass suspicion on at once

Cause (uploads): the declared length of a body was held against one second of the host's share of the link, so 40 MB were refused every time; and a refusal while the caller was still sending closed the connection before it was read. Cause (crashes): each request was tried on up to three upstreams, and suspicion travelled by heartbeats, which a caller that repeats at once outruns. Ruled out: heartbeats more often, which costs all hosts bytes all the time.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -177,8 +177,14 @@
                 };
                 self.send_home(f, home).await
             }
-            Ok(Started::Wait(_)) => self.refusal(&call, &Refusal::not_run(Reason::Deadline)),
-            Ok(Started::Refused(refusal)) | Err(refusal) => self.refusal(&call, &refusal),
+            Ok(Started::Wait(_)) => {
+                upload.discard();
+                self.refusal(&call, &Refusal::not_run(Reason::Deadline))
+            }
+            Ok(Started::Refused(refusal)) | Err(refusal) => {
+                upload.discard();
+                self.refusal(&call, &refusal)
+            }
         }
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -63,6 +63,9 @@
     wire,
 };
 
+/// Tries of one request that may end with a lost upstream and be followed by another.
+/// A request that kills its upstreams must not walk from one to the next.
+const LOST_MAX: usize = 1;
 /// Bytes that a head takes on a link beside its headers.
 const HEAD_BASE_BYTES: usize = 64;
 /// The reason of an upstream that refuses new work because it drains.
@@ -139,6 +142,7 @@
     pub async fn forward(self: &Arc<Self>, mut f: Forwarding) -> Response<ProxyBody> {
         let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
         let mut may_have_run = false;
+        let mut lost = 0;
         loop {
             let mut open = match self.choose(&f, &tried).await {
                 Ok(open) => open.with_upload(f.passage.progress.clone()),
@@ -159,7 +163,8 @@
                 f.permit.came_back();
             }
             tried.push(target);
-            if !self.may_send_again(&f, failed, tried.len()).await {
+            lost += usize::from(failed.end == TryEnd::Lost);
+            if lost > LOST_MAX || !self.may_send_again(&f, failed, tried.len()).await {
                 return self.refuse(f, failed.refusal, may_have_run);
             }
             self.metrics.retries.inc();
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -1,8 +1,11 @@
 //! Request bodies: small ones are held, so that they can be sent again.
 
-use std::sync::{
-    Arc,
-    Mutex, //
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -15,7 +18,10 @@
     Body,
     Incoming, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    timeout, //
+};
 use xtra::Address;
 
 use crate::{
@@ -37,6 +43,11 @@
 /// The longest body that is held to be sent again, in bytes.
 pub const HELD_BODY_MAX_BYTES: u64 = 64 * 1024;
 
+/// How long a refused body is read on.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+/// The bytes of a refused body that are read at most.
+const DISCARD_MAX_BYTES: usize = 16 << 20;
+
 /// The region that the billed link in use leads to.
 pub type LinkInUse = Arc<ArcSwapOption<RegionName>>;
 
@@ -122,6 +133,14 @@
         }
     }
 
+    /// Reads on for a while and throws away what comes, so that a caller that is
+    /// still sending gets to read its refusal before the connection closes.
+    pub fn discard(self) {
+        if let Self::Stream(body) = self {
+            tokio::spawn(timeout(DISCARD_TIME, discard(body)));
+        }
+    }
+
     /// Takes back a body of which nothing left.
     pub fn give_back(&mut self, body: ProxyBody) {
         if matches!(self, Self::Spent) {
@@ -161,6 +180,16 @@
     }
 }
 
+async fn discard(mut body: Incoming) {
+    let mut read = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > DISCARD_MAX_BYTES {
+            return;
+        }
+    }
+}
+
 /// Waits until the link to a region may carry these bytes, and pays for them.
 pub async fn pay(host: Address<Host>, to: RegionName, bytes: usize) {
     let bytes = bytes as u64;
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -60,8 +60,9 @@
     },
 };
 
-/// The bytes that a request of unknown length is expected to bring onto a link.
-const LENGTH_UNKNOWN_BYTES: u64 = 64 * 1024;
+/// The most bytes of a request that are held on a link before it starts. What is longer
+/// is paid as it passes, so that a long upload is paced and not refused for its length.
+const HELD_BYTES_MAX: u64 = 64 * 1024;
 /// The length from which a request is known to run for long.
 const LONG_BYTES: u64 = 1_000_000;
 /// The one-way delay between zones of one region.
@@ -129,7 +130,7 @@
         };
         let request = route::Request {
             hops: 0,
-            bytes: ByteSize(msg.length.unwrap_or(LENGTH_UNKNOWN_BYTES)),
+            bytes: expected_bytes(msg.length),
             long: msg.length.is_none_or(|bytes| bytes >= LONG_BYTES),
         };
         let decision = route::choose(own, &candidates, request, &mut self.rng);
@@ -190,7 +191,7 @@
             return None;
         };
         let link = self.link_to(region)?;
-        let estimate = ByteSize(msg.length.unwrap_or(LENGTH_UNKNOWN_BYTES));
+        let estimate = expected_bytes(msg.length);
         let attempt = match msg.first_try {
             None => Attempt::First,
             Some(since) => Attempt::Again { since },
@@ -286,6 +287,7 @@
             TryEnd::Whole => self.quarantine.on_answer(msg.suspect),
             TryEnd::Lost | TryEnd::Broken => {
                 self.quarantine.on_death(now, address, &[msg.suspect]);
+                self.tell_suspects(now);
             }
             _ => {}
         }
@@ -513,6 +515,11 @@
     }
 }
 
+/// Returns the bytes that are held for a request on a link.
+fn expected_bytes(length: Option<u64>) -> ByteSize {
+    ByteSize(length.unwrap_or(HELD_BYTES_MAX).min(HELD_BYTES_MAX))
+}
+
 /// Returns the measurements that a route was chosen from.
 fn basis(decision: &route::Decision) -> Basis {
     let mut basis = Basis::new();
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -289,6 +289,21 @@
         }
     }
 
+    /// Passes suspect requests on at once: a caller repeats faster than heartbeats go.
+    pub(super) fn tell_suspects(&mut self, now: Instant) {
+        let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
+        let peers: Vec<(HostName, SocketAddr)> = self
+            .membership
+            .peers()
+            .filter(|p| self.membership.state(now, &p.name) == Some(PeerState::Live))
+            .map(|p| (p.name.clone(), p.contact.peers))
+            .collect();
+        for (to, address) in peers {
+            let msg = ControlRequest::Suspects(entries.clone());
+            self.send(Errand::Control { to, address, msg });
+        }
+    }
+
     fn set_facts(&mut self, now: Instant) {
         let facts = Facts {
             generation: self.adoption.current(),
