Let a request pass by places that cannot be reached

Cause: a trial with both upstreams of a zone dead refused requests as unreachable although other zones had free slots: each dead upstream took one of the three tries, as a probe. Nothing was spent on such a try. Now up to six places may be found unreachable without asking the retry budget.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -63,6 +63,8 @@
     wire,
 };
 
+/// Tries of one request that may find nobody at the other end.
+const UNREACHED_MAX: usize = 6;
 /// Tries of one request that may end with a lost upstream and be followed by another.
 /// A request that kills its upstreams must not walk from one to the next.
 const LOST_MAX: usize = 1;
@@ -176,6 +178,10 @@
         if !f.upload.can_be_sent() {
             return false;
         }
+        // Nothing was spent on a place that could not be reached; the next one may answer.
+        if failed.end == TryEnd::NotSent && tries < UNREACHED_MAX {
+            return f.call.deadline > Instant::now();
+        }
         let failure = Failure {
             idempotent: f.call.route.idempotent,
             not_started: !failed.may_have_run(),
