standins: sharper proofs, each seen failing with its mechanism taken out

The last two proofs passed at first without their mechanism: the caller's own timeout ended the upload, and repeats ended before the host was back; the caller now outlasts both.

--- a/standins/src/bench.rs
+++ b/standins/src/bench.rs
@@ -125,7 +125,7 @@
         }
     }
     let builder = FleetBuilder::new(set).with_log_level("error");
-    let args = ["--log-entries", "0", "--log", "/dev/null"];
+    let args = ["--log-entries", "0"];
     let fleet = builder.with_upstream_args(&args).start().await?;
     fleet.wait_for_budget(ORGANISATION, READY).await?;
     Ok(fleet)
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -29,7 +29,10 @@
     SeedableRng,
     rngs::StdRng, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use self::ask::UploadBody;
 pub use self::{
@@ -80,6 +83,8 @@
     pub repeats: Repeats,
     /// The most tries of one request.
     pub tries: u32,
+    /// The pause before a repeat.
+    pub pause: Duration,
     /// The longest time that one try takes.
     pub timeout: Duration,
     /// The seed of its choice between hosts.
@@ -97,6 +102,7 @@
             overstay: Duration::ZERO,
             repeats: Repeats::Idempotent,
             tries: 4,
+            pause: Duration::ZERO,
             timeout: Duration::from_secs(10),
             seed: 1,
         }
@@ -114,6 +120,13 @@
         self
     }
 
+    /// Sets the most tries of one request, and the pause between them.
+    pub fn with_tries(mut self, tries: u32, pause: Duration) -> Self {
+        self.tries = tries;
+        self.pause = pause;
+        self
+    }
+
     /// Sets how long a look-up answer is used past its time to live.
     pub fn with_overstay(mut self, overstay: Duration) -> Self {
         self.overstay = overstay;
@@ -218,6 +231,7 @@
                 return Ok(reply);
             }
             log::debug!("event=repeat host={host} token={} {reply}", ask.token);
+            sleep(self.options.pause).await;
             self.forget_lookup();
             let answer = self.lookup().await;
             let new = answer.as_ref().map_or(&[][..], |a| &a.hosts);
--- a/standins/tests/proof_once.rs
+++ b/standins/tests/proof_once.rs
@@ -30,8 +30,10 @@
 
 /// Requests of a load: senders and requests of each.
 const SENDERS: usize = 8;
-const EACH: usize = 60;
+const EACH: usize = 40;
 
+/// The pause before a repeat: all repeats together outlast the restart of a host.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// The upstreams that one request may crash, over all hosts together.
 const CRASHES_MAX: usize = 6;
 
@@ -90,7 +92,8 @@
 async fn repeats_through_all_hosts_run_once_over_kills_and_restarts() {
     let mut fleet = fleet(2, &["--queue", "64"]).await;
     let options = options(&fleet, "once", LARGE, "dispatch");
-    let caller = Arc::new(Caller::new(options.with_repeats(Repeats::SameId)));
+    let options = options.with_repeats(Repeats::SameId);
+    let caller = Arc::new(Caller::new(options.with_tries(40, REPEAT_PAUSE)));
     let running = load(&caller, "killed", 20);
     for (started, name) in [(10, "bac-a-1"), (25, "bac-a-2")] {
         wait_for_starts(&fleet, started).await;
--- a/standins/tests/proof_stops.rs
+++ b/standins/tests/proof_stops.rs
@@ -15,7 +15,8 @@
         Ask,
         Caller,
         Repeats,
-        Upload, //
+        Upload,
+        Verdict, //
     },
     fleet::{
         Fleet,
@@ -49,6 +50,8 @@
 
 /// The longest time that "within seconds" may be.
 const WITHIN_SECONDS: Duration = Duration::from_secs(10);
+/// The longest time that an upload takes when nothing stops it, with a margin.
+const UPLOAD_MAX: Duration = Duration::from_secs(60);
 /// The pause between two tries.
 const STEP: Duration = Duration::from_millis(25);
 
@@ -116,8 +119,10 @@
     let mut fleet = fleet(2, &[]).await;
     let caller = caller(&fleet, "fitter", OTHER, "workbench");
     let address = fleet.host("bac-a-1").unwrap().callers();
-    let uploader = Arc::clone(&caller);
-    let ask = slow_upload("/videos/withdrawn", 4000);
+    let mut patient = options(&fleet, "uploader", OTHER, "workbench");
+    patient.timeout = UPLOAD_MAX;
+    let uploader = Caller::new(patient);
+    let ask = slow_upload("/videos/withdrawn", 2000);
     let uploading = tokio::spawn(async move { admitted(&uploader, address, &ask).await });
     wait_for_upload(&fleet, 20_000).await;
     let kept_open = Arc::clone(&caller);
@@ -136,6 +141,7 @@
     }
     let upload = uploading.await.unwrap();
     assert!(upload.receipt().is_none(), "{upload}");
+    assert_ne!(upload.verdict, Verdict::TimedOut, "{upload}");
     assert!(
         withdrawn.elapsed() < WITHIN_SECONDS,
         "{:?}",
