--- a/src/agent.rs
+++ b/src/agent.rs
@@ -26,7 +26,6 @@
 
 use crate::{
     adoption::{
-        Confirmation,
         Source,
         Step, //
     },
@@ -50,7 +49,6 @@
         ControlRequest,
         SET_TIMEOUT, //
     },
-    error::StoreError,
     gateway::{
         Gateway,
         head, //
@@ -73,17 +71,13 @@
     planning,
     publish::{
         self,
-        head::HEAD_KEY,
         reader::{
             Reader,
             Update, //
         },
     },
     relay,
-    store::{
-        Condition,
-        ObjectStore, //
-    },
+    store::ObjectStore,
     util::id::{
         Generation,
         HostName,
@@ -239,26 +233,15 @@
     }
 }
 
-/// Writes the head back unchanged: that succeeds only on the current version.
 async fn confirm<S: ObjectStore>(gw: &Gateway, store: &S, asked: Version) {
     gw.metrics.store_calls.inc_by(2);
-    let answer = match store.get(HEAD_KEY).await {
-        Ok(Some(object)) if object.version == asked => {
-            match store
-                .put(HEAD_KEY, object.value, Condition::At(asked))
-                .await
-            {
-                Ok(new) => Confirmation::Current { new },
-                Err(StoreError::Conflict { current, .. }) => Confirmation::Moved { current },
-                Err(_) => return,
-            }
+    match publish::confirm(store, asked).await {
+        Ok(Some(answer)) => {
+            let _ = gw.host.send(HeadConfirmed { asked, answer }).await;
         }
-        Ok(Some(object)) => Confirmation::Moved {
-            current: Some(object.version),
-        },
-        Ok(None) | Err(_) => return,
-    };
-    let _ = gw.host.send(HeadConfirmed { asked, answer }).await;
+        Ok(None) => log::warn!(event = "head-not-confirmed", cause = "it is not there"; ""),
+        Err(e) => log::warn!(event = "head-not-confirmed", cause:% = e; ""),
+    }
 }
 
 async fn fetch<S: ObjectStore>(
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::{
+    adoption::Confirmation,
     config::{
         check::Faults,
         difference::Difference, //
@@ -26,7 +27,11 @@
         Head,
         WriteId, //
     },
-    store::ObjectStore,
+    store::{
+        Condition,
+        Object,
+        ObjectStore, //
+    },
     util::id::{
         Generation,
         Version, //
@@ -142,11 +147,29 @@
     }))
 }
 
-/// Reads an object, more than once where the store does not answer.
-async fn read<S: ObjectStore>(
+/// Writes the head back unchanged, which succeeds only on the current version.
+/// Returns `None` where there is no head.
+pub async fn confirm<S: ObjectStore>(
     store: &S,
-    key: &str,
-) -> Result<Option<crate::store::Object>, StoreError> {
+    asked: Version,
+) -> Result<Option<Confirmation>, StoreError> {
+    let Some(object) = store.get(HEAD_KEY).await? else {
+        return Ok(None);
+    };
+    if object.version != asked {
+        let current = Some(object.version);
+        return Ok(Some(Confirmation::Moved { current }));
+    }
+    let put = store.put(HEAD_KEY, object.value, Condition::At(asked));
+    match put.await {
+        Ok(new) => Ok(Some(Confirmation::Current { new })),
+        Err(StoreError::Conflict { current, .. }) => Ok(Some(Confirmation::Moved { current })),
+        Err(e) => Err(e),
+    }
+}
+
+/// Reads an object, more than once where the store does not answer.
+async fn read<S: ObjectStore>(store: &S, key: &str) -> Result<Option<Object>, StoreError> {
     let mut pauses = Pauses::default();
     loop {
         match store.get(key).await {
@@ -162,7 +185,7 @@
     store: &S,
     key: &str,
     version: Option<Version>,
-) -> Result<Option<crate::store::Object>, StoreError> {
+) -> Result<Option<Object>, StoreError> {
     let mut pauses = Pauses::default();
     loop {
         let object = read(store, key).await?;
--- a/src/publish/apply.rs
+++ b/src/publish/apply.rs
@@ -96,7 +96,7 @@
 ) -> Result<Applied, PublishError> {
     check(&set).map_err(PublishError::Faulty)?;
     set.sort();
-    let base = read_head(store).await?;
+    let base = read_base(store, publication.expected).await?;
     let published = base
         .as_ref()
         .and_then(|b| b.head.generation_of(publication.id));
@@ -130,6 +130,21 @@
     Ok(applied)
 }
 
+/// Reads the head, again where it is stale: older than what the operator has seen.
+async fn read_base<S: ObjectStore>(
+    store: &S,
+    seen: Option<Generation>,
+) -> Result<Option<HeadAt>, PublishError> {
+    let mut pauses = Pauses::default();
+    loop {
+        let base = read_head(store).await?;
+        let generation = base.as_ref().map(|base| base.head.generation());
+        if generation.unwrap_or_default() >= seen.unwrap_or_default() || !pauses.wait().await {
+            return Ok(base);
+        }
+    }
+}
+
 /// Returns an error where another generation is in force than the operator named.
 async fn check_expected<S: ObjectStore>(
     store: &S,
--- a/src/publish/reader.rs
+++ b/src/publish/reader.rs
@@ -13,24 +13,19 @@
         },
         object::*,
     },
-    error::StoreError,
     publish::{
         HeadAt,
         PublishError,
         chunk::Chunks,
         head::{
             ChunkDigest,
-            HEAD_KEY,
             Manifest,
             WriteId, //
         },
         read,
         read_head, //
     },
-    store::{
-        Condition,
-        ObjectStore, //
-    },
+    store::ObjectStore,
     util::id::Generation,
 };
 
@@ -99,37 +94,6 @@
         Ok(Some(update))
     }
 
-    /// Makes sure that the generation read last was the one in force during
-    /// the call, by a conditional write that changes nothing.
-    ///
-    /// Returns `false` where another one is in force; refresh then.
-    pub async fn confirm<S: ObjectStore>(&mut self, store: &S) -> Result<bool, PublishError> {
-        let Some(held) = &mut self.held else {
-            return Ok(false);
-        };
-        let value = held.head.encode()?;
-        match store
-            .put(HEAD_KEY, value, Condition::At(held.version))
-            .await
-        {
-            Ok(version) => {
-                held.version = version;
-                Ok(true)
-            }
-            Err(StoreError::Conflict { .. }) => {
-                let Some(now) = read_head(store).await? else {
-                    return Ok(false);
-                };
-                let same = now.head == held.head && now.version > held.version;
-                if same {
-                    held.version = now.version;
-                }
-                Ok(false)
-            }
-            Err(e) => Err(e.into()),
-        }
-    }
-
     async fn fetch<S: ObjectStore>(
         &mut self,
         store: &S,
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use cardamomroad::{
+    adoption::Confirmation,
     config::{
         index::Index,
         object::{
@@ -31,11 +32,13 @@
             apply, //
         },
         chunk::cut,
+        confirm,
         head::{
             HEAD_KEY,
             Head,
             WriteId, //
         },
+        read_head,
         reader::{
             Reader,
             Update,
@@ -449,14 +452,22 @@
         let store = FakeStore::new();
         apply(&store, set(1), write(1)).await.unwrap();
         apply(&store, set(2), write(2)).await.unwrap();
-        let mut reader = Reader::new();
-        store.plan([Fault::Stale(1)]);
-        reader.refresh(&store).await.unwrap();
-        assert_eq!(reader.generation(), Some(Generation(1)));
-        assert!(!reader.confirm(&store).await.unwrap());
-        reader.refresh(&store).await.unwrap();
-        assert_eq!(reader.generation(), Some(Generation(2)));
-        assert!(reader.confirm(&store).await.unwrap());
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        let stale = read_head(&store).await.unwrap().unwrap();
+        assert_eq!(stale.head.generation(), Generation(1));
+        let moved = confirm(&store, stale.version).await.unwrap();
+        assert!(
+            matches!(moved, Some(Confirmation::Moved { .. })),
+            "{moved:?}"
+        );
+        let now = read_head(&store).await.unwrap().unwrap();
+        assert_eq!(now.head.generation(), Generation(2));
+        let current = confirm(&store, now.version).await.unwrap();
+        assert!(
+            matches!(current, Some(Confirmation::Current { .. })),
+            "{current:?}"
+        );
         assert_eq!(in_force(&store).len(), 2);
     });
 }
@@ -466,18 +477,36 @@
     run(async {
         let store = FakeStore::new();
         apply(&store, set(1), write(1)).await.unwrap();
-        let mut reader = Reader::new();
-        reader.refresh(&store).await.unwrap();
+        let held = read_head(&store).await.unwrap().unwrap();
         store.plan_put(HEAD_KEY, Fault::Refused);
-        let confirm = async {
+        let confirmed = async {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            assert!(reader.confirm(&store).await.unwrap());
+            confirm(&store, held.version).await.unwrap()
         };
-        let (applied, ()) = tokio::join!(apply(&store, set(2), write(2)), confirm);
+        let (applied, confirmed) = tokio::join!(apply(&store, set(2), write(2)), confirmed);
+        assert!(
+            matches!(confirmed, Some(Confirmation::Current { .. })),
+            "{confirmed:?}"
+        );
         assert_eq!(applied.unwrap().generation, Generation(2));
     });
 }
 
+#[test]
+fn stale_read_is_no_conflict_with_the_expected_generation() {
+    run(async {
+        let store = FakeStore::new();
+        apply(&store, set(1), write(1)).await.unwrap();
+        apply(&store, set(2), write(2)).await.unwrap();
+        store.plan([Fault::Stale(1)]);
+        let right = write(3).with_expected(Generation(2));
+        assert_eq!(
+            apply(&store, set(3), right).await.unwrap().generation,
+            Generation(3)
+        );
+    });
+}
+
 #[test]
 fn altered_chunk_is_not_loaded() {
     run(async {
