Test that a drain on top of a stale set is a conflict

The test was missing: with the expected generation left out of drain, all earlier tests passed, and the change of another operator would have been undone.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -282,6 +282,26 @@
     assert_eq!(bench.generations(), 3);
 }
 
+#[test]
+fn drain_on_top_of_a_stale_set_is_a_conflict() {
+    let bench = Bench::new("drain-stale");
+    bench.run(&["apply", &bench.file(1)]).done();
+    bench.run(&["apply", &bench.file(2)]).done();
+    bench.store.plan_get(HEAD_KEY, Fault::Stale(1));
+    let add = [
+        "drain",
+        "add",
+        "works",
+        "--zone",
+        "central-a",
+        "--within",
+        "10m",
+    ];
+    let e = bench.run(&add).failed(3);
+    assert!(e.contains("burst: 1 -> 2"), "{e}");
+    assert_eq!(bench.generations(), 2);
+}
+
 #[test]
 fn key_is_made_and_withdrawn() {
     let bench = Bench::new("key");
