--- a/src/account/borrowing.rs
+++ b/src/account/borrowing.rs
@@ -29,7 +29,7 @@
 /// How long a lender is left alone after its first answer that fell short.
 const REST_FIRST: Duration = Duration::from_millis(125);
 /// The age at which a line is renewed.
-const RENEW_AFTER: Duration = Duration::from_millis(1500);
+const RENEW_AFTER: Duration = Duration::from_millis(2000);
 /// Demand is met with this many eighths of itself.
 const NEED_EIGHTHS: u64 = 9;
 
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -31,8 +31,7 @@
     refused, //
 };
 pub use loans::{
-    ASK_PERIOD,
-    ASKS_MAX,
+    ASKS,
     Messages, //
 };
 
@@ -45,7 +44,10 @@
         Account,
         Lender, //
     },
-    bucket::Quota,
+    bucket::{
+        Bucket,
+        Quota, //
+    },
     ledger::{
         Ledger,
         Member,
@@ -114,8 +116,7 @@
     holdings: Option<Arc<Holdings>>,
     accounts: BTreeMap<Resource, Account>,
     active: BTreeSet<Resource>,
-    asks: usize,
-    asks_since: Instant,
+    asks: Bucket,
 }
 
 impl Budgets {
@@ -134,8 +135,7 @@
             holdings: None,
             accounts: BTreeMap::new(),
             active: BTreeSet::new(),
-            asks: 0,
-            asks_since: now,
+            asks: Bucket::new(ASKS, now),
         }
     }
 
--- a/src/budget/loans.rs
+++ b/src/budget/loans.rs
@@ -1,7 +1,5 @@
 //! The loan messages of a host: what it sends, and what it does with those of others.
 
-use std::time::Duration;
-
 use smallvec::SmallVec;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,6 +14,7 @@
         Ask,
         Lender, //
     },
+    bucket::Quota,
     ledger::Ledger,
     loan::{
         LoanMessage,
@@ -34,28 +33,21 @@
     },
 };
 
-/// The most loan requests that a host sends in [`ASK_PERIOD`].
-pub const ASKS_MAX: usize = 32;
-/// The period of [`ASKS_MAX`].
-pub const ASK_PERIOD: Duration = Duration::from_millis(500);
+/// The loan messages that a host sends of its own accord: a second's and the most at once.
+pub const ASKS: Quota = Quota::new(40, 128);
 
 /// The loan messages to send, each with the host that it goes to.
 pub type Messages = SmallVec<[(HostName, LoanMessage); 4]>;
 
 impl Budgets {
     /// Returns the loan messages to send now, renewals among them. Call it at
-    /// each tick and after a debit that waits; at most [`ASKS_MAX`] go out in
-    /// [`ASK_PERIOD`].
+    /// each tick and after a debit that waits; they stay within [`ASKS`].
     pub fn loan_messages(&mut self, now: Instant) -> Messages {
         self.observe(now);
         let mut messages = Messages::new();
         if self.stopping {
             return messages;
         }
-        if now.saturating_duration_since(self.asks_since) >= ASK_PERIOD {
-            self.asks = 0;
-            self.asks_since = now;
-        }
         let active: Vec<Resource> = self.active.iter().cloned().collect();
         for resource in active {
             self.ask_for(now, resource, &mut messages);
@@ -76,8 +68,9 @@
             return;
         }
         let (host, incarnation) = (&self.host, self.incarnation);
-        let asks = account.asks(now, ASKS_MAX - self.asks);
-        self.asks += asks.len();
+        let most = usize::try_from(self.asks.level(now)).unwrap_or(usize::MAX);
+        let asks = account.asks(now, most);
+        self.asks.debit(now, asks.len() as u64);
         for ask in asks {
             messages.push(loan_message(host, incarnation, resource.clone(), ask));
         }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -12,12 +12,6 @@
         Budgets,
         Holdings, //
     },
-    ledger::{
-        Ledger,
-        Members,
-        Revision,
-        Zones, //
-    },
     link::{
         Admit,
         CHUNK_BYTES,
@@ -33,7 +27,6 @@
     },
     util::{
         id::{
-            Generation,
             Incarnation,
             ObjectName, //
         },
@@ -88,17 +81,7 @@
     fn new() -> Self {
         let now = Instant::now();
         let members: Vec<_> = (0..2).map(|i| fleet::member(0, i)).collect();
-        let mut ledger = Ledger::new(fleet::zone(0).name);
-        ledger.revision = Revision(1);
-        ledger.members[0] = Members {
-            since: Revision(1),
-            hosts: members.clone(),
-        };
-        ledger.zones[0] = Zones {
-            since: Revision(1),
-            generation: Generation(1),
-            zones: vec![fleet::zone(0)],
-        };
+        let ledger = fleet::ledger_of(1, &members);
         let mut region = Self {
             now,
             senders: Vec::new(),
--- /dev/null
+++ b/tests/loans.rs
@@ -0,0 +1,269 @@
+//! One loan between two hosts: messages that come late, twice or never.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use cardamomroad::{
+    bucket::Quota,
+    budget::{
+        AdoptError,
+        Attempt,
+        Budgets,
+        Debit,
+        Holdings,
+        PAUSE_MAX,
+        Refusal, //
+    },
+    ledger::Revision,
+    loan::{
+        DRIFT_MARGIN,
+        LOAN_DURATION,
+        LoanMessage,
+        LoanReply,
+        LoanRequest,
+        LoanReturn,
+        RESTART_WITHHOLD, //
+    },
+    share::Resource,
+    util::id::Incarnation, //
+};
+use tokio::time::Instant;
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "this file uses only its names of hosts and zones")]
+mod fleet;
+
+use fleet::{
+    ledger_of,
+    member,
+    organisation,
+    whole, //
+};
+
+const QUOTA: Quota = Quota::new(100_000, 50_000);
+const TICK: Duration = Duration::from_millis(100);
+
+fn holdings(host: usize, revision: u64, hosts: usize) -> Arc<Holdings> {
+    let members: Vec<_> = (0..hosts).map(|i| member(0, i)).collect();
+    Arc::new(Holdings {
+        wholes: vec![whole(QUOTA)],
+        member: member(0, host),
+        ledger: ledger_of(revision, &members),
+        others: Vec::new(),
+    })
+}
+
+/// Two hosts, the borrower first, past the wait after their start.
+struct Pair {
+    now: Instant,
+    hosts: [Budgets; 2],
+}
+
+impl Pair {
+    fn new() -> Self {
+        let now = Instant::now();
+        let host = |i| {
+            let mut budgets = Budgets::new(member(0, i).name, Incarnation(1), now);
+            budgets.adopt(now, now, holdings(i, 1, 2)).unwrap();
+            budgets
+        };
+        let mut pair = Self {
+            now,
+            hosts: [host(0), host(1)],
+        };
+        pair.pass(RESTART_WITHHOLD + Duration::from_secs(1));
+        pair
+    }
+
+    /// Lets time pass without any message.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = (self.now + TICK).min(end);
+            for host in &mut self.hosts {
+                host.on_tick(self.now);
+            }
+        }
+    }
+
+    /// Loads the borrower at this instant and returns what it asks for.
+    fn ask(&mut self) -> LoanRequest {
+        for _ in 0..60 {
+            self.hosts[0].debit(self.now, &organisation(), Attempt::First);
+        }
+        for (_, msg) in self.hosts[0].loan_messages(self.now) {
+            if let LoanMessage::Request(req) = msg {
+                return req;
+            }
+        }
+        panic!("the loaded host asks for nothing");
+    }
+
+    fn lend(&mut self, req: &LoanRequest) -> LoanReply {
+        self.hosts[1].on_loan_request(self.now, req).unwrap()
+    }
+
+    fn quota(&mut self, i: usize) -> Quota {
+        let resource = Resource::Organisation(organisation());
+        self.hosts[i].quota(self.now, &resource)
+    }
+
+    fn assert_within(&mut self) {
+        let sum = self.quota(0).plus(self.quota(1));
+        assert!(sum.min(QUOTA) == sum, "{sum:?}");
+    }
+}
+
+#[test]
+fn the_lender_withholds_from_its_answer_and_the_borrower_counts_from_its_question() {
+    let mut pair = Pair::new();
+    let own = pair.quota(0);
+    let req = pair.ask();
+    pair.pass(Duration::from_secs(2));
+    let reply = pair.lend(&req);
+    assert!(!reply.granted.is_zero());
+    pair.assert_within();
+    pair.pass(Duration::from_secs(1));
+    let (now, asked_before) = (pair.now, Duration::from_secs(3));
+    pair.hosts[0].on_loan_reply(now, &reply);
+    pair.assert_within();
+    pair.pass(LOAN_DURATION - asked_before - Duration::from_nanos(1));
+    assert_eq!(pair.quota(0), own.plus(reply.granted));
+    pair.pass(Duration::from_nanos(1));
+    assert_eq!(pair.quota(0), own);
+    // The answer was two seconds after the question.
+    pair.pass(Duration::from_secs(2) + DRIFT_MARGIN - Duration::from_nanos(1));
+    assert_eq!(pair.quota(1), own.minus(reply.granted));
+    pair.pass(Duration::from_nanos(1));
+    assert_eq!(pair.quota(1), own);
+}
+
+#[test]
+fn an_answer_after_the_lapse_brings_nothing() {
+    let mut pair = Pair::new();
+    let own = pair.quota(0);
+    let req = pair.ask();
+    let reply = pair.lend(&req);
+    pair.pass(LOAN_DURATION);
+    let now = pair.now;
+    pair.hosts[0].on_loan_reply(now, &reply);
+    assert_eq!(pair.quota(0), own);
+}
+
+#[test]
+fn a_repeated_request_gets_the_same_answer_and_an_older_one_none() {
+    let mut pair = Pair::new();
+    let first = pair.ask();
+    let reply = pair.lend(&first);
+    assert_eq!(pair.lend(&first), reply);
+    pair.pass(Duration::from_millis(600));
+    let second = pair.ask();
+    pair.lend(&second);
+    let now = pair.now;
+    assert_eq!(pair.hosts[1].on_loan_request(now, &first), None);
+    // The answer to the first request is void, and repeated ones bring nothing more.
+    let before = pair.quota(0);
+    pair.hosts[0].on_loan_reply(now, &reply);
+    assert_eq!(pair.quota(0), before);
+    pair.assert_within();
+}
+
+#[test]
+fn a_return_that_comes_late_or_twice_frees_nothing_that_was_lent_since() {
+    let mut pair = Pair::new();
+    let req = pair.ask();
+    let reply = pair.lend(&req);
+    let now = pair.now;
+    pair.hosts[0].on_loan_reply(now, &reply);
+    pair.pass(Duration::from_millis(2500));
+    let second = pair.ask();
+    let reply = pair.lend(&second);
+    let now = pair.now;
+    pair.hosts[0].on_loan_reply(now, &reply);
+    assert!(!reply.granted.is_zero());
+    // A return from between the two requests comes in last, and again.
+    let returned = LoanReturn {
+        resource: req.resource,
+        borrower: req.borrower,
+        incarnation: req.incarnation,
+        sequence: second.sequence,
+        held: Quota::default(),
+        tokens: 5_000,
+    };
+    for _ in 0..2 {
+        pair.hosts[1].on_loan_return(now, &returned);
+        pair.assert_within();
+    }
+}
+
+#[test]
+fn a_smaller_share_is_acknowledged_once_nothing_more_is_lent_than_it_holds() {
+    let mut pair = Pair::new();
+    let req = pair.ask();
+    let reply = pair.lend(&req);
+    assert!(reply.granted.rate > QUOTA.rate / 4);
+    let now = pair.now;
+    assert_eq!(pair.hosts[1].acknowledged(now), Some(Revision(1)));
+    pair.hosts[1].adopt(now, now, holdings(1, 2, 4)).unwrap();
+    assert_eq!(pair.hosts[1].acknowledged(now), None);
+    pair.pass(LOAN_DURATION + DRIFT_MARGIN);
+    let now = pair.now;
+    assert_eq!(pair.hosts[1].acknowledged(now), Some(Revision(2)));
+}
+
+#[test]
+fn an_older_ledger_and_one_asked_for_before_a_pause_are_not_adopted() {
+    let mut pair = Pair::new();
+    let asked_at = pair.now;
+    pair.hosts[0]
+        .adopt(asked_at, asked_at, holdings(0, 5, 2))
+        .unwrap();
+    let older = pair.hosts[0].adopt(asked_at, asked_at, holdings(0, 4, 2));
+    let (held, offered) = (Revision(5), Revision(4));
+    assert_eq!(older, Err(AdoptError::Older { held, offered }));
+    // A pause: no call at all.
+    pair.now += PAUSE_MAX;
+    let now = pair.now;
+    let debit = pair.hosts[0].debit(now, &organisation(), Attempt::First);
+    assert_ne!(debit, Debit::Granted);
+    assert!(pair.hosts[0].needs_validation());
+    let before = pair.hosts[0].adopt(now, asked_at, holdings(0, 6, 2));
+    assert_eq!(before, Err(AdoptError::AskedBeforePause));
+    pair.hosts[0].adopt(now, now, holdings(0, 6, 2)).unwrap();
+    assert!(!pair.quota(0).is_zero());
+}
+
+#[test]
+fn unknown_and_stopping_are_refused_with_their_reason() {
+    let mut pair = Pair::new();
+    let refused = |debit| match debit {
+        Debit::Refused { reason, .. } => reason,
+        other => panic!("{other:?}"),
+    };
+    let now = pair.now;
+    let other = "nobody".parse().unwrap();
+    let debit = pair.hosts[0].debit(now, &other, Attempt::First);
+    assert_eq!(refused(debit), Refusal::Unknown);
+    pair.hosts[0].return_all(now);
+    let debit = pair.hosts[0].debit(now, &organisation(), Attempt::First);
+    assert_eq!(refused(debit), Refusal::Stopping);
+    assert!(pair.hosts[0].is_released(now));
+}
+
+#[test]
+fn messages_survive_the_codec_within_a_hundred_bytes() {
+    let mut pair = Pair::new();
+    let req = pair.ask();
+    let reply = pair.lend(&req);
+    let buf = rmp_serde::to_vec(&LoanMessage::Request(req.clone())).unwrap();
+    println!("request={}", buf.len());
+    assert!(buf.len() <= 100);
+    let back: LoanMessage = rmp_serde::from_slice(&buf).unwrap();
+    assert_eq!(back, LoanMessage::Request(req));
+    let buf = rmp_serde::to_vec(&reply).unwrap();
+    println!("reply={}", buf.len());
+    assert!(buf.len() <= 100);
+    assert_eq!(rmp_serde::from_slice::<LoanReply>(&buf).unwrap(), reply);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -21,8 +21,10 @@
         Heard,
         Ledger,
         Member,
+        Members,
         Observed,
-        Revision, //
+        Revision,
+        Zones, //
     },
     loan::{
         LoanMessage,
@@ -83,6 +85,23 @@
     }
 }
 
+/// Returns the settled ledger of the only zone.
+#[allow(dead_code, reason = "not every test file needs one")]
+pub fn ledger_of(revision: u64, hosts: &[Member]) -> Ledger {
+    let mut ledger = Ledger::new(zone(0).name);
+    ledger.revision = Revision(revision);
+    ledger.members[0] = Members {
+        since: Revision(1),
+        hosts: hosts.to_vec(),
+    };
+    ledger.zones[0] = Zones {
+        since: Revision(1),
+        generation: Generation(1),
+        zones: vec![zone(0)],
+    };
+    ledger
+}
+
 #[derive(Clone)]
 enum Msg {
     Loan(LoanMessage),
