--- /dev/null
+++ b/src/membership/probe.rs
@@ -0,0 +1,330 @@
+//! Whom a host probes, and what it passes on.
+
+use std::{
+    cmp::Reverse,
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use rand::{
+    Rng,
+    seq::{
+        IndexedRandom,
+        SliceRandom, //
+    },
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{
+    membership::{
+        GOSSIP_ENTRIES,
+        HEARD_BOUND,
+        INDIRECT_FANOUT,
+        Membership,
+        OTHER_ZONES_MAX_MILLI,
+        OTHER_ZONES_MIN_MILLI,
+        STAMP_ENTRIES,
+        ZONE_FANOUT,
+        message::{
+            Facts,
+            Gossip,
+            Heartbeat,
+            StampEntry, //
+        },
+        peer::{
+            Listed,
+            Peer,
+            PeerState, //
+        }, //
+    },
+    util::id::{
+        HostName,
+        ZoneName, //
+    },
+};
+
+/// Entries that a heartbeat to another zone passes on.
+const FAR_GOSSIP_ENTRIES: usize = 2;
+/// A host that knows this part fewer hosts is a newcomer.
+const NEWCOMER_DIVISOR: usize = 16;
+/// Hosts that a newcomer is told of by each message.
+const NEWCOMER_ENTRIES: usize = 24;
+/// The part of the stamps that is of other zones' hosts.
+const FAR_STAMPS_DIVISOR: usize = 4;
+/// A stamp that was heard longer ago is news to few.
+const NEWS_AGE: Duration = Duration::from_secs(8);
+/// Stamps that are left out for each change, so that no message grows long.
+const STAMPS_PER_CHANGE: usize = 3;
+
+/// A probe to send now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// Send a heartbeat.
+    Direct {
+        /// The host to probe.
+        to: HostName,
+        /// Its address for other entry hosts.
+        address: SocketAddr,
+    },
+    /// Ask a host to send a heartbeat to another one, and to report by [`Membership::on_indirect`].
+    Indirect {
+        /// The host to ask.
+        via: HostName,
+        /// Its address for other entry hosts.
+        address: SocketAddr,
+        /// The host to probe.
+        target: HostName,
+    },
+}
+
+impl Membership {
+    /// Returns the probes to send now; call it once every [`super::PERIOD`].
+    pub fn probes<R: Rng>(&mut self, now: Instant, rng: &mut R) -> SmallVec<[Probe; 4]> {
+        let mut probes = SmallVec::new();
+        probes.extend(self.next_absent(now));
+        for _ in 0..ZONE_FANOUT {
+            probes.extend(self.next_in_zone(now, rng));
+        }
+        let zones = self.other_zones(now);
+        for _ in 0..self.other_zone_probes(zones.len()) {
+            probes.extend(self.next_in_other_zone(now, &zones, rng));
+        }
+        self.add_indirect(now, rng, &mut probes);
+        probes.dedup();
+        probes
+    }
+
+    /// Probes the host that the list dropped and that was heard longest ago, so
+    /// that its silence is known to be one.
+    fn next_absent(&self, now: Instant) -> Option<Probe> {
+        let absent = |p: &&Peer| p.listed == Listed::Absent && self.is_probed(now, p);
+        let quiet = |p: &&Peer| p.heard.is_none_or(|t| now >= t + HEARD_BOUND);
+        let due = self.peers.values().filter(absent).filter(quiet);
+        due.min_by_key(|p| (p.unanswered || p.suspected.is_some(), p.heard))
+            .map(direct)
+    }
+
+    /// Goes round the own zone in random order, so that each host has its turn.
+    fn next_in_zone<R: Rng>(&mut self, now: Instant, rng: &mut R) -> Option<Probe> {
+        if self.round.is_empty() {
+            let zone = self.zone_hosts(&self.contact.zone);
+            self.round = zone.map(|p| p.name.clone()).collect();
+            self.round.shuffle(rng);
+        }
+        while let Some(host) = self.round.pop() {
+            if let Some(peer) = self.peers.get(&host).filter(|p| self.is_probed(now, p)) {
+                return Some(direct(peer));
+            }
+        }
+        None
+    }
+
+    /// Goes round the other zones in random order, to a random host of each.
+    fn next_in_other_zone<R: Rng>(
+        &mut self,
+        now: Instant,
+        zones: &[ZoneName],
+        rng: &mut R,
+    ) -> Option<Probe> {
+        if self.zone_round.is_empty() {
+            self.zone_round = zones.to_vec();
+            self.zone_round.shuffle(rng);
+        }
+        let zone = self.zone_round.pop()?;
+        let hosts: SmallVec<[&Peer; 8]> = self
+            .zone_hosts(&zone)
+            .filter(|p| self.is_probed(now, p))
+            .collect();
+        Some(direct(hosts.choose(rng)?))
+    }
+
+    /// Returns the heartbeats to other zones now, so that the hosts of this zone
+    /// together reach each other zone about once a period.
+    fn other_zone_probes(&mut self, zones: usize) -> usize {
+        if zones == 0 {
+            return 0;
+        }
+        let rate = 1_000 * zones / (self.zone_size() + 1);
+        self.other_zones_milli += rate.clamp(OTHER_ZONES_MIN_MILLI, OTHER_ZONES_MAX_MILLI);
+        let due = self.other_zones_milli / 1_000;
+        self.other_zones_milli %= 1_000;
+        due
+    }
+
+    fn other_zones(&self, now: Instant) -> Vec<ZoneName> {
+        let mut zones = BTreeSet::new();
+        for peer in self.peers.values() {
+            let zone = &peer.contact.zone;
+            if *zone != self.contact.zone && self.is_probed(now, peer) {
+                zones.insert(zone);
+            }
+        }
+        zones.into_iter().cloned().collect()
+    }
+
+    fn add_indirect<R: Rng>(
+        &mut self,
+        now: Instant,
+        rng: &mut R,
+        probes: &mut SmallVec<[Probe; 4]>,
+    ) {
+        let due = self.peers.values().filter(|p| p.unanswered);
+        let targets: Vec<HostName> = due.map(|p| p.name.clone()).collect();
+        for target in targets {
+            let live: Vec<&Peer> = self
+                .peers
+                .values()
+                .filter(|p| {
+                    p.name != target && p.state(now, self.listening_since(now)) == PeerState::Live
+                })
+                .collect();
+            let mut asked = 0;
+            for via in live.sample(rng, INDIRECT_FANOUT) {
+                asked += 1;
+                probes.push(Probe::Indirect {
+                    via: via.name.clone(),
+                    address: via.contact.peers,
+                    target: target.clone(),
+                });
+            }
+            let Some(peer) = self.peers.get_mut(&target) else {
+                continue;
+            };
+            peer.unanswered = false;
+            peer.indirect = asked;
+            if asked == 0 {
+                peer.suspect(now);
+            }
+        }
+    }
+
+    fn is_probed(&self, now: Instant, peer: &Peer) -> bool {
+        peer.state(now, self.listening_since(now)) != PeerState::Gone
+    }
+
+    pub(super) fn compose<R: Rng>(
+        &mut self,
+        now: Instant,
+        rng: &mut R,
+        far: bool,
+        known: usize,
+    ) -> Heartbeat {
+        let newcomer = known < self.peers.len() - self.peers.len() / NEWCOMER_DIVISOR;
+        let limit = if far {
+            FAR_GOSSIP_ENTRIES
+        } else {
+            GOSSIP_ENTRIES
+        };
+        let mut gossip = self.changes(now, limit - 1, newcomer);
+        let others = if newcomer { NEWCOMER_ENTRIES } else { 1 };
+        self.introduce(now, rng, others, known < self.peers.len(), &mut gossip);
+        let room = STAMP_ENTRIES.saturating_sub(gossip.len() * STAMPS_PER_CHANGE);
+        let stamps = match far {
+            true => Bytes::new(),
+            false => self.stamps(now, room),
+        };
+        Heartbeat {
+            from: self.me.clone(),
+            contact: self.contact.clone(),
+            incarnation: self.incarnation,
+            stamp: self.stamp(now),
+            leaving: self.leaving,
+            known: u16::try_from(self.peers.len()).unwrap_or(u16::MAX),
+            facts: self.facts_at(now),
+            gossip,
+            stamps,
+        }
+    }
+
+    /// News grows older between two settings of the facts.
+    fn facts_at(&self, now: Instant) -> Facts {
+        let passed = now.saturating_duration_since(self.facts_at);
+        Facts {
+            news: self.facts.news.older_by(passed),
+            ..self.facts.clone()
+        }
+    }
+
+    /// Passes on the latest changes that were not passed on often enough, first
+    /// those of hosts that others may not know.
+    fn changes(
+        &mut self,
+        now: Instant,
+        limit: usize,
+        newcomer: bool,
+    ) -> SmallVec<[Gossip; GOSSIP_ENTRIES]> {
+        let mut changed: Vec<&mut Peer> =
+            self.peers.values_mut().filter(|p| p.repeats > 0).collect();
+        changed.sort_by_key(|p| Reverse((p.is_unlisted(), p.changed, p.repeats)));
+        let mut gossip = SmallVec::new();
+        for peer in changed.into_iter().take(limit) {
+            peer.repeats -= 1;
+            gossip.push(peer.gossip(now, newcomer || peer.is_unlisted()));
+        }
+        gossip
+    }
+
+    /// Adds hosts at random, so that whoever missed a change still hears of it,
+    /// and a receiver that knows fewer hosts learns where they listen.
+    fn introduce<R: Rng>(
+        &self,
+        now: Instant,
+        rng: &mut R,
+        count: usize,
+        with_contact: bool,
+        gossip: &mut SmallVec<[Gossip; GOSSIP_ENTRIES]>,
+    ) {
+        let heard: Vec<&Peer> = self
+            .peers
+            .values()
+            .filter(|p| p.heard.is_some() && self.is_probed(now, p))
+            .collect();
+        for peer in heard.sample(rng, count) {
+            if gossip.iter().any(|g| g.host == peer.name) {
+                continue;
+            }
+            gossip.push(peer.gossip(now, with_contact));
+        }
+    }
+
+    /// Packs stamps of the own zone's hosts and some of others.
+    fn stamps(&mut self, now: Instant, room: usize) -> Bytes {
+        let mut buf = BytesMut::with_capacity(room * StampEntry::BYTES);
+        let far = room / FAR_STAMPS_DIVISOR;
+        for (in_zone, room) in [(true, room - far), (false, far)] {
+            self.pack_stamps(now, in_zone, room, &mut buf);
+        }
+        buf.freeze()
+    }
+
+    /// Packs the stamps that went on most since they were passed on last, of
+    /// these first the ones that were heard lately, for they are news to most.
+    fn pack_stamps(&mut self, now: Instant, in_zone: bool, room: usize, buf: &mut BytesMut) {
+        let own = &self.contact.zone;
+        let is_news = |p: &&mut Peer| p.advance() > 0 && (p.contact.zone == *own) == in_zone;
+        let mut news: Vec<&mut Peer> = self.peers.values_mut().filter(is_news).collect();
+        if news.len() > room {
+            let lately = |p: &Peer| p.heard.is_some_and(|t| now < t + NEWS_AGE);
+            news.select_nth_unstable_by_key(room, |p| Reverse((lately(p), p.advance())));
+            news.truncate(room);
+        }
+        for peer in news {
+            if let Some(entry) = peer.pass_stamp(now) {
+                entry.write(buf);
+            }
+        }
+    }
+}
+
+fn direct(peer: &Peer) -> Probe {
+    Probe::Direct {
+        to: peer.name.clone(),
+        address: peer.contact.peers,
+    }
+}
