--- a/src/credential/scrub.rs
+++ b/src/credential/scrub.rs
@@ -176,7 +176,7 @@
     if *name == COOKIE {
         return holds_key(value, key, is_key);
     }
-    if key.is_some_and(|k| any_form(value, &|form| contains(form, &k.0))) {
+    if key.is_some_and(|k| any_form(value, k.0.len(), &|form| contains(form, &k.0))) {
         return true;
     }
     // Most words of other headers are dates, types and the like; of these only
@@ -190,7 +190,8 @@
     key: Option<&PresentedKey>,
     is_key: &impl Fn(&KeyDigest) -> bool,
 ) -> bool {
-    any_form(text, &|form| {
+    let shortest = key.map_or(WORD_MIN_BYTES, |k| k.0.len().min(WORD_MIN_BYTES));
+    any_form(text, shortest, &|form| {
         if key.is_some_and(|k| contains(form, &k.0)) {
             return true;
         }
@@ -209,10 +210,11 @@
 }
 
 /// Applies a test to a text as it is, percent-decoded, and decoded from base64.
-fn any_form(text: &[u8], test: &impl Fn(&[u8]) -> bool) -> bool {
+/// Nothing shorter than `shortest` bytes is decoded from base64.
+fn any_form(text: &[u8], shortest: usize, test: &impl Fn(&[u8]) -> bool) -> bool {
     let mut text = std::borrow::Cow::Borrowed(text);
     for _ in 0..=PERCENT_DEPTH {
-        if test(&text) || base64_forms(&text).iter().any(|form| test(form)) {
+        if test(&text) || base64_forms(&text, shortest).iter().any(|form| test(form)) {
             return true;
         }
         if !text.contains(&b'%') {
@@ -225,9 +227,12 @@
 
 /// Decodes each run of base64 symbols from each of its first four positions, so
 /// that a key inside a longer text is found too.
-fn base64_forms(text: &[u8]) -> SmallVec<[Vec<u8>; 4]> {
+fn base64_forms(text: &[u8], shortest: usize) -> SmallVec<[Vec<u8>; 4]> {
     let mut forms = SmallVec::new();
     for run in text.split(|b| !is_base64(*b)) {
+        if decoded_bytes(run) < shortest {
+            continue;
+        }
         // Both alphabets are read as the standard one.
         let run: SmallVec<[u8; 128]> = run.iter().map(|b| to_standard(*b)).collect();
         for start in 0..QUANTUM.min(run.len()) {
@@ -235,7 +240,7 @@
             // A single symbol at the end holds no whole byte.
             let spare = usize::from(run.len() % QUANTUM == 1);
             let run = &run[..run.len() - spare];
-            if run.len() < WORD_MIN_BYTES {
+            if decoded_bytes(run) < shortest {
                 continue;
             }
             forms.extend(BASE64.decode(run));
@@ -244,6 +249,10 @@
     forms
 }
 
+fn decoded_bytes(run: &[u8]) -> usize {
+    run.len() * 3 / QUANTUM
+}
+
 fn is_base64(b: u8) -> bool {
     b.is_ascii_alphanumeric() || matches!(b, b'+' | b'/' | b'-' | b'_')
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -198,11 +198,18 @@
     for second in 0..60 {
         let now = t0 + PERIOD * second;
         me.tick(now);
+        // Each second it hears hosts that it knew, and four that no list names.
+        let known = (1..40).map(|n| member(0, n, t0));
+        let unlisted =
+            (0..4).map(|n| member(0, 1_000 + 4 * u16::try_from(second).expect("few") + n, t0));
+        for mut other in known.chain(unlisted) {
+            let heartbeat = other.heartbeat(now, &name(0, 0), &mut rng);
+            me.on_heartbeat(now, &heartbeat, &mut rng);
+        }
         for probe in me.probes(now, &mut rng) {
             let Probe::Direct { to, .. } = probe else {
                 continue;
             };
-            // All of them still have changes to pass on; these are the longest.
             let heartbeat = me.heartbeat(now, &to, &mut rng);
             let bytes = rmp_serde::to_vec(&heartbeat).expect("encoded").len() + FRAMING_BYTES;
             let (count, longest) = match numbers(&to).0 {
@@ -213,7 +220,8 @@
             *longest = bytes.max(*longest);
         }
     }
-    // Each is sent and answered, and as many are received and answered.
+    // Each is sent and answered, and as many are received and answered, all as
+    // long as the longest.
     let per_second = 4 * (near * near_bytes + far * far_bytes) / 60;
     println!(
         "near={near} far={far} near_bytes={near_bytes} far_bytes={far_bytes} bytes_per_second={per_second}"
