--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,7 +1,8 @@
 //! The check of a set as a whole. It reports all faults at once.
 //!
-//! A kind refers only to kinds before it in [`Kind::ALL`], so references
-//! cannot form a cycle; a link from a region to itself is refused.
+//! A kind refers only to kinds before it in
+//! [`Kind::ALL`](crate::config::kind::Kind::ALL), so references cannot form a
+//! cycle; a link from a region to itself is refused.
 
 mod address;
 mod limit;
