Rank home hosts by a seeded hash of the name

Cause: ranking built a streaming hasher for each member and quantity; at 217 members a zone that is the main work of adopting a ledger. One seeded hash of the name takes its place. The time was not measured. Home hosts change once with this commit, so it must not run beside an older build.

--- a/src/share.rs
+++ b/src/share.rs
@@ -11,7 +11,10 @@
     Serialize, //
 };
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use crate::{
     bucket::Quota,
@@ -155,18 +158,15 @@
 
 /// Returns the hosts that hold a zone's portion of a quantity, by rendezvous hashing.
 pub fn homes<'a>(resource: &Resource, members: &'a [Member]) -> SmallVec<[&'a Member; HOMES_MAX]> {
+    let seed = xxh3_64(resource.as_str().as_bytes());
     let mut ranked: Vec<(u64, &Member)> = Vec::with_capacity(members.len());
     for member in members {
-        ranked.push((score(resource, member), member));
+        ranked.push((score(seed, member), member));
     }
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
     ranked.iter().take(HOMES_MAX).map(|(_, m)| *m).collect()
 }
 
-fn score(resource: &Resource, member: &Member) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(resource.as_str().as_bytes());
-    hash.update(&[0]);
-    hash.update(member.name.as_str().as_bytes());
-    hash.digest()
+fn score(seed: u64, member: &Member) -> u64 {
+    xxh3_64_with_seed(member.name.as_str().as_bytes(), seed)
 }
