Fetch each change at its own version or a later one

Cause: the relay marked a change as fetched at the version that the watch reported, although a stale read could return the object before it; a withdrawal could be lost that way while the news was counted as fresh. Found by reading. An older answer is now an error, and the watch goes on from where it was.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -33,7 +33,7 @@
         head::HEAD_KEY,
         withdrawn::{
             WITHDRAWN_KEY,
-            read_withdrawn, //
+            Withdrawn, //
         },
     },
     role::{
@@ -122,14 +122,21 @@
     }
 
     /// Fetches one changed object and hands it to the actor.
-    async fn fetch(&self, key: &str) -> Result<(), StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store still shows an older version than the change's, so
+    /// that the change is not taken for seen.
+    async fn fetch(&self, change: &Change) -> Result<(), StoreError> {
+        let key = change.key.as_str();
         if key == HEAD_KEY {
             agent::see_head(&self.gw, &*self.store).await;
         } else if key == WITHDRAWN_KEY {
-            self.fetch_withdrawn().await?;
+            self.fetch_withdrawn(change).await?;
         } else if key.starts_with(LEDGER_PREFIX) {
             let asked = Instant::now();
-            if let Some((_, ledger, _)) = self.get::<Ledger>(key).await? {
+            if let Some((version, ledger, _)) = self.get::<Ledger>(key).await? {
+                at_least(change, version)?;
                 let msg = StoredLedgers {
                     asked,
                     ledgers: vec![ledger],
@@ -138,25 +145,39 @@
                 let _ = self.gw.host.send(msg).await;
             }
         } else if key.starts_with(PLAN_PREFIX)
-            && let Some((_, plan, _)) = self.get::<Plan>(key).await?
+            && let Some((version, plan, _)) = self.get::<Plan>(key).await?
         {
+            at_least(change, version)?;
             let _ = self.gw.host.send(StoredPlans(vec![plan])).await;
         }
         Ok(())
     }
 
-    async fn fetch_withdrawn(&self) -> Result<(), StoreError> {
+    async fn fetch_withdrawn(&self, change: &Change) -> Result<(), StoreError> {
         self.gw.metrics.store_calls.inc();
-        match read_withdrawn(&*self.store).await {
-            Ok(withdrawn) => {
-                let _ = self.gw.host.send(StoredWithdrawn(withdrawn)).await;
-                Ok(())
-            }
-            Err(e) => Err(StoreError::Malformed {
-                key: WITHDRAWN_KEY.to_owned(),
-                cause: e.to_string(),
-            }),
-        }
+        let object = self.store.get(WITHDRAWN_KEY).await?;
+        let version = object.as_ref().map_or(Version(0), |o| o.version);
+        at_least(change, version)?;
+        let Some(object) = object else {
+            return Ok(());
+        };
+        let withdrawn = Withdrawn::decode(&object.value).map_err(|e| StoreError::Malformed {
+            key: WITHDRAWN_KEY.to_owned(),
+            cause: e.to_string(),
+        })?;
+        let _ = self.gw.host.send(StoredWithdrawn(withdrawn)).await;
+        Ok(())
+    }
+}
+
+/// Refuses an answer that is older than the change that was to be fetched.
+fn at_least(change: &Change, version: Version) -> Result<(), StoreError> {
+    match version < change.version {
+        true => Err(StoreError::Conflict {
+            key: change.key.clone(),
+            current: Some(version),
+        }),
+        false => Ok(()),
     }
 }
 
@@ -219,7 +240,7 @@
         if !seen.is_new(change) {
             continue;
         }
-        relay.fetch(&change.key).await?;
+        relay.fetch(change).await?;
         seen.fetched.insert(change.key.clone(), change.version);
     }
     seen.upto = Some(version);
