--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -7,6 +7,11 @@
 
 use std::{
     collections::HashMap,
+    hash::{
+        BuildHasherDefault,
+        Hash,
+        Hasher, //
+    },
     net::{
         IpAddr,
         Ipv6Addr, //
@@ -42,7 +47,7 @@
 pub type Near = SmallVec<[ZoneName; 2]>;
 
 /// A prefix in the common form: IPv4 addresses are mapped into IPv6.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Prefix {
     bits: u8,
     address: u128,
@@ -79,24 +84,50 @@
         }
     }
 
-    fn shard(self) -> usize {
+    fn digest(self) -> u64 {
         let mut key = [0; 17];
         key[0] = self.bits;
         key[1..].copy_from_slice(&self.address.to_be_bytes());
-        xxh3_64(&key) as usize % SHARDS
+        xxh3_64(&key)
+    }
+
+    fn shard(self) -> usize {
+        self.digest() as usize % SHARDS
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    prefix: Prefix,
-    class: ClassId,
+impl Hash for Prefix {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        // The lowest bits choose the shard and are the same within one.
+        state.write_u64(self.digest().rotate_right(SHARDS.ilog2()));
+    }
 }
 
+/// Passes on the digest that [`Prefix`] brings.
+#[derive(Clone, Copy, Debug, Default)]
+struct Digested(u64);
+
+impl Hasher for Digested {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = xxh3_64(bytes);
+    }
+
+    fn write_u64(&mut self, digest: u64) {
+        self.0 = digest;
+    }
+}
+
+/// The blocks whose prefixes hash to one shard.
+type Shard = HashMap<Prefix, ClassId, BuildHasherDefault<Digested>>;
+
 /// The compiled client blocks.
 #[derive(Clone, Debug)]
 pub struct Blocks {
-    shards: Vec<Arc<[Entry]>>,
+    shards: Vec<Arc<Shard>>,
     /// Blocks of each prefix length, so that absent lengths are not tried.
     lengths: [u32; ADDRESS_BITS as usize + 1],
     classes: Arc<Classes>,
@@ -133,7 +164,7 @@
     /// Compiles all blocks. Of two blocks of the same addresses the later one holds.
     pub fn new(blocks: &[Block]) -> Self {
         let empty = Self {
-            shards: vec![Arc::from([]); SHARDS],
+            shards: vec![Arc::default(); SHARDS],
             lengths: [0; ADDRESS_BITS as usize + 1],
             classes: Arc::default(),
         };
@@ -181,9 +212,8 @@
                 continue;
             }
             let prefix = Prefix::new(address, bits);
-            let shard = &self.shards[prefix.shard()];
-            if let Ok(i) = shard.binary_search_by_key(&prefix, |e| e.prefix) {
-                return Some(shard[i].class);
+            if let Some(&class) = self.shards[prefix.shard()].get(&prefix) {
+                return Some(class);
             }
         }
         None
@@ -198,13 +228,13 @@
     pub fn contains(&self, net: IpNet) -> bool {
         let prefix = Prefix::of(net);
         let shard = &self.shards[prefix.shard()];
-        shard.binary_search_by_key(&prefix, |e| e.prefix).is_ok()
+        shard.contains_key(&prefix)
     }
 
     /// Returns all blocks and their classes, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (IpNet, ClassId)> {
         let entries = self.shards.iter().flat_map(|shard| shard.iter());
-        entries.map(|e| (e.prefix.net(), e.class))
+        entries.map(|(prefix, class)| (prefix.net(), *class))
     }
 
     /// Returns the number of classes.
@@ -239,33 +269,21 @@
             classes,
         };
         for (shard, edits) in edits {
-            let mut entries = next.shards[shard].to_vec();
-            for e in &entries {
-                next.lengths[e.prefix.bits as usize] -= 1;
-            }
+            let entries = Arc::make_mut(&mut next.shards[shard]);
             for (prefix, class) in edits {
-                apply(&mut entries, prefix, class);
+                let old = match class {
+                    Some(class) => entries.insert(prefix, class),
+                    None => entries.remove(&prefix),
+                };
+                let count = &mut next.lengths[usize::from(prefix.bits)];
+                *count += u32::from(class.is_some());
+                *count -= u32::from(old.is_some());
             }
-            for e in &entries {
-                next.lengths[e.prefix.bits as usize] += 1;
-            }
-            next.shards[shard] = entries.into();
         }
         next
     }
 }
 
-fn apply(entries: &mut Vec<Entry>, prefix: Prefix, class: Option<ClassId>) {
-    match (entries.binary_search_by_key(&prefix, |e| e.prefix), class) {
-        (Ok(i), Some(class)) => entries[i].class = class,
-        (Ok(i), None) => {
-            entries.remove(i);
-        }
-        (Err(i), Some(class)) => entries.insert(i, Entry { prefix, class }),
-        (Err(_), None) => {}
-    }
-}
-
 /// Returns an address in the common form.
 fn common(address: IpAddr) -> u128 {
     match address {
--- a/src/lookup.rs
+++ b/src/lookup.rs
@@ -129,10 +129,30 @@
     (1.0 - OVERSTAY_PART) * prompt + OVERSTAY_PART * late
 }
 
-/// The hosts of one zone that may be named, by name, each with its name's hash.
+/// The hosts of one zone that may be named, by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct ZoneHosts {
-    usable: Vec<(u64, Host)>,
+    usable: Vec<Host>,
+    /// What ranks each of them, apart so that a search reads little memory.
+    keys: Vec<HostKey>,
+}
+
+/// What ranks one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HostKey {
+    name: u64,
+    live: bool,
+    spare: bool,
+}
+
+impl HostKey {
+    fn new(host: &Host) -> Self {
+        Self {
+            name: xxh3_64(host.name.as_str().as_bytes()),
+            live: host.standing == Standing::Live,
+            spare: host.spare >= SPARE_MIN,
+        }
+    }
 }
 
 /// The compiled look-up table.
@@ -267,13 +287,13 @@
                 continue;
             };
             if host.standing != Standing::Leaving {
-                let hash = xxh3_64(host.name.as_str().as_bytes());
-                by_zone[usize::from(id)].usable.push((hash, host.clone()));
+                by_zone[usize::from(id)].usable.push(host.clone());
             }
         }
         let mut next = self.clone();
         for (old, mut new) in next.hosts.iter_mut().zip(by_zone) {
-            new.usable.sort_by(|(_, a), (_, b)| a.name.cmp(&b.name));
+            new.usable.sort_by(|a, b| a.name.cmp(&b.name));
+            new.keys = new.usable.iter().map(HostKey::new).collect();
             if **old != new {
                 *old = Arc::new(new);
             }
@@ -364,22 +384,23 @@
         homes: &[u64],
         room: usize,
     ) -> SmallVec<[&Host; HOSTS_MAX]> {
-        let mut best: SmallVec<[(Preference, &Host); HOSTS_MAX]> = SmallVec::new();
-        for (hash, host) in &self.hosts[usize::from(zone)].usable {
+        let zone = &self.hosts[usize::from(zone)];
+        let mut best: SmallVec<[(Preference, usize); HOSTS_MAX]> = SmallVec::new();
+        for (i, key) in zone.keys.iter().enumerate() {
             let preference = Preference {
-                live: host.standing == Standing::Live,
-                spare: host.spare >= SPARE_MIN,
-                home: homes.contains(hash),
-                rank: mix(hash ^ client),
+                live: key.live,
+                spare: key.spare,
+                home: homes.contains(&key.name),
+                rank: mix(key.name ^ client),
             };
             let at = best.partition_point(|(p, _)| *p >= preference);
             if at == room {
                 continue;
             }
             best.truncate(room - 1);
-            best.insert(at, (preference, host));
+            best.insert(at, (preference, i));
         }
-        best.into_iter().map(|(_, host)| host).collect()
+        best.into_iter().map(|(_, i)| &zone.usable[i]).collect()
     }
 }
 
