--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -63,6 +63,11 @@
     wire,
 };
 
+/// Tries of one request that may find nobody at the other end.
+const UNREACHED_MAX: usize = 6;
+/// Tries of one request that may end with a lost upstream and be followed by another.
+/// A request that kills its upstreams must not walk from one to the next.
+const LOST_MAX: usize = 1;
 /// Bytes that a head takes on a link beside its headers.
 const HEAD_BASE_BYTES: usize = 64;
 /// The reason of an upstream that refuses new work because it drains.
@@ -139,6 +144,7 @@
     pub async fn forward(self: &Arc<Self>, mut f: Forwarding) -> Response<ProxyBody> {
         let mut tried: SmallVec<[Target; 2]> = SmallVec::new();
         let mut may_have_run = false;
+        let mut lost = 0;
         loop {
             let mut open = match self.choose(&f, &tried).await {
                 Ok(open) => open.with_upload(f.passage.progress.clone()),
@@ -159,7 +165,8 @@
                 f.permit.came_back();
             }
             tried.push(target);
-            if !self.may_send_again(&f, failed, tried.len()).await {
+            lost += usize::from(failed.end == TryEnd::Lost);
+            if lost > LOST_MAX || !self.may_send_again(&f, failed, tried.len()).await {
                 return self.refuse(f, failed.refusal, may_have_run);
             }
             self.metrics.retries.inc();
@@ -171,6 +178,10 @@
         if !f.upload.can_be_sent() {
             return false;
         }
+        // Nothing was spent on a place that could not be reached; the next one may answer.
+        if failed.end == TryEnd::NotSent && tries < UNREACHED_MAX {
+            return f.call.deadline > Instant::now();
+        }
         let failure = Failure {
             idempotent: f.call.route.idempotent,
             not_started: !failed.may_have_run(),
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -59,7 +59,7 @@
 /// Ticks in one heartbeat period.
 const TICKS_PER_PERIOD: u64 = PERIOD.as_millis() as u64 / TICK.as_millis() as u64;
 /// Heartbeat periods between two reads of the platform's list.
-const LIST_PERIODS: u64 = 30;
+const LIST_PERIODS: u64 = 300;
 /// Heartbeat periods between two looks at the upstreams' own reports.
 const HEALTH_PERIODS: u64 = 2;
 /// Suspect requests that one message passes on.
@@ -289,6 +289,21 @@
         }
     }
 
+    /// Passes suspect requests on at once: a caller repeats faster than heartbeats go.
+    pub(super) fn tell_suspects(&mut self, now: Instant) {
+        let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
+        let peers: Vec<(HostName, SocketAddr)> = self
+            .membership
+            .peers()
+            .filter(|p| self.membership.state(now, &p.name) == Some(PeerState::Live))
+            .map(|p| (p.name.clone(), p.contact.peers))
+            .collect();
+        for (to, address) in peers {
+            let msg = ControlRequest::Suspects(entries.clone());
+            self.send(Errand::Control { to, address, msg });
+        }
+    }
+
     fn set_facts(&mut self, now: Instant) {
         let facts = Facts {
             generation: self.adoption.current(),
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use cardamomroad::{
+    adoption::Confirmation,
     config::{
         index::Index,
         object::{
@@ -31,11 +32,13 @@
             apply, //
         },
         chunk::cut,
+        confirm,
         head::{
             HEAD_KEY,
             Head,
             WriteId, //
         },
+        read_head,
         reader::{
             Reader,
             Update,
@@ -243,8 +246,8 @@
         apply(&store, set(1), write(1)).await.unwrap();
         store.plan_get(HEAD_KEY, Fault::None);
         store.plan_put(HEAD_KEY, Fault::LostAfter);
-        store.plan_get(HEAD_KEY, Fault::Stale);
-        store.plan_get(HEAD_KEY, Fault::Stale);
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
         let applied = apply(&store, set(2), write(2)).await.unwrap();
         assert_eq!(
             (applied.generation, applied.read_back),
@@ -253,6 +256,25 @@
     });
 }
 
+#[test]
+fn stale_answers_without_end_leave_the_outcome_unknown() {
+    run(async {
+        let store = FakeStore::new();
+        apply(&store, set(1), write(1)).await.unwrap();
+        store.plan_get(HEAD_KEY, Fault::None);
+        store.plan_put(HEAD_KEY, Fault::LostAfter);
+        for _ in 0..100 {
+            store.plan_get(HEAD_KEY, Fault::Stale(1));
+        }
+        let unknown = apply(&store, set(2), write(2)).await;
+        assert!(
+            matches!(unknown, Err(PublishError::Unknown { .. })),
+            "{unknown:?}"
+        );
+        assert_eq!(in_force(&store).len(), 2);
+    });
+}
+
 #[test]
 fn lost_write_is_told_from_one_that_took_effect() {
     run(async {
@@ -350,6 +372,21 @@
     });
 }
 
+#[test]
+fn repeated_write_tells_its_generation_though_the_first_read_is_stale() {
+    run(async {
+        let store = FakeStore::new();
+        for burst in 1..5 {
+            apply(&store, set(burst), write(burst.into()))
+                .await
+                .unwrap();
+        }
+        store.plan([Fault::Stale(2)]);
+        let again = apply(&store, set(4), write(4)).await.unwrap();
+        assert_eq!((again.generation, again.read_back), (Generation(4), true));
+    });
+}
+
 #[test]
 fn store_that_is_down_publishes_nothing_and_says_so() {
     run(async {
@@ -403,7 +440,7 @@
         apply(&store, set(2), write(2)).await.unwrap();
         let mut reader = Reader::new();
         reader.refresh(&store).await.unwrap();
-        store.plan([Fault::Stale]);
+        store.plan([Fault::Stale(1)]);
         assert_eq!(reader.refresh(&store).await.unwrap(), None);
         assert_eq!(reader.generation(), Some(Generation(2)));
     });
@@ -415,14 +452,22 @@
         let store = FakeStore::new();
         apply(&store, set(1), write(1)).await.unwrap();
         apply(&store, set(2), write(2)).await.unwrap();
-        let mut reader = Reader::new();
-        store.plan([Fault::Stale]);
-        reader.refresh(&store).await.unwrap();
-        assert_eq!(reader.generation(), Some(Generation(1)));
-        assert!(!reader.confirm(&store).await.unwrap());
-        reader.refresh(&store).await.unwrap();
-        assert_eq!(reader.generation(), Some(Generation(2)));
-        assert!(reader.confirm(&store).await.unwrap());
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        store.plan_get(HEAD_KEY, Fault::Stale(1));
+        let stale = read_head(&store).await.unwrap().unwrap();
+        assert_eq!(stale.head.generation(), Generation(1));
+        let moved = confirm(&store, stale.version).await.unwrap();
+        assert!(
+            matches!(moved, Some(Confirmation::Moved { .. })),
+            "{moved:?}"
+        );
+        let now = read_head(&store).await.unwrap().unwrap();
+        assert_eq!(now.head.generation(), Generation(2));
+        let current = confirm(&store, now.version).await.unwrap();
+        assert!(
+            matches!(current, Some(Confirmation::Current { .. })),
+            "{current:?}"
+        );
         assert_eq!(in_force(&store).len(), 2);
     });
 }
@@ -432,18 +477,36 @@
     run(async {
         let store = FakeStore::new();
         apply(&store, set(1), write(1)).await.unwrap();
-        let mut reader = Reader::new();
-        reader.refresh(&store).await.unwrap();
+        let held = read_head(&store).await.unwrap().unwrap();
         store.plan_put(HEAD_KEY, Fault::Refused);
-        let confirm = async {
+        let confirmed = async {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            assert!(reader.confirm(&store).await.unwrap());
+            confirm(&store, held.version).await.unwrap()
         };
-        let (applied, ()) = tokio::join!(apply(&store, set(2), write(2)), confirm);
+        let (applied, confirmed) = tokio::join!(apply(&store, set(2), write(2)), confirmed);
+        assert!(
+            matches!(confirmed, Some(Confirmation::Current { .. })),
+            "{confirmed:?}"
+        );
         assert_eq!(applied.unwrap().generation, Generation(2));
     });
 }
 
+#[test]
+fn stale_read_is_no_conflict_with_the_expected_generation() {
+    run(async {
+        let store = FakeStore::new();
+        apply(&store, set(1), write(1)).await.unwrap();
+        apply(&store, set(2), write(2)).await.unwrap();
+        store.plan([Fault::Stale(1)]);
+        let right = write(3).with_expected(Generation(2));
+        assert_eq!(
+            apply(&store, set(3), right).await.unwrap().generation,
+            Generation(3)
+        );
+    });
+}
+
 #[test]
 fn altered_chunk_is_not_loaded() {
     run(async {
@@ -475,7 +538,7 @@
         1 => Just(Fault::LostBefore),
         2 => Just(Fault::LostAfter),
         2 => (1..9_u32).prop_map(Fault::Late),
-        2 => Just(Fault::Stale),
+        2 => (1..4_usize).prop_map(Fault::Stale),
     ]
 }
 
