--- a/standins/src/bench/report.rs
+++ b/standins/src/bench/report.rs
@@ -99,7 +99,7 @@
     for row in rows {
         print_line(&row.cells());
     }
-    for pair in rows.chunks_exact(2) {
+    for pair in rows.windows(2) {
         let [direct, gateway] = pair else {
             continue;
         };
