Keep what is known of other zones' free slots young

Cause: loads travelled only with membership's heartbeats, one in three seconds to some host of some other zone; with five other zones the report of one was older than the five seconds after which nothing spills there about half of the time, and the demonstration once got overload for a hop to an idle pool. Each host now asks up to three other zones a second, all in turn. Fresh hosts also look at link headroom as soon as they have shares, and an upstream's own reason header no longer counts.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -391,8 +391,12 @@
             Target::Upstream(_) => Outcome::Ran,
             Target::Gateway { .. } => outcome_of(&parts.headers),
         };
-        let reason =
-            head::text(&parts.headers, wire::REASON).and_then(|t| Reason::from_bytes(t.as_bytes()));
+        let reason = match open.target() {
+            // Only an entry host's word counts.
+            Target::Upstream(_) => None,
+            Target::Gateway { .. } => head::text(&parts.headers, wire::REASON)
+                .and_then(|t| Reason::from_bytes(t.as_bytes())),
+        };
         head::remove_hop_by_hop(&mut parts.headers);
         head::remove_own(&mut parts.headers);
         head::set_answer_headers(&mut parts.headers, &f.call.id, &self.name, outcome);
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -392,6 +392,7 @@
             log::debug!(event = "shares-not-adopted", cause:% = e; "");
             self.ledger_due = true;
         }
+        self.measure_headroom(now);
     }
 
     /// Returns the other zones' ledgers, those of the own region first.
@@ -550,8 +551,16 @@
         Some(link.name.clone())
     }
 
-    /// Looks at the headroom of the links that lead out of the region.
+    /// Looks at the headroom of the links that lead out of the region, and shares
+    /// out again where other zones' ledgers changed.
     pub(super) fn refresh_headroom(&mut self, now: Instant) {
+        match self.others_changed {
+            true => self.share_out(now),
+            false => self.measure_headroom(now),
+        }
+    }
+
+    fn measure_headroom(&mut self, now: Instant) {
         let (Some(index), Some(region)) = (self.index.clone(), self.region.clone()) else {
             return;
         };
@@ -559,8 +568,5 @@
             let left: ByteSize = self.links.headroom(now, &mut self.budgets, &link.name);
             self.headroom.insert(link.name.clone(), left);
         }
-        if self.others_changed {
-            self.share_out(now);
-        }
     }
 }
--- a/src/host/news.rs
+++ b/src/host/news.rs
@@ -62,6 +62,8 @@
 const LIST_PERIODS: u64 = 300;
 /// Heartbeat periods between two looks at the upstreams' own reports.
 const HEALTH_PERIODS: u64 = 2;
+/// Other zones whose loads a host asks for in one period.
+const OTHER_ZONES_EACH_PERIOD: usize = 3;
 /// Suspect requests that one message passes on.
 const SUSPECTS_PASSED: usize = 64;
 /// A gap between two ticks after which the zone's ledger is asked for again.
@@ -238,6 +240,7 @@
         for probe in self.membership.probes(now, &mut self.rng) {
             self.probe(now, probe);
         }
+        self.ask_other_zones(now, period);
         if (self.ledger_due || self.budgets.needs_validation())
             && period.is_multiple_of(LEDGER_ASK_PERIODS)
         {
@@ -253,6 +256,35 @@
         }
     }
 
+    /// Exchanges loads with one host of a few other zones, all zones in turn, so
+    /// that what is known of their free slots stays young.
+    fn ask_other_zones(&mut self, now: Instant, period: u64) {
+        let Some(index) = self.index.clone() else {
+            return;
+        };
+        let zones = index.set().zones.iter().map(|z| &z.name);
+        let others: Vec<&ZoneName> = zones.filter(|z| **z != self.cfg.zone).collect();
+        if others.is_empty() {
+            return;
+        }
+        let each = others.len().div_ceil(2).min(OTHER_ZONES_EACH_PERIOD);
+        for i in 0..each {
+            let turn = period as usize * each + i;
+            let zone = others[turn % others.len()];
+            let peers: Vec<(HostName, SocketAddr)> = self
+                .membership
+                .zone_hosts(zone)
+                .filter(|p| self.membership.state(now, &p.name) == Some(PeerState::Live))
+                .map(|p| (p.name.clone(), p.contact.peers))
+                .collect();
+            if peers.is_empty() {
+                continue;
+            }
+            let (to, address) = peers[self.rng.random_range(0..peers.len())].clone();
+            self.probe(now, Probe::Direct { to, address });
+        }
+    }
+
     fn probe(&mut self, now: Instant, probe: Probe) {
         match probe {
             Probe::Direct { to, address } => {
