--- a/standins/src/bin/cardamomroad-capacity.rs
+++ b/standins/src/bin/cardamomroad-capacity.rs
@@ -30,6 +30,8 @@
 const BLOCKS: [usize; 3] = [3_000, 75_000, 300_000];
 /// Light peers at which slopes over hosts are measured.
 const PEERS: [usize; 4] = [11, 53, 107, 216];
+/// Light peers in each other zone, as many as a host keeps of it.
+const ELSEWHERE: usize = 4;
 /// Changes that are applied for each number of blocks.
 const CHANGES: usize = 10;
 /// How long a host is watched for each number of peers.
@@ -133,7 +135,7 @@
 async fn over_blocks() -> Result<OverBlocks> {
     let mut over = OverBlocks::default();
     for blocks in BLOCKS {
-        let mut trial = Trial::start(sets::set(target_size(blocks))?, 2).await?;
+        let mut trial = Trial::start(sets::set(target_size(blocks))?, 2, 0).await?;
         tokio::time::sleep(SETTLE).await;
         let idle = trial.usage(WATCH / 4).await;
         let size = blocks as f64;
@@ -180,12 +182,10 @@
     let mut over = OverHosts::default();
     for peers in PEERS {
         let size = Size {
-            regions: 2,
-            zones: 2,
-            sites: 4,
-            blocks: 100,
+            sites: 2 * TARGET.zones as usize,
+            ..target_size(100)
         };
-        let trial = Trial::start(sets::set(size)?, peers).await?;
+        let trial = Trial::start(sets::set(size)?, peers, ELSEWHERE).await?;
         tokio::time::sleep(SETTLE).await;
         let usage = trial.usage(WATCH).await;
         let size = (peers + 1) as f64;
--- a/standins/src/capacity/page.rs
+++ b/standins/src/capacity/page.rs
@@ -319,7 +319,7 @@
         "## What this page does not cover\n\n\
          - The light peers stand in one process on the same machine; delays between zones are not in the figures.\n\
          - Loans between hosts are driven by demand and were idle here. At most 64 loan requests leave a host each second.\n\
-         - Heartbeats to other zones were not exercised: the light peers stand in the host's own zone.\n\
+         - Each other zone had four light peers, as many as a host keeps of it. A host asks three other zones a second, so that at 36 zones a report of free slots is up to 12 s old; what is older than 5 s is not used to spill. Spilling between zones at that size needs the relay's zone status, which is not built.\n\
          - The planner was measured only at today's size. Above a few dozen hosts it sees a sample of each other zone's hosts, which the relay's zone status has to replace before the target size.\n\
          - The time until a change is in force everywhere adds one second for each round of gossip to the measured time at the relay; it was not run with 217 real processes."
     )
--- a/standins/src/capacity/peers.rs
+++ b/standins/src/capacity/peers.rs
@@ -1,4 +1,4 @@
-//! Light entry hosts of one zone, in this process.
+//! Light entry hosts, in this process.
 //!
 //! Each keeps the membership that a real host keeps and speaks its control
 //! protocol; it has no gateway, budgets or configuration. Among themselves they
@@ -105,12 +105,29 @@
 /// One light host.
 struct Light {
     membership: Membership,
+    zone: ZoneName,
     rng: StdRng,
 }
 
-/// The light hosts of one zone.
+impl Light {
+    fn new(host: &ListedHost, number: u64) -> Self {
+        let contact = Contact {
+            zone: host.zone.clone(),
+            callers: host.callers,
+            peers: host.peers,
+        };
+        let incarnation = Incarnation(1 + number);
+        let name = host.name.clone();
+        Self {
+            membership: Membership::new(name, contact, incarnation, Instant::now()),
+            zone: host.zone.clone(),
+            rng: StdRng::seed_from_u64(number),
+        }
+    }
+}
+
+/// The light hosts of all zones.
 pub struct Peers {
-    zone: ZoneName,
     lights: HashMap<HostName, Mutex<Light>>,
     /// The peers' addresses, in the order of their numbers.
     pub listed: Vec<ListedHost>,
@@ -122,42 +139,36 @@
 }
 
 impl Peers {
-    /// Starts light hosts in a zone.
+    /// Starts light hosts, so many in each zone.
     ///
     /// # Errors
     ///
     /// Fails when an address cannot be bound.
     pub async fn start(
-        zone: &ZoneName,
-        number: usize,
+        zones: &[(ZoneName, usize)],
         secret: &str,
     ) -> Result<Arc<Self>, StandinError> {
         let mut lights = HashMap::new();
         let mut listed = Vec::new();
         let mut listeners = Vec::new();
-        for (i, name) in names(zone, number)?.into_iter().enumerate() {
-            let listener = crate::process::bind(SocketAddr::from(([127, 0, 4, 1], 0))).await?;
-            let address = crate::process::local_address(&listener)?;
-            let contact = Contact {
-                zone: zone.clone(),
-                callers: address,
-                peers: address,
-            };
-            let incarnation = Incarnation(1 + i as u64);
-            let membership = Membership::new(name.clone(), contact, incarnation, Instant::now());
-            let rng = StdRng::seed_from_u64(i as u64);
-            lights.insert(name.clone(), Mutex::new(Light { membership, rng }));
-            listed.push(ListedHost {
-                name: name.clone(),
-                zone: zone.clone(),
-                callers: address,
-                peers: address,
-                state: ListedState::Live,
-            });
-            listeners.push((name, listener));
+        for (zone, number) in zones {
+            for name in names(zone, *number)? {
+                let listener = crate::process::bind(SocketAddr::from(([127, 0, 4, 1], 0))).await?;
+                let address = crate::process::local_address(&listener)?;
+                let host = ListedHost {
+                    name: name.clone(),
+                    zone: zone.clone(),
+                    callers: address,
+                    peers: address,
+                    state: ListedState::Live,
+                };
+                let light = Light::new(&host, lights.len() as u64);
+                lights.insert(name.clone(), Mutex::new(light));
+                listed.push(host);
+                listeners.push((name, listener));
+            }
         }
         let peers = Arc::new(Self {
-            zone: zone.clone(),
             lights,
             listed,
             traffic: Arc::default(),
@@ -189,7 +200,7 @@
             }
             ControlRequest::Loan(_) => ControlReply::Loan(None),
             ControlRequest::Ledgers(_) => ControlReply::Ledgers(Ledgers {
-                zone: self.zone.clone(),
+                zone: lock(&self.lights[name]).zone.clone(),
                 counts: false,
                 revision: Revision(0),
                 ledgers: Vec::new(),
@@ -204,7 +215,9 @@
     fn on_beat(&self, name: &HostName, beat: &Beat) -> Beat {
         let now = Instant::now();
         let mut light = lock(&self.lights[name]);
-        let Light { membership, rng } = &mut *light;
+        let Light {
+            membership, rng, ..
+        } = &mut *light;
         membership.set_facts(now, self.facts());
         let heartbeat = membership.on_heartbeat(now, &beat.heartbeat, rng);
         Beat {
@@ -234,7 +247,9 @@
         let last = lock(&self.last).clone();
         let now = Instant::now();
         let mut light = lock(&self.lights[from]);
-        let Light { membership, rng } = &mut *light;
+        let Light {
+            membership, rng, ..
+        } = &mut *light;
         membership.set_facts(now, self.facts());
         let heartbeat = membership.heartbeat(now, to, rng);
         let (loads, ledgers, plans) = match last {
@@ -264,7 +279,7 @@
         if names.len() == number {
             break;
         }
-        let name: HostName = format!("light-{i:04}").parse().map_err(malformed)?;
+        let name: HostName = format!("{zone}-light-{i:04}").parse().map_err(malformed)?;
         if relay.rank(&name) > real {
             names.push(name);
         }
@@ -280,7 +295,9 @@
         for name in &names {
             let probes = {
                 let mut light = lock(&peers.lights[name]);
-                let Light { membership, rng } = &mut *light;
+                let Light {
+                    membership, rng, ..
+                } = &mut *light;
                 membership.tick(Instant::now());
                 membership.probes(Instant::now(), rng)
             };
--- a/standins/src/capacity/trial.rs
+++ b/standins/src/capacity/trial.rs
@@ -35,7 +35,10 @@
         ListedState,
         http::HttpStore, //
     },
-    util::id::Generation,
+    util::id::{
+        Generation,
+        ZoneName, //
+    },
 };
 use hdrhistogram::Histogram;
 use tokio::{
@@ -117,16 +120,23 @@
 }
 
 impl Trial {
-    /// Starts a host in the set's first zone with `light` peers, and waits until it serves.
+    /// Starts a host in the set's first zone with `light` peers there and
+    /// `elsewhere` in each other zone, and waits until it serves.
     ///
     /// # Errors
     ///
     /// Fails when a process cannot be started or does not become ready.
-    pub async fn start(set: Set, light: usize) -> Result<Self, StandinError> {
+    pub async fn start(set: Set, light: usize, elsewhere: usize) -> Result<Self, StandinError> {
         let (store, store_address) = store::spawn().await?;
         publish(store_address, &set).await?;
         let zone = set.zones[0].name.clone();
-        let peers = Peers::start(&zone, light, SECRET).await?;
+        let number = |z: &ZoneName| if *z == zone { light } else { elsewhere };
+        let zones: Vec<(ZoneName, usize)> = set
+            .zones
+            .iter()
+            .map(|z| (z.name.clone(), number(&z.name)))
+            .collect();
+        let peers = Peers::start(&zones, SECRET).await?;
         let began = Instant::now();
         let (child, addresses) = start_entry(zone.as_str(), store_address)?;
         let [callers, host_peers, operators] = addresses;
