--- a/src/account/borrowing.rs
+++ b/src/account/borrowing.rs
@@ -26,8 +26,6 @@
 const RATE_REST_MAX: Duration = Duration::from_secs(2);
 /// The longest time that a lender without burst to spare is not asked for burst.
 const BURST_REST_MAX: Duration = Duration::from_millis(500);
-/// The longest time that a lender which does not answer is left alone.
-const SILENCE_REST_MAX: Duration = Duration::from_secs(4);
 /// How long a lender is left alone after its first answer that fell short.
 const REST_FIRST: Duration = Duration::from_millis(125);
 /// The age at which a line is renewed.
@@ -69,9 +67,6 @@
     share: Quota,
     rate: Rest,
     burst: Rest,
-    silence: Rest,
-    /// Requests in a row that it left unanswered.
-    unanswered: u32,
 }
 
 impl Lender {
@@ -81,8 +76,6 @@
             share,
             rate: Rest::NONE,
             burst: Rest::NONE,
-            silence: Rest::NONE,
-            unanswered: 0,
         }
     }
 
@@ -99,17 +92,7 @@
         Quota::new(rate, burst)
     }
 
-    /// Leaves a lender alone that does not answer; one lost message is no silence yet.
-    fn stay_silent(&mut self, now: Instant) {
-        self.unanswered += 1;
-        if self.unanswered > 1 {
-            self.silence.start(now, false, SILENCE_REST_MAX);
-        }
-    }
-
     fn rest(&mut self, now: Instant, brought: &Brought) {
-        self.silence = Rest::NONE;
-        self.unanswered = 0;
         let short = brought.wanted.minus(brought.granted);
         if brought.wanted.rate > 0 {
             self.rate.start(now, short.rate == 0, RATE_REST_MAX);
@@ -156,8 +139,7 @@
     pub(crate) fn may_borrow(&self, now: Instant, until: Instant) -> bool {
         let lenders = self.lenders.as_deref().unwrap_or_default();
         let open = |l: &Lender| {
-            let asked = self.borrowed.is_pending(now, &l.host, ASK_PATIENCE);
-            asked || !(l.burst.is_on(until) || l.silence.is_on(until))
+            self.borrowed.is_pending(now, &l.host, ASK_PATIENCE) || !l.burst.is_on(until)
         };
         lenders.iter().any(open)
     }
@@ -191,21 +173,13 @@
         self.settle(now);
         let own = self.principal_at(now).minus(self.lent.withheld());
         let mut missing = self.need(now, own).minus(own);
-        let mut lenders = self.lenders.take().unwrap_or_default();
+        let lenders = self.lenders.take().unwrap_or_default();
         let mut asks = Vec::new();
-        for lender in &mut lenders {
+        for lender in &lenders {
             if asks.len() >= most {
                 break;
             }
             let held = self.held_of(&lender.host);
-            if self.borrowed.give_up(now, &lender.host, ASK_PATIENCE) {
-                lender.stay_silent(now);
-            }
-            // A lender beyond a cut must not use up the messages that others could answer.
-            if lender.silence.is_on(now) {
-                missing = missing.minus(held);
-                continue;
-            }
             let wanted = missing.min(lender.limit(now, held));
             missing = missing.minus(wanted);
             asks.extend(self.ask(now, lender, wanted));
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -316,15 +316,6 @@
         pending.is_some_and(|p| now.saturating_duration_since(p.asked_at) < patience)
     }
 
-    /// Gives up a request that was not answered within `patience`; returns whether there was one.
-    pub fn give_up(&mut self, now: Instant, lender: &HostName, patience: Duration) -> bool {
-        let late = |p: &Pending| now.saturating_duration_since(p.asked_at) >= patience;
-        match self.pending.get(lender).is_some_and(late) {
-            true => self.pending.remove(lender).is_some(),
-            false => false,
-        }
-    }
-
     /// Records a request at the instant before it is sent; returns its number
     /// and what is held of the line meanwhile: nothing that is not wanted.
     pub fn ask(&mut self, now: Instant, lender: &HostName, wanted: Quota) -> (Sequence, Quota) {
