Split the actor's large files by job; keep mixed imports vertical

Code moved, nothing changed: the look-up table, the shares, the answers to control requests and the candidates of a route have files of their own.

--- a/src/command/state.rs
+++ b/src/command/state.rs
@@ -17,7 +17,8 @@
         StatusArguments, //
     },
     command::{
-        CommandError, Context,
+        CommandError,
+        Context, //
         ask::{
             ask,
             failed, //
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -3,7 +3,8 @@
 mod object;
 
 use std::{
-    fs, io,
+    fs,
+    io, //
     path::{
         Path,
         PathBuf, //
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -14,8 +14,9 @@
 };
 
 use hyper::{
-    Request, Response,
-    body::Incoming,
+    Request,
+    Response,
+    body::Incoming, //
     client::conn::http1::{
         self,
         SendRequest, //
--- a/src/credential/scrub.rs
+++ b/src/credential/scrub.rs
@@ -6,7 +6,8 @@
 //! path, cookies and whole header values.
 
 use base64::{
-    Engine, alphabet,
+    Engine,
+    alphabet, //
     engine::general_purpose::{
         GeneralPurpose,
         GeneralPurposeConfig, //
@@ -14,7 +15,8 @@
 };
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Uri,
+    HeaderMap,
+    Uri, //
     header::{
         AUTHORIZATION,
         COOKIE,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -46,7 +46,8 @@
         lookup, //
     },
     host::{
-        Host, HostConfig,
+        Host,
+        HostConfig, //
         message::{
             Leave,
             ReturnLoans, //
@@ -63,7 +64,7 @@
         Tracing, //
     },
     util::id::Incarnation,
-    wire,
+    wire, //
 };
 
 /// How long running requests are waited for between two looks.
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use hyper::{
-    HeaderMap, Request, Response, Uri, Version,
+    HeaderMap,
+    Request,
+    Response,
+    Uri,
+    Version,
     header::{
         self,
         HeaderName,
         HeaderValue, //
     },
-    http::request::Parts,
+    http::request::Parts, //
 };
 
 use crate::{
--- a/src/host.rs
+++ b/src/host.rs
@@ -3,17 +3,21 @@
 //! It answers each message without waiting for anything. What it wants done by
 //! I/O goes out as an [`Errand`]; the result comes back as a message.
 
+pub mod candidates;
 pub mod choose;
 pub mod configuration;
 pub mod errand;
+pub mod exchange;
 pub mod loads;
 pub mod message;
 pub mod news;
 pub mod planning;
 pub mod queueing;
 pub mod roles;
+pub mod shares;
 pub mod start;
 pub mod status;
+pub mod table;
 
 use std::{
     collections::{
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -1,7 +1,5 @@
 //! Where a started request goes: an upstream, or another gateway.
 
-use rand::RngExt;
-use smallvec::SmallVec;
 use tokio::time::Instant;
 use xtra::{
     Context,
@@ -34,8 +32,6 @@
         Admit,
         Payer, //
     },
-    membership::PeerState,
-    plan::WEIGHT_WHOLE,
     pool::upstream::Outcome,
     refusal::{
         Reason,
@@ -46,13 +42,10 @@
         Retry, //
     },
     route::{
-        self,
-        Candidate, //
+        self, //
     },
     util::{
         id::{
-            HostName,
-            RegionName,
             ServiceName,
             ZoneName, //
         },
@@ -65,8 +58,6 @@
 const HELD_BYTES_MAX: u64 = 64 * 1024;
 /// The length from which a request is known to run for long.
 const LONG_BYTES: u64 = 1_000_000;
-/// The one-way delay between zones of one region.
-const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
 
 impl Handler<Choose> for Host {
     type Return = Choice;
@@ -293,190 +284,6 @@
         }
     }
 
-    /// Returns the zones that could serve a service.
-    fn candidates(&self, now: Instant, msg: &Choose) -> Vec<Candidate> {
-        let Some(index) = &self.index else {
-            return Vec::new();
-        };
-        let steer = self.plan_of_region();
-        let steer = steer.and_then(|plan| plan.steer(&self.cfg.zone, &msg.service));
-        let mut candidates = Vec::new();
-        for pool in index.pools(&msg.service) {
-            let is_own = pool.zone == self.cfg.zone;
-            let weight = match steer {
-                Some(steer) => {
-                    let found = steer.weights.iter().find(|w| w.zone == pool.zone);
-                    found.map_or(0, |w| w.weight)
-                }
-                None if is_own => WEIGHT_WHOLE,
-                None => 0,
-            };
-            if let Some(c) = self.candidate(now, msg, &pool.zone, weight) {
-                candidates.push(c);
-            }
-        }
-        if !candidates.iter().any(|c| c.zone == self.cfg.zone) {
-            candidates.extend(self.empty_own_zone());
-        }
-        candidates
-    }
-
-    fn candidate(
-        &self,
-        now: Instant,
-        msg: &Choose,
-        zone: &ZoneName,
-        weight: u16,
-    ) -> Option<Candidate> {
-        let index = self.index.as_ref()?;
-        let region = index.region_of(zone)?.clone();
-        let own_region = self.region.as_ref()?;
-        let (delay, headroom) = match index.link(own_region, &region) {
-            Some(link) => {
-                let left = self.headroom.get(&link.name).copied();
-                (link.delay, Some(left.unwrap_or_default()))
-            }
-            None => (ZONE_DELAY, None),
-        };
-        let (free, age, reachable) = self.free_in(now, &msg.service, zone);
-        let is_draining = self.is_drained(zone, &msg.service);
-        let tried = |t: &Target| matches!(t, Target::Gateway { zone: z, .. } if z == zone);
-        Some(Candidate {
-            zone: zone.clone(),
-            region,
-            weight,
-            free,
-            age,
-            spilled: self.loads.spilled_to(&msg.service, zone),
-            spilled_then: self.loads.spilled_then(&msg.service, zone),
-            senders: self.zone_size(),
-            delay,
-            headroom,
-            // The own zone goes on until the plan has moved its work away.
-            drained: is_draining && *zone != self.cfg.zone,
-            draining: is_draining,
-            reachable: reachable && !msg.tried.iter().any(tried),
-        })
-    }
-
-    /// Returns the own zone as a candidate that has no upstreams of the service.
-    fn empty_own_zone(&self) -> Option<Candidate> {
-        Some(Candidate {
-            zone: self.cfg.zone.clone(),
-            region: self.region.clone()?,
-            weight: 0,
-            free: 0,
-            age: std::time::Duration::ZERO,
-            spilled: 0,
-            spilled_then: 0,
-            senders: 1,
-            delay: std::time::Duration::ZERO,
-            headroom: None,
-            drained: false,
-            draining: false,
-            reachable: true,
-        })
-    }
-
-    /// Returns a zone's free slots, their age, and whether a gateway there can be reached.
-    fn free_in(
-        &self,
-        now: Instant,
-        service: &ServiceName,
-        zone: &ZoneName,
-    ) -> (u32, std::time::Duration, bool) {
-        if *zone == self.cfg.zone {
-            let own = self.pools.get(service).map_or(0, |p| p.free_slots(now));
-            return (
-                own + self.free_of_peers(service),
-                std::time::Duration::ZERO,
-                true,
-            );
-        }
-        let mut free = 0;
-        let mut age = std::time::Duration::MAX;
-        for (host, report) in self.loads.of_zone(zone) {
-            if !self.is_routable(now, host) {
-                continue;
-            }
-            age = age.min(now.saturating_duration_since(report.heard));
-            let loads = report.loads.iter().filter(|l| l.service == *service);
-            free += loads.map(|l| l.free).sum::<u32>();
-        }
-        (free, age, age != std::time::Duration::MAX)
-    }
-
-    fn free_of_peers(&self, service: &ServiceName) -> u32 {
-        let reports = self.loads.of_zone(&self.cfg.zone);
-        let loads = reports.flat_map(|(_, r)| r.loads.iter().filter(|l| l.service == *service));
-        loads.map(|l| l.free).sum()
-    }
-
-    /// Draws a reachable gateway of a zone by the free slots that each reported.
-    fn roomiest(
-        &mut self,
-        now: Instant,
-        service: &ServiceName,
-        zone: &ZoneName,
-    ) -> Option<HostName> {
-        let mut hosts: SmallVec<[(HostName, u32); 4]> = SmallVec::new();
-        for (host, report) in self.loads.of_zone(zone) {
-            if !self.is_routable(now, host) {
-                continue;
-            }
-            let loads = report.loads.iter().filter(|l| l.service == *service);
-            // A host without free slots may still have one soon.
-            let free: u32 = loads.map(|l| l.free).sum();
-            hosts.push((host.clone(), free.max(1)));
-        }
-        hosts.sort();
-        let whole: u32 = hosts.iter().map(|(_, free)| free).sum();
-        if whole == 0 {
-            return None;
-        }
-        let mut point = self.rng.random_range(0..whole);
-        for (host, free) in hosts {
-            match point.checked_sub(free) {
-                Some(left) => point = left,
-                None => return Some(host),
-            }
-        }
-        None
-    }
-
-    fn is_routable(&self, now: Instant, host: &HostName) -> bool {
-        match self.membership.state(now, host) {
-            Some(PeerState::Live | PeerState::Suspect) => true,
-            Some(PeerState::Leaving | PeerState::Unreachable | PeerState::Gone) | None => false,
-        }
-    }
-
-    pub(super) fn gateway(&self, host: HostName, zone: ZoneName) -> Option<Target> {
-        let peer = self.membership.peer(&host)?;
-        Some(Target::Gateway {
-            peers: peer.contact.peers,
-            over_link_to: self.billed_region(&zone),
-            host,
-            zone,
-        })
-    }
-
-    /// Returns the region of a zone where a billed link leads there.
-    pub(super) fn billed_region(&self, zone: &ZoneName) -> Option<RegionName> {
-        let region = self.index.as_ref()?.region_of(zone)?;
-        match self.region.as_ref() == Some(region) {
-            true => None,
-            false => Some(region.clone()),
-        }
-    }
-
-    /// Returns the gateways of the own zone.
-    fn zone_size(&self) -> u32 {
-        let members = self.ledger.as_ref().and_then(|l| l.members.last());
-        let n = members.map_or(1, |m| m.hosts.len().max(1));
-        u32::try_from(n).unwrap_or(u32::MAX)
-    }
-
     pub(super) fn retry_after(&self, now: Instant, service: &ServiceName) -> std::time::Duration {
         let pool = self.pools.get(service);
         pool.map_or(retry::RETRY_AFTER_MIN, |p| p.retry_after(now))
--- a/src/host/configuration.rs
+++ b/src/host/configuration.rs
@@ -18,7 +18,6 @@
         Source,
         Step, //
     },
-    budget::Holdings,
     config::{
         diff::Delta,
         index::Index,
@@ -34,45 +33,23 @@
         Host,
         errand::Errand, //
     },
-    ledger::{
-        Ledger,
-        Member, //
-    },
-    lookup::{
-        self,
-        Standing,
-        Table, //
-    },
-    membership::{
-        Peer,
-        PeerState, //
-    },
+    ledger::Ledger,
     plan::Plan,
-    pool::{
-        Members,
-        Pool, //
-    },
+    pool::Pool,
     publish::withdrawn::Withdrawn,
-    share,
-    util::{
-        id::{
-            Generation,
-            HostName,
-            KeyDigest,
-            ObjectName,
-            RegionName,
-            ServiceName,
-            Version,
-            ZoneName, //
-        },
-        units::ByteSize,
+    util::id::{
+        Generation,
+        KeyDigest,
+        ObjectName,
+        RegionName,
+        ServiceName,
+        Version,
+        ZoneName, //
     },
 };
 
 /// The deltas that are kept for other hosts.
 const DELTAS_KEPT: usize = 64;
-/// Thousandths in a whole.
-const MILLI: u32 = 1000;
 
 /// Offers a generation that was fetched and compiled.
 #[derive(Debug)]
@@ -318,98 +295,6 @@
         }
     }
 
-    /// Returns the member lists that divide the upstreams' slots.
-    fn members(&self) -> Members {
-        let Some(ledger) = &self.ledger else {
-            return Members::default();
-        };
-        let names = |m: &crate::ledger::Members| -> Vec<HostName> {
-            m.hosts.iter().map(|h| h.name.clone()).collect()
-        };
-        Members {
-            revision: ledger.revision.0,
-            lists: ledger.members.iter().map(names).collect(),
-        }
-    }
-
-    /// Returns whether no upstream runs more of this host's requests than its shares allow.
-    pub(super) fn pools_are_shrunk(&self) -> bool {
-        let revision = self.budgets.revision().0;
-        self.pools.values().all(|pool| pool.is_shrunk(revision))
-    }
-
-    pub(super) fn take_ledger(&mut self, ledger: Ledger) {
-        if ledger.zone == self.cfg.zone {
-            let newer = self
-                .ledger
-                .as_ref()
-                .is_none_or(|l| l.revision < ledger.revision);
-            if newer {
-                self.ledger = Some(ledger);
-                self.ledger_due = true;
-            }
-            return;
-        }
-        let held = self.others.get(&ledger.zone);
-        if held.is_none_or(|l| l.revision < ledger.revision) {
-            self.others.insert(ledger.zone.clone(), ledger);
-            self.others_changed = true;
-        }
-    }
-
-    /// Counts by the ledger that is held, which was proved to be in force after `asked`.
-    pub(super) fn count_by_ledger(&mut self, now: Instant, asked: Instant) {
-        if self.ledger.is_none() {
-            return;
-        }
-        self.ledger_asked = Some(asked);
-        self.ledger_due = false;
-        self.share_out(now);
-        let members = self.members();
-        for pool in self.pools.values_mut() {
-            pool.set_members(members.clone());
-        }
-    }
-
-    /// Works out this host's own shares from the configuration and the ledgers.
-    pub(super) fn share_out(&mut self, now: Instant) {
-        let (Some(index), Some(ledger), Some(asked)) =
-            (&self.index, &self.ledger, self.ledger_asked)
-        else {
-            return;
-        };
-        self.others_changed = false;
-        let holdings = Holdings {
-            wholes: share::wholes(index.set()),
-            member: Member {
-                name: self.cfg.name.clone(),
-                peers: self.cfg.peers,
-            },
-            ledger: ledger.clone(),
-            others: self.others_by_distance(index),
-        };
-        if let Err(e) = self.budgets.adopt(now, asked, Arc::new(holdings)) {
-            log::debug!(event = "shares-not-adopted", cause:% = e; "");
-            self.ledger_due = true;
-        }
-        self.measure_headroom(now);
-    }
-
-    /// Returns the other zones' ledgers, those of the own region first.
-    fn others_by_distance(&self, index: &Index) -> Vec<Ledger> {
-        let mut others: Vec<Ledger> = self.others.values().cloned().collect();
-        let delay = |l: &Ledger| {
-            let (Some(from), Some(to)) = (self.region.as_ref(), index.region_of(&l.zone)) else {
-                return std::time::Duration::MAX;
-            };
-            index
-                .link(from, to)
-                .map_or(std::time::Duration::ZERO, |link| link.delay)
-        };
-        others.sort_by_key(delay);
-        others
-    }
-
     pub(super) fn take_plan(&mut self, now: Instant, plan: Plan) {
         let held = self.plans.get(&plan.region);
         if held.is_some_and(|held| !plan.supersedes(held)) {
@@ -426,94 +311,6 @@
         self.plans.get(self.region.as_ref()?)
     }
 
-    /// Publishes the look-up table that follows from what is known now.
-    pub(super) fn rebuild_table(&mut self, now: Instant) {
-        let Some(index) = self.index.clone() else {
-            return;
-        };
-        let hosts = self.lookup_hosts(now, &index);
-        let table = match &self.table {
-            Some(table) => table.with_hosts(&hosts),
-            None => {
-                let blocks = index.blocks().clone();
-                let own = &self.cfg.zone;
-                Table::with_blocks(index.generation(), index.set(), own, &hosts, blocks)
-            }
-        };
-        let table = match self.plan_of_region() {
-            Some(plan) => table.with_plan(plan),
-            None => table,
-        };
-        let table = Arc::new(table);
-        self.cfg.table.store(Some(table.clone()));
-        self.table = Some(table);
-    }
-
-    fn lookup_hosts(&self, now: Instant, index: &Index) -> Vec<lookup::Host> {
-        let mut hosts = Vec::new();
-        if !self.leaving {
-            hosts.push(lookup::Host {
-                name: self.cfg.name.clone(),
-                zone: self.cfg.zone.clone(),
-                callers: self.cfg.callers,
-                incarnation: self.cfg.incarnation,
-                stamp: self.membership.stamp(now),
-                standing: self.drained_standing(&self.cfg.name, Standing::Live),
-                spare: MILLI as u16,
-            });
-        }
-        for zone in &index.set().zones {
-            for peer in self.membership.zone_hosts(&zone.name) {
-                hosts.extend(self.lookup_host(now, peer));
-            }
-        }
-        hosts
-    }
-
-    fn lookup_host(&self, now: Instant, peer: &Peer) -> Option<lookup::Host> {
-        let standing = match self.membership.state(now, &peer.name)? {
-            PeerState::Live => Standing::Live,
-            PeerState::Suspect => Standing::Doubtful,
-            PeerState::Leaving | PeerState::Unreachable | PeerState::Gone => return None,
-        };
-        Some(lookup::Host {
-            name: peer.name.clone(),
-            zone: peer.contact.zone.clone(),
-            callers: peer.contact.callers,
-            incarnation: peer.incarnation,
-            stamp: peer.stamp,
-            standing: self.drained_standing(&peer.name, standing),
-            spare: self.spare(&peer.name),
-        })
-    }
-
-    /// Returns how a host looks, given the planned drains of hosts.
-    fn drained_standing(&self, host: &HostName, standing: Standing) -> Standing {
-        let Some(index) = &self.index else {
-            return standing;
-        };
-        // A zone's drain closes the zone by the plan, in steps that the caps allow.
-        let drains =
-            |target: &DrainTarget| matches!(target, DrainTarget::Host(name) if name == host);
-        match index.set().drains.iter().any(|d| drains(&d.target)) {
-            true => Standing::Leaving,
-            false => standing,
-        }
-    }
-
-    /// Returns the part of a host's slots that it reported free, in thousandths.
-    fn spare(&self, host: &HostName) -> u16 {
-        let Some(report) = self.loads.of_host(host) else {
-            return MILLI as u16;
-        };
-        let free: u32 = report.loads.iter().map(|l| l.free).sum();
-        let usable: u32 = report.loads.iter().map(|l| l.usable).sum();
-        match usable {
-            0 => MILLI as u16,
-            _ => u16::try_from(free.saturating_mul(MILLI) / usable).unwrap_or(u16::MAX),
-        }
-    }
-
     /// Returns whether a service must not be sent to a zone.
     pub(super) fn is_drained(&self, zone: &ZoneName, service: &ServiceName) -> bool {
         let Some(index) = &self.index else {
@@ -550,23 +347,4 @@
         let link = index.link(self.region.as_ref()?, region)?;
         Some(link.name.clone())
     }
-
-    /// Looks at the headroom of the links that lead out of the region, and shares
-    /// out again where other zones' ledgers changed.
-    pub(super) fn refresh_headroom(&mut self, now: Instant) {
-        match self.others_changed {
-            true => self.share_out(now),
-            false => self.measure_headroom(now),
-        }
-    }
-
-    fn measure_headroom(&mut self, now: Instant) {
-        let (Some(index), Some(region)) = (self.index.clone(), self.region.clone()) else {
-            return;
-        };
-        for link in index.set().links.iter().filter(|l| l.from == region) {
-            let left: ByteSize = self.links.headroom(now, &mut self.budgets, &link.name);
-            self.headroom.insert(link.name.clone(), left);
-        }
-    }
 }
--- /dev/null
+++ b/src/host/exchange.rs
@@ -0,0 +1,223 @@
+//! Answers to control requests, and what follows from them.
+
+use tokio::time::Instant;
+
+use crate::{
+    adoption::Source,
+    control::{
+        Beat,
+        ControlReply,
+        ControlRequest,
+        LedgerAt,
+        Ledgers, //
+    },
+    credential::{
+        WithdrawnAsk,
+        WithdrawnPage, //
+    },
+    host::{
+        Host,
+        errand::Errand,
+        loads::Report,
+        news::{
+            Answered,
+            SUSPECTS_PASSED, //
+        },
+    },
+    ledger::Ledger,
+    loan::LoanMessage,
+    util::id::{
+        HostName,
+        ZoneName, //
+    },
+};
+
+impl Host {
+    pub(super) fn answer(&mut self, now: Instant, msg: ControlRequest) -> ControlReply {
+        match msg {
+            ControlRequest::Beat(beat) => {
+                let reply = self
+                    .membership
+                    .on_heartbeat(now, &beat.heartbeat, &mut self.rng);
+                self.learn(now, &beat);
+                let from = beat.heartbeat.from.clone();
+                let mut own = self.beat(now, &from);
+                own.heartbeat = reply;
+                ControlReply::Beat(Box::new(own))
+            }
+            ControlRequest::Probe(_) => ControlReply::Probed(None),
+            ControlRequest::Loan(LoanMessage::Request(req)) => {
+                ControlReply::Loan(self.budgets.on_loan_request(now, &req))
+            }
+            ControlRequest::Loan(LoanMessage::Return(returned)) => {
+                self.budgets.on_loan_return(now, &returned);
+                ControlReply::Done
+            }
+            ControlRequest::Configuration(have) => {
+                ControlReply::Configuration(self.configuration_since(have))
+            }
+            ControlRequest::Withdrawn(ask) => {
+                ControlReply::Withdrawn(self.credentials.answer(&ask))
+            }
+            ControlRequest::Suspects(entries) => {
+                self.quarantine.merge(now, &entries);
+                ControlReply::Suspects(self.quarantine.entries(now, SUSPECTS_PASSED))
+            }
+            ControlRequest::Ledgers(have) => ControlReply::Ledgers(self.ledgers_since(&have)),
+            ControlRequest::Plans => ControlReply::Plans(self.plans.values().cloned().collect()),
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Instant, answered: Answered) {
+        let Answered {
+            to,
+            asked,
+            msg,
+            reply,
+        } = answered;
+        match (msg, reply) {
+            (ControlRequest::Beat(_), None) => self.membership.on_silence(now, &to),
+            (ControlRequest::Beat(_), Some(ControlReply::Beat(beat))) => {
+                self.membership.on_reply(now, &beat.heartbeat);
+                let h = &beat.heartbeat;
+                self.credentials
+                    .on_peer(asked, h.facts.withdrawn, &h.facts.news);
+                self.learn(now, &beat);
+            }
+            (ControlRequest::Probe(target), Some(ControlReply::Probed(heard))) => {
+                self.membership.on_indirect(now, &target, heard.as_ref());
+            }
+            (ControlRequest::Probe(target), _) => self.membership.on_indirect(now, &target, None),
+            (ControlRequest::Loan(_), Some(ControlReply::Loan(Some(reply)))) => {
+                self.budgets.on_loan_reply(now, &reply);
+            }
+            (ControlRequest::Withdrawn(_), Some(ControlReply::Withdrawn(page))) => {
+                self.take_withdrawn(now, to, &page);
+            }
+            (ControlRequest::Suspects(_), Some(ControlReply::Suspects(entries))) => {
+                self.quarantine.merge(now, &entries);
+            }
+            (ControlRequest::Ledgers(_), Some(ControlReply::Ledgers(ledgers))) => {
+                self.take_ledgers(now, asked, ledgers);
+            }
+            (ControlRequest::Plans, Some(ControlReply::Plans(plans))) => {
+                for plan in plans {
+                    self.take_plan(now, plan);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in what a heartbeat tells beyond membership, and asks for what is newer.
+    pub(super) fn learn(&mut self, now: Instant, beat: &Beat) {
+        let h = &beat.heartbeat;
+        let report = Report {
+            zone: h.contact.zone.clone(),
+            heard: now,
+            loads: beat.loads.clone(),
+            released: beat.released,
+        };
+        for load in &beat.loads {
+            if h.contact.zone != self.cfg.zone {
+                continue;
+            }
+            if let Some(pool) = self.pools.get_mut(&load.service) {
+                pool.set_peer_free(now, &h.from, load.free);
+            }
+        }
+        self.loads.report(&h.from, report);
+        let source = Source::Peer(h.from.clone());
+        self.adoption.offer(source, h.facts.generation);
+        let (to, address) = (h.from.clone(), h.contact.peers);
+        let ask = |msg| Errand::Control {
+            to: to.clone(),
+            address,
+            msg,
+        };
+        if h.facts.withdrawn != self.credentials.summary() {
+            self.send(ask(ControlRequest::Withdrawn(WithdrawnAsk::Latest)));
+        }
+        if h.facts.suspects != self.quarantine.summary() {
+            let entries = self.quarantine.entries(now, SUSPECTS_PASSED);
+            self.send(ask(ControlRequest::Suspects(entries)));
+        }
+        if beat.ledgers != self.ledger_sum() {
+            self.send(ask(ControlRequest::Ledgers(self.known_ledgers())));
+        }
+        if beat.plans != self.plan_sum() {
+            self.send(ask(ControlRequest::Plans));
+        }
+    }
+
+    /// Takes in withdrawn keys, and asks on where some are missing.
+    pub(super) fn take_withdrawn(&mut self, now: Instant, from: HostName, page: &WithdrawnPage) {
+        let before = self.credentials.revision();
+        let next = self.credentials.on_page(page);
+        if self.credentials.revision() != before {
+            self.publish_keys();
+            self.tell_all(now);
+        }
+        let (Some(next), Some(peer)) = (next, self.membership.peer(&from)) else {
+            return;
+        };
+        let address = peer.contact.peers;
+        let msg = ControlRequest::Withdrawn(next);
+        self.send(Errand::Control {
+            to: from,
+            address,
+            msg,
+        });
+    }
+
+    pub(super) fn known_ledgers(&self) -> Vec<LedgerAt> {
+        let all = self.ledger.iter().chain(self.others.values());
+        all.map(|l| LedgerAt {
+            zone: l.zone.clone(),
+            revision: l.revision,
+        })
+        .collect()
+    }
+
+    pub(super) fn ledger_sum(&self) -> u64 {
+        let all = self.ledger.iter().chain(self.others.values());
+        all.map(|l| l.revision.0)
+            .fold(0, |sum, r| sum.wrapping_add(r))
+    }
+
+    pub(super) fn plan_sum(&self) -> u64 {
+        let plans = self.plans.values();
+        plans
+            .map(|p| (p.term << 32).wrapping_add(p.number))
+            .fold(0, |sum, n| sum.wrapping_add(n))
+    }
+
+    pub(super) fn ledgers_since(&mut self, have: &[LedgerAt]) -> Ledgers {
+        let newer = |l: &&Ledger| {
+            let held = have.iter().find(|h| h.zone == l.zone);
+            held.is_none_or(|h| h.revision < l.revision)
+        };
+        let all = self.ledger.iter().chain(self.others.values());
+        let ledgers = all.filter(newer).cloned().collect();
+        let revision = self.budgets.revision();
+        Ledgers {
+            zone: self.cfg.zone.clone(),
+            counts: !self.budgets.needs_validation() && !self.ledger_due,
+            revision,
+            ledgers,
+        }
+    }
+
+    pub(super) fn take_ledgers(&mut self, now: Instant, asked: Instant, received: Ledgers) {
+        let is_of_zone = |zone: &ZoneName| *zone == self.cfg.zone;
+        let from_own_zone = is_of_zone(&received.zone);
+        for ledger in received.ledgers {
+            self.take_ledger(ledger);
+        }
+        let held = self.ledger.as_ref().map(|l| l.revision);
+        // A host of the zone that counts by the same revision proves that it is in force.
+        if from_own_zone && received.counts && held == Some(received.revision) {
+            self.count_by_ledger(now, asked);
+        }
+    }
+}
--- a/src/host/start.rs
+++ b/src/host/start.rs
@@ -19,7 +19,8 @@
     explain::Decision,
     gateway::call,
     host::{
-        Host, Running,
+        Host,
+        Running, //
         message::{
             Finish,
             Sender,
@@ -36,7 +37,7 @@
         Permit,
         RequestFingerprint, //
     },
-    quarantine::Suspect,
+    quarantine::Suspect, //
     refusal::{
         Outcome,
         Reason,
--- /dev/null
+++ b/src/host/table.rs
@@ -0,0 +1,115 @@
+//! The look-up table, as membership and plans change it.
+
+use std::sync::Arc;
+use tokio::time::Instant;
+
+use crate::{
+    config::{
+        index::Index,
+        object::DrainTarget, //
+    },
+    host::Host,
+    lookup::{
+        self,
+        Standing,
+        Table, //
+    },
+    membership::{
+        Peer,
+        PeerState, //
+    },
+    util::id::HostName,
+};
+
+/// Thousandths in a whole.
+const MILLI: u32 = 1000;
+
+impl Host {
+    /// Publishes the look-up table that follows from what is known now.
+    pub(super) fn rebuild_table(&mut self, now: Instant) {
+        let Some(index) = self.index.clone() else {
+            return;
+        };
+        let hosts = self.lookup_hosts(now, &index);
+        let table = match &self.table {
+            Some(table) => table.with_hosts(&hosts),
+            None => {
+                let blocks = index.blocks().clone();
+                let own = &self.cfg.zone;
+                Table::with_blocks(index.generation(), index.set(), own, &hosts, blocks)
+            }
+        };
+        let table = match self.plan_of_region() {
+            Some(plan) => table.with_plan(plan),
+            None => table,
+        };
+        let table = Arc::new(table);
+        self.cfg.table.store(Some(table.clone()));
+        self.table = Some(table);
+    }
+
+    pub(super) fn lookup_hosts(&self, now: Instant, index: &Index) -> Vec<lookup::Host> {
+        let mut hosts = Vec::new();
+        if !self.leaving {
+            hosts.push(lookup::Host {
+                name: self.cfg.name.clone(),
+                zone: self.cfg.zone.clone(),
+                callers: self.cfg.callers,
+                incarnation: self.cfg.incarnation,
+                stamp: self.membership.stamp(now),
+                standing: self.drained_standing(&self.cfg.name, Standing::Live),
+                spare: MILLI as u16,
+            });
+        }
+        for zone in &index.set().zones {
+            for peer in self.membership.zone_hosts(&zone.name) {
+                hosts.extend(self.lookup_host(now, peer));
+            }
+        }
+        hosts
+    }
+
+    pub(super) fn lookup_host(&self, now: Instant, peer: &Peer) -> Option<lookup::Host> {
+        let standing = match self.membership.state(now, &peer.name)? {
+            PeerState::Live => Standing::Live,
+            PeerState::Suspect => Standing::Doubtful,
+            PeerState::Leaving | PeerState::Unreachable | PeerState::Gone => return None,
+        };
+        Some(lookup::Host {
+            name: peer.name.clone(),
+            zone: peer.contact.zone.clone(),
+            callers: peer.contact.callers,
+            incarnation: peer.incarnation,
+            stamp: peer.stamp,
+            standing: self.drained_standing(&peer.name, standing),
+            spare: self.spare(&peer.name),
+        })
+    }
+
+    /// Returns how a host looks, given the planned drains of hosts.
+    pub(super) fn drained_standing(&self, host: &HostName, standing: Standing) -> Standing {
+        let Some(index) = &self.index else {
+            return standing;
+        };
+        // A zone's drain closes the zone by the plan, in steps that the caps allow.
+        let drains =
+            |target: &DrainTarget| matches!(target, DrainTarget::Host(name) if name == host);
+        match index.set().drains.iter().any(|d| drains(&d.target)) {
+            true => Standing::Leaving,
+            false => standing,
+        }
+    }
+
+    /// Returns the part of a host's slots that it reported free, in thousandths.
+    pub(super) fn spare(&self, host: &HostName) -> u16 {
+        let Some(report) = self.loads.of_host(host) else {
+            return MILLI as u16;
+        };
+        let free: u32 = report.loads.iter().map(|l| l.free).sum();
+        let usable: u32 = report.loads.iter().map(|l| l.usable).sum();
+        match usable {
+            0 => MILLI as u16,
+            _ => u16::try_from(free.saturating_mul(MILLI) / usable).unwrap_or(u16::MAX),
+        }
+    }
+}
--- a/src/membership/list.rs
+++ b/src/membership/list.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     membership::{
-        Membership, OTHER_ZONE_HOSTS,
-        message::Contact,
+        Membership,
+        OTHER_ZONE_HOSTS,
+        message::Contact, //
         peer::{
             Listed,
             Peer,
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use hyper::{
-    Request, Response, StatusCode,
-    body::Incoming,
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
     header::{
         self,
         HeaderValue, //
--- a/src/planner/room.rs
+++ b/src/planner/room.rs
@@ -14,7 +14,8 @@
         held, //
     },
     planner::{
-        LINK_PART, ZONE_PART,
+        LINK_PART,
+        ZONE_PART, //
         view::{
             Demand,
             Direction,
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -12,8 +12,11 @@
     Limited, //
 };
 use hyper::{
-    Method, Request, Response, StatusCode,
-    body::Incoming,
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
     header::{
         ETAG,
         HeaderMap,
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -7,7 +7,8 @@
 
 use hyper::HeaderMap;
 use opentelemetry::{
-    Context, KeyValue,
+    Context,
+    KeyValue, //
     propagation::{
         Extractor,
         Injector,
--- a/standins/src/bench/load.rs
+++ b/standins/src/bench/load.rs
@@ -19,7 +19,8 @@
     Empty, //
 };
 use hyper::{
-    Request, StatusCode,
+    Request,
+    StatusCode, //
     client::conn::http1::{
         SendRequest,
         handshake, //
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -11,13 +11,16 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
         atomic::{
             AtomicU64,
             Ordering, //
         },
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use hyper_util::{
--- a/standins/src/capacity/peers.rs
+++ b/standins/src/capacity/peers.rs
@@ -8,9 +8,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    pin::Pin,
+    pin::Pin, //
     sync::{
-        Arc, Mutex,
+        Arc,
+        Mutex, //
         atomic::{
             AtomicU64,
             Ordering, //
--- a/standins/src/fleet/entry_host.rs
+++ b/standins/src/fleet/entry_host.rs
@@ -27,7 +27,8 @@
 };
 
 use super::{
-    WAIT_MAX, WAIT_STEP,
+    WAIT_MAX,
+    WAIT_STEP, //
     process::{
         Process,
         binary, //
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -8,8 +8,11 @@
     Full, //
 };
 use hyper::{
-    Method, Request, Response, StatusCode,
-    client::conn::http1,
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    client::conn::http1, //
     header::{
         CONTENT_TYPE,
         HOST, //
--- a/standins/src/store/service.rs
+++ b/standins/src/store/service.rs
@@ -20,7 +20,9 @@
     Limited, //
 };
 use hyper::{
-    Method, Request, StatusCode,
+    Method,
+    Request,
+    StatusCode,
     body::Incoming,
     header::{
         ETAG,
@@ -30,7 +32,7 @@
         IF_NONE_MATCH, //
     },
     server::conn::http1,
-    service::service_fn,
+    service::service_fn, //
 };
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
--- a/standins/src/upstream/scan.rs
+++ b/standins/src/upstream/scan.rs
@@ -2,9 +2,11 @@
 
 use std::{
     io,
-    pin::Pin,
+    pin::Pin, //
     sync::{
-        Arc, PoisonError, RwLock,
+        Arc,
+        PoisonError,
+        RwLock, //
         atomic::{
             AtomicU64,
             Ordering, //
--- a/standins/src/upstream/service.rs
+++ b/standins/src/upstream/service.rs
@@ -38,7 +38,9 @@
 };
 
 use super::{
-    CRASH_EXIT_CODE, Options, Upstream,
+    CRASH_EXIT_CODE,
+    Options,
+    Upstream,
     answer_body::AnswerBody,
     behaviour::{
         Behaviour,
@@ -54,7 +56,7 @@
         Load,
         Reports, //
     },
-    scan::Scanned,
+    scan::Scanned, //
 };
 use crate::{
     error::{
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -15,7 +15,10 @@
         WEIGHT_WHOLE, //
     },
     planner::{
-        FALLBACK_AGE, HOLD_AGE, PLAN_PERIOD, Planner,
+        FALLBACK_AGE,
+        HOLD_AGE,
+        PLAN_PERIOD,
+        Planner, //
         view::{
             Capacity,
             Demand,
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -10,7 +10,10 @@
     chart::upstream::UpstreamState as State,
     config::object,
     pool::{
-        Members, Pick, Pool, Reason,
+        Members,
+        Pick,
+        Pool,
+        Reason, //
         upstream::{
             Outcome,
             Reported,
