--- a/standins/src/bin/cardamomroad-capacity.rs
+++ b/standins/src/bin/cardamomroad-capacity.rs
@@ -68,7 +68,7 @@
     if let Some(path) = &args.slopes {
         fs::write(path, serde_json::to_string_pretty(&slopes)?)?;
     }
-    let command = "cargo run --release --bin cardamomroad-capacity";
+    let command = "cargo build --release --workspace && target/release/cardamomroad-capacity";
     fs::write(&args.page, page(&slopes, command)?)?;
     println!("wrote {}", args.page.display());
     Ok(())
