Call what stands already: stamps, incarnations, the removal of keys

Read as a whole, the gateway worked out its stamp beside once::stamp_at, the daemon its incarnation beside membership::new_incarnation, and removed the key headers a second time after scrub had. Behaviour is as it was: whole_path, proof_keys and proof_once pass (8 tests); formatter and linter are clean.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -55,6 +55,7 @@
     },
     listener,
     lookup::TTL,
+    membership::new_incarnation,
     metrics::Metrics,
     operators,
     options::EntryOptions,
@@ -71,8 +72,6 @@
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// How long the returned loans and the last heartbeats may take.
 const RETURN_TIME: Duration = Duration::from_millis(300);
-/// Random bits in an incarnation, below its start time.
-const INCARNATION_RANDOM_BITS: u32 = 12;
 
 /// A failure to start or run the daemon.
 #[derive(Debug, Error)]
@@ -275,8 +274,7 @@
 fn incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let ms = u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(0);
-    let low = rand::random::<u64>() & ((1 << INCARNATION_RANDOM_BITS) - 1);
-    Incarnation((ms << INCARNATION_RANDOM_BITS) | low)
+    new_incarnation(ms, rand::random())
 }
 
 async fn wait_for_signal() -> io::Result<()> {
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -73,13 +73,6 @@
     }
 }
 
-/// Removes the headers in which a caller may present a key.
-pub fn remove_keys(headers: &mut HeaderMap) {
-    headers.remove(header::AUTHORIZATION);
-    headers.remove(header::PROXY_AUTHORIZATION);
-    headers.remove(wire::KEY);
-}
-
 /// Returns the milliseconds in the deadline header.
 pub fn deadline(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(wire::DEADLINE_MS)?.to_str().ok()?;
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -36,6 +36,7 @@
         upload::Upload,
     },
     host::message::Sender,
+    once::stamp_at,
     quarantine::{
         BODY_PREFIX_BYTES,
         Suspect, //
@@ -53,7 +54,6 @@
         ObjectName,
         OrganisationName,
         RequestId,
-        STAMP_TICK,
         Stamp, //
     },
     wire,
@@ -85,8 +85,7 @@
 
     /// Returns this host's stamp at an instant.
     pub fn stamp(&self, now: Instant) -> Stamp {
-        let ticks = now.duration_since(self.started).as_millis() / STAMP_TICK.as_millis();
-        Stamp(u64::try_from(ticks).unwrap_or(u64::MAX))
+        stamp_at(self.started, now)
     }
 
     async fn run_with_body(self: Arc<Self>, call: Call, body: Incoming) -> Response<ProxyBody> {
@@ -121,7 +120,6 @@
         let id = self.caller_id(&parts, route, received)?;
         let asked = head::deadline(&parts.headers);
         let patience = asked.map_or(route.deadline, |asked| asked.min(route.deadline));
-        head::remove_keys(&mut parts.headers);
         head::remove_hop_by_hop(&mut parts.headers);
         head::remove_own(&mut parts.headers);
         parts.headers.remove(hyper::header::EXPECT);
--- a/src/host/shares.rs
+++ b/src/host/shares.rs
@@ -12,8 +12,11 @@
         Member, //
     },
     pool::Members,
-    share,
-    util::{id::HostName, units::ByteSize},
+    share, //
+    util::{
+        id::HostName,
+        units::ByteSize, //
+    },
 };
 
 impl Host {
