--- a/src/connection.rs
+++ b/src/connection.rs
@@ -23,6 +23,7 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -40,6 +41,8 @@
 const IDLE_MAX: Duration = Duration::from_secs(5);
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long sent bytes may stay unacknowledged before the connection fails.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(3);
 
 /// A request that got no answer, by whether it can have started.
 #[derive(Debug, Error)]
@@ -66,11 +69,11 @@
 
 type Sender = SendRequest<ProxyBody>;
 
-/// An idle connection, and since when it is idle.
+/// An idle connection, and until when it may be used.
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
-    since: Instant,
+    until: Instant,
 }
 
 /// Idle connections by address.
@@ -99,6 +102,11 @@
 impl ConnectionLease {
     /// Gives the connection back after its answer was read to the end.
     pub fn give_back(self) {
+        self.give_back_for(IDLE_MAX);
+    }
+
+    /// Gives the connection back for use within `idle_max`.
+    pub fn give_back_for(self, idle_max: Duration) {
         if self.sender.is_closed() {
             return;
         }
@@ -109,7 +117,7 @@
         if senders.len() < IDLE_PER_ADDRESS {
             senders.push(Idle {
                 sender: self.sender,
-                since: Instant::now(),
+                until: Instant::now() + idle_max,
             });
         }
     }
@@ -160,13 +168,9 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().ok()?;
         let senders = idle.get_mut(&address)?;
-        while let Some(Idle { sender, since }) = senders.pop() {
-            if since.elapsed() > IDLE_MAX {
-                // Those below were idle for longer still.
-                senders.clear();
-                return None;
-            }
-            if sender.is_ready() && !sender.is_closed() {
+        let now = Instant::now();
+        while let Some(Idle { sender, until }) = senders.pop() {
+            if until > now && sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
         }
@@ -211,6 +215,8 @@
         Err(_) => return Err("connecting timed out".to_owned()),
     };
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let unacknowledged_ms = u32::try_from(UNACKNOWLEDGED_MAX.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms).map_err(|e| e.to_string())?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| e.to_string())?;
--- /dev/null
+++ b/src/edge.rs
@@ -0,0 +1,26 @@
+//! An entry host on a platform that publishes configuration, upstreams and
+//! evacuations itself.
+//!
+//! One actor, [`dispatcher::Dispatcher`], owns what the host believes and
+//! decides where each request goes. Tasks follow the platform's topics, speak
+//! to the other hosts and forward requests. How the platform spells all this is
+//! behind [`dialect::Dialect`] and [`topic::Source`].
+
+pub mod answer;
+pub mod cold;
+pub mod dialect;
+pub mod dispatcher;
+pub mod follow;
+pub mod forward;
+pub mod freshness;
+pub mod message;
+pub mod model;
+pub mod peers;
+pub mod placement;
+pub mod quota;
+pub mod routing;
+pub mod serve;
+pub mod settings;
+pub mod spill;
+pub mod topic;
+pub mod upstreams;
--- /dev/null
+++ b/src/edge/dispatcher.rs
@@ -0,0 +1,782 @@
+//! The actor that owns what a host believes, and decides where requests go.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot, //
+    },
+    time::Instant,
+};
+use xtra::{
+    Actor,
+    Address,
+    Context,
+    Handler,
+    Mailbox, //
+};
+
+use super::{
+    freshness::{
+        Freshness,
+        suspended, //
+    },
+    message::{
+        Ended,
+        Heard,
+        IsFresh,
+        IsReady,
+        Job,
+        Leave,
+        Lookup,
+        News,
+        Observed,
+        Placed,
+        Refund,
+        Refused,
+        Submit,
+        Tick,
+        Verdict,
+        Why, //
+    },
+    model::{
+        Configuration,
+        HostRegistration, //
+    },
+    peers::{
+        HostState,
+        PeerMessage,
+        Peers, //
+    },
+    placement::{
+        self,
+        Places,
+        Wish, //
+    },
+    quota::Quotas,
+    settings::{
+        SHIFT_WINDOW,
+        Settings, //
+    },
+    spill::{
+        self,
+        RegionLoad,
+        SlowShares, //
+    },
+    topic::{
+        Change,
+        Record,
+        Topic, //
+    },
+    upstreams::{
+        TryEnd,
+        Upstreams, //
+    },
+};
+use crate::{
+    retry::{
+        Budget,
+        DrainMeter, //
+    },
+    util::id::{
+        HostName,
+        Incarnation,
+        RegionName,
+        ServiceName,
+        UpstreamId,
+        ZoneName, //
+    },
+};
+
+/// The part of its aim that a request waits for an upstream, one in this many.
+const WAIT_PART: u32 = 8;
+/// The shortest time after which a refused caller comes back.
+const RETURN_MIN: Duration = Duration::from_millis(250);
+/// The further time over which returning callers are spread.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+/// The time between two looks at the shares of the regions.
+const SHARES_INTERVAL: Duration = Duration::from_millis(250);
+/// The part of [`super::settings::Bounds::shift`] that the shares use; the rest is for chance.
+const SHIFT_PART: f64 = 0.4;
+/// The part of the retry bounds that the hosts use; the rest is for chance.
+const RETRY_PART: f64 = 0.5;
+/// Requests a second that a zone's callers are taken to send before any were seen.
+const OFFERED_PRIOR: f64 = 1.0;
+
+/// The state of one service.
+#[derive(Debug)]
+struct Demand {
+    offered: DrainMeter,
+    shares: SlowShares,
+    budget: Budget,
+}
+
+/// A request that waits for an upstream.
+#[derive(Debug)]
+struct Waiting {
+    job: Job,
+    region: RegionName,
+    until: Instant,
+    reply: oneshot::Sender<Verdict>,
+}
+
+/// A message to another host, and where it goes.
+pub type Outgoing = (SocketAddr, PeerMessage);
+
+/// The actor.
+pub struct Dispatcher {
+    settings: Arc<Settings>,
+    incarnation: Incarnation,
+    me: Option<Address<Self>>,
+    configuration: Arc<ArcSwapOption<Configuration>>,
+    upstreams: Upstreams,
+    evacuated: BTreeSet<ZoneName>,
+    peers: Peers,
+    quotas: Quotas,
+    freshness: Freshness,
+    demand: HashMap<ServiceName, Demand>,
+    queue: Vec<Waiting>,
+    /// When the upstreams' topic could not be read, and when it came back.
+    outage: Outage,
+    /// Upstreams whose registration vanished during an outage, and when they count as gone.
+    vanished: HashMap<UpstreamId, Instant>,
+    seen: BTreeMap<&'static str, bool>,
+    wants: BTreeMap<HostName, Vec<(crate::util::id::OrganisationName, u64)>>,
+    outgoing: mpsc::Sender<Outgoing>,
+    sequence: u64,
+    spoke: Option<Instant>,
+    shared: Option<Instant>,
+    hosts_known: bool,
+    leaving: bool,
+    rng: SmallRng,
+}
+
+/// Whether the store can be read.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outage {
+    on: bool,
+    ended: Option<Instant>,
+}
+
+impl Dispatcher {
+    /// Returns the actor of a host that knows nothing yet.
+    pub fn new(
+        settings: Arc<Settings>,
+        incarnation: Incarnation,
+        configuration: Arc<ArcSwapOption<Configuration>>,
+        outgoing: mpsc::Sender<Outgoing>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            freshness: Freshness::new(settings.bounds.revocation),
+            settings,
+            incarnation,
+            me: None,
+            configuration,
+            upstreams: Upstreams::default(),
+            evacuated: BTreeSet::new(),
+            peers: Peers::default(),
+            // Until the other hosts are known this host's part of any rate is nothing.
+            quotas: Quotas::new(u32::MAX),
+            demand: HashMap::new(),
+            queue: Vec::new(),
+            outage: Outage::default(),
+            vanished: HashMap::new(),
+            seen: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            outgoing,
+            sequence: 0,
+            spoke: None,
+            shared: None,
+            hosts_known: false,
+            leaving: false,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn is_ready(&self, now: Instant) -> bool {
+        !self.leaving
+            && self.hosts_known
+            && self.configuration.load().is_some()
+            && !self.upstreams.is_empty()
+            && self.freshness.holds(now)
+    }
+
+    fn state(&self, now: Instant) -> HostState {
+        match (self.leaving, self.is_ready(now)) {
+            (true, _) => HostState::Leaving,
+            (false, true) => HostState::Ready,
+            (false, false) => HostState::Stale,
+        }
+    }
+
+    // What the platform publishes.
+
+    fn observe(&mut self, now: Instant, msg: Observed) {
+        let (whole, changes) = match msg.news {
+            News::Outage => {
+                self.note_outage(msg.topic);
+                return;
+            }
+            News::Whole(changes) => (true, changes.changes),
+            News::Since(changes) => (false, changes.changes),
+        };
+        if msg.topic == Topic::Upstreams && self.outage.on {
+            self.outage = Outage {
+                on: false,
+                ended: Some(now),
+            };
+            log::info!(event = "dependency-regained", dependency = "store"; "");
+        }
+        if whole {
+            self.forget_missing(now, msg.topic, &changes);
+        }
+        for change in changes {
+            self.apply(now, msg.topic, change);
+        }
+        if msg.topic == Topic::Configuration {
+            self.freshness.confirm(msg.asked_at, msg.suspended);
+        }
+        if msg.topic == Topic::Hosts {
+            self.hosts_known = true;
+            let hosts = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+            self.quotas.set_hosts(now, hosts);
+        }
+        self.drain_queue(now);
+    }
+
+    fn note_outage(&mut self, topic: Topic) {
+        if topic == Topic::Upstreams && !self.outage.on {
+            self.outage.on = true;
+            log::warn!(event = "dependency-lost", dependency = "store"; "");
+        }
+    }
+
+    /// Removes what a whole list does not name any more.
+    fn forget_missing(&mut self, now: Instant, topic: Topic, changes: &[Change]) {
+        let named: BTreeSet<&str> = changes.iter().map(|c| c.name.as_str()).collect();
+        let gone: Vec<String> = match topic {
+            Topic::Configuration => Vec::new(),
+            Topic::Upstreams => names_of(self.upstreams.ids()),
+            Topic::Evacuations => names_of(self.evacuated.iter()),
+            Topic::Hosts => names_of(self.peers.names()),
+        };
+        for name in gone {
+            if !named.contains(name.as_str()) {
+                self.apply(now, topic, Change { name, record: None });
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Instant, topic: Topic, change: Change) {
+        match change.record {
+            Some(Record::Configuration(cfg)) => self.adopt(now, cfg),
+            Some(Record::Upstream(entry)) => {
+                self.vanished.remove(&entry.id);
+                let cfg = self.configuration.load_full();
+                let service = cfg.as_ref().and_then(|c| c.services.get(&entry.service));
+                self.upstreams.register(now, *entry, service);
+            }
+            Some(Record::Evacuation(zone)) => {
+                if self.evacuated.insert(zone.clone()) {
+                    log::info!(event = "evacuation-started", zone:%; "");
+                }
+            }
+            Some(Record::Host(entry)) => {
+                if entry.name != self.settings.host {
+                    self.peers.register(*entry);
+                }
+            }
+            None => self.remove(now, topic, &change.name),
+        }
+    }
+
+    fn remove(&mut self, now: Instant, topic: Topic, name: &str) {
+        match topic {
+            Topic::Configuration => {}
+            Topic::Upstreams => {
+                let Ok(id) = name.parse::<UpstreamId>() else {
+                    return;
+                };
+                match self.outage.ended {
+                    Some(ended) if now < ended + self.settings.bounds.reregistration => {
+                        self.vanished
+                            .entry(id)
+                            .or_insert(ended + self.settings.bounds.reregistration);
+                    }
+                    _ => {
+                        self.upstreams.remove(&id);
+                    }
+                }
+            }
+            Topic::Evacuations => self.end_evacuation(now, name),
+            Topic::Hosts => {
+                if let Ok(host) = name.parse::<HostName>() {
+                    self.peers.remove(&host);
+                }
+            }
+        }
+    }
+
+    fn end_evacuation(&mut self, now: Instant, name: &str) {
+        let Ok(zone) = name.parse::<ZoneName>() else {
+            return;
+        };
+        if !self.evacuated.remove(&zone) {
+            return;
+        }
+        log::info!(event = "evacuation-ended", zone:%; "");
+        // Its upstreams may have become cold without having said so yet.
+        let cfg = self.configuration.load_full();
+        let cold_time = |service: &ServiceName| {
+            let service = cfg.as_ref().and_then(|c| c.services.get(service));
+            service.map_or(Duration::ZERO, |s| s.cold_time)
+        };
+        self.upstreams.chill(&zone, cold_time, now);
+    }
+
+    fn adopt(&mut self, now: Instant, cfg: Arc<Configuration>) {
+        let current = self.configuration.load_full();
+        if current.as_ref().is_some_and(|c| c.version >= cfg.version) {
+            return;
+        }
+        log::info!(
+            event = "configuration-adopted",
+            version:% = cfg.version,
+            organisations = cfg.organisations.len();
+            ""
+        );
+        let rates = cfg.organisations.iter().map(|o| (&o.name, o.rate));
+        self.quotas.configure(now, rates);
+        self.configuration.store(Some(cfg));
+    }
+
+    // Requests.
+
+    fn demand_mut(&mut self, service: &ServiceName, now: Instant) -> &mut Demand {
+        let settings = &self.settings;
+        let hosts = (self.peers.len() + 1) as f64;
+        self.demand.entry(service.clone()).or_insert_with(|| {
+            let bounds = &settings.bounds;
+            let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
+            let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
+            Demand {
+                offered: DrainMeter::new(now),
+                shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
+                budget: Budget::with_limits(ratio as u64, most as u64),
+            }
+        })
+    }
+
+    fn submit(&mut self, now: Instant, msg: Submit) {
+        let Submit { job, reply } = msg;
+        if job.tried.is_empty() {
+            if let Some(organisation) = &job.organisation
+                && !self.quotas.debit(now, organisation)
+            {
+                answer(reply, self.refused(Why::Rate));
+                return;
+            }
+            let demand = self.demand_mut(&job.service, now);
+            demand.offered.finished(now);
+            demand.budget.earn();
+        } else if !self.demand_mut(&job.service, now).budget.take() {
+            self.refund(now, &job);
+            answer(reply, self.refused(Why::RetryBudget));
+            return;
+        }
+        let region = self.region_of(now, &job);
+        let until = (job.received + job.aim / WAIT_PART).min(job.deadline);
+        let waiting = Waiting {
+            job,
+            region,
+            until,
+            reply,
+        };
+        if let Some(waiting) = self.try_place(now, waiting) {
+            self.queue.push(waiting);
+        }
+    }
+
+    /// Returns the region in which a request runs.
+    fn region_of(&mut self, now: Instant, job: &Job) -> RegionName {
+        let home = self.settings.region.clone();
+        // The same object spills from all hosts of a region to the same one.
+        let point = (job.object >> 11) as f64 / (1u64 << 53) as f64;
+        let region = self
+            .demand_mut(&job.service, now)
+            .shares
+            .region_at(&home, point);
+        if job.regions.is_empty() || job.regions.contains(&region) {
+            return region;
+        }
+        match job.regions.contains(&home) {
+            true => home,
+            false => job.regions[0].clone(),
+        }
+    }
+
+    /// Places a request, refuses it, or returns it where it has to wait.
+    fn try_place(&mut self, now: Instant, waiting: Waiting) -> Option<Waiting> {
+        if waiting.reply.is_closed() {
+            self.refund(now, &waiting.job);
+            return None;
+        }
+        let late = waiting.until <= now;
+        let picked = self.pick(now, &waiting.job, &waiting.region, late);
+        if let Some(placed) = picked {
+            // A caller that went away drops the place, which gives it back.
+            answer(waiting.reply, Verdict::Send(placed));
+            return None;
+        }
+        if !late {
+            return Some(waiting);
+        }
+        self.refund(now, &waiting.job);
+        let verdict = self.refused(Why::Busy);
+        answer(waiting.reply, verdict);
+        None
+    }
+
+    fn pick(&mut self, now: Instant, job: &Job, region: &RegionName, any: bool) -> Option<Placed> {
+        let places = Places {
+            zone: &self.settings.zone,
+            regions: &self.settings.regions,
+            evacuated: &self.evacuated,
+        };
+        let wish = Wish {
+            object: job.object,
+            region,
+            tried: &job.tried,
+            any,
+        };
+        let pool = self.upstreams.pool(&job.service)?;
+        let key = placement::pick(pool, places, &wish, now)?;
+        let cfg = self.configuration.load_full();
+        let service = cfg.as_ref().and_then(|c| c.services.get(&job.service));
+        let hosts = self.peers.registered_in(&self.settings.zone) + 1;
+        let cold = service.map(|s| (s.cold_rate, hosts));
+        self.upstreams.started(now, &job.service, key, cold);
+        let me = self.me.clone();
+        let u = self.upstreams.get_mut(&job.service, key)?;
+        let (address, id) = (u.entry.address, u.entry.id.clone());
+        Some(Placed::new(address, id, key, job.service.clone(), me))
+    }
+
+    fn refund(&mut self, now: Instant, job: &Job) {
+        if let (Some(organisation), false) = (&job.organisation, job.may_have_run) {
+            self.quotas.refund(now, organisation);
+        }
+    }
+
+    fn refused(&mut self, why: Why) -> Verdict {
+        let spread = RETURN_SPREAD.mul_f64(self.rng.random::<f64>());
+        Verdict::Refused(Refused {
+            why,
+            after: RETURN_MIN + spread,
+        })
+    }
+
+    /// Gives waiting requests another chance, the most urgent ones first.
+    fn drain_queue(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.sort_by_key(|w| (w.job.priority, w.job.received));
+        for waiting in queue {
+            if let Some(waiting) = self.try_place(now, waiting) {
+                self.queue.push(waiting);
+            }
+        }
+    }
+
+    // Other hosts.
+
+    fn hear(&mut self, now: Instant, msg: PeerMessage) {
+        if !self.peers.hear(now, &msg) {
+            return;
+        }
+        for (organisation, granted) in &msg.grants {
+            self.quotas.deposit(now, organisation, *granted);
+        }
+        if !msg.wants.is_empty() && !self.leaving {
+            self.wants.insert(msg.host.clone(), msg.wants);
+        }
+        self.upstreams.set_others(&self.peers.running());
+        self.drain_queue(now);
+    }
+
+    fn speak(&mut self, now: Instant) {
+        if self
+            .spoke
+            .is_some_and(|at| now < at + self.peers.interval())
+        {
+            return;
+        }
+        self.spoke = Some(now);
+        let offered = self.demand.iter();
+        let mut msg = PeerMessage {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            sequence: 0,
+            state: self.state(now),
+            running: self.upstreams.running(),
+            offered: offered
+                .map(|(s, d)| (s.clone(), d.offered.rate_at(now) as f32))
+                .collect(),
+            wants: Vec::new(),
+            grants: Vec::new(),
+        };
+        let missing = self.quotas.take_missing();
+        let lenders = self.peers.lenders();
+        let lender = match (missing.is_empty(), lenders.is_empty()) {
+            (false, false) => Some(lenders[self.rng.random_range(0..lenders.len())].clone()),
+            _ => None,
+        };
+        for (host, address) in self.peers.addresses() {
+            self.sequence += 1;
+            msg.sequence = self.sequence;
+            msg.wants.clear();
+            msg.grants.clear();
+            if Some(&host) == lender.as_ref() {
+                msg.wants.clone_from(&missing);
+            }
+            for (organisation, wanted) in self.wants.remove(&host).unwrap_or_default() {
+                let granted = self.quotas.lend(now, &organisation, wanted);
+                if granted > 0 {
+                    msg.grants.push((organisation, granted));
+                }
+            }
+            if let Err(e) = self.outgoing.try_send((address, msg.clone())) {
+                log::debug!(event = "message-dropped", to:% = host, cause:% = e; "");
+            }
+        }
+    }
+
+    /// Moves the shares of the regions towards the present loads.
+    fn share(&mut self, now: Instant) {
+        if self.shared.is_some_and(|at| now < at + SHARES_INTERVAL) {
+            return;
+        }
+        self.shared = Some(now);
+        let services: Vec<ServiceName> = self.upstreams.pools().map(|(s, _)| s.clone()).collect();
+        for service in services {
+            let loads = self.loads(now, &service);
+            let target = spill::shares(&self.settings.region, &loads);
+            self.demand_mut(&service, now).shares.follow(now, &target);
+        }
+    }
+
+    fn loads(&mut self, now: Instant, service: &ServiceName) -> BTreeMap<RegionName, RegionLoad> {
+        let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
+        let own = self.demand_mut(service, now).offered.rate_at(now);
+        let offered = self.peers.offered(service, &self.settings.regions);
+        let Some(pool) = self.upstreams.pool(service) else {
+            return loads;
+        };
+        for region in self.settings.regions.values() {
+            loads.entry(region.clone()).or_default().demand += OFFERED_PRIOR * pool.work();
+        }
+        for (region, rate) in offered {
+            loads.entry(region).or_default().demand += rate * pool.work();
+        }
+        let home = loads.entry(self.settings.region.clone()).or_default();
+        home.demand += own * pool.work();
+        for u in &pool.upstreams {
+            let Some(region) = self.settings.region_of(&u.entry.zone) else {
+                continue;
+            };
+            let takes = u.entry.standing == super::model::Standing::Ready;
+            if takes && !self.evacuated.contains(&u.entry.zone) {
+                loads.entry(region.clone()).or_default().slots += f64::from(u.entry.slots);
+            }
+        }
+        loads
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let was_fresh = self.freshness.holds(now);
+        self.freshness.observe(suspended());
+        self.note_freshness(was_fresh, self.freshness.holds(now));
+        self.peers.expire(now);
+        let gone: Vec<UpstreamId> = self
+            .vanished
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.vanished.remove(&id);
+            self.upstreams.remove(&id);
+        }
+        self.speak(now);
+        self.share(now);
+        self.drain_queue(now);
+    }
+
+    fn note_freshness(&mut self, was: bool, is: bool) {
+        let known = self.seen.insert("fresh", is).unwrap_or(was);
+        if known != is {
+            log::info!(event = "key-freshness", holds = is; "");
+        }
+    }
+
+    // Look-ups.
+
+    /// Returns the hosts that a caller should use: those of its zone, else those
+    /// of its region, else all.
+    fn lookup(&self, now: Instant, zone: Option<&ZoneName>) -> Vec<SocketAddr> {
+        let mut hosts: Vec<(&ZoneName, SocketAddr)> = self.peers.ready().collect();
+        if self.is_ready(now) || (hosts.is_empty() && !self.leaving) {
+            hosts.push((&self.settings.zone, self.settings.callers));
+        }
+        let zone = zone.unwrap_or(&self.settings.zone);
+        let region = self.settings.region_of(zone);
+        let near = |h: &&(&ZoneName, SocketAddr)| h.0 == zone;
+        let in_region = |h: &&(&ZoneName, SocketAddr)| self.settings.region_of(h.0) == region;
+        let mut chosen: Vec<_> = hosts.iter().filter(near).collect();
+        if chosen.is_empty() {
+            chosen = hosts.iter().filter(in_region).collect();
+        }
+        if chosen.is_empty() {
+            chosen = hosts.iter().collect();
+        }
+        chosen.into_iter().map(|h| h.1).collect()
+    }
+}
+
+fn names_of<T: ToString>(items: impl IntoIterator<Item = T>) -> Vec<String> {
+    items.into_iter().map(|i| i.to_string()).collect()
+}
+
+/// Sends a verdict; a caller that is gone needs none.
+fn answer(reply: oneshot::Sender<Verdict>, verdict: Verdict) {
+    drop(reply.send(verdict));
+}
+
+impl Actor for Dispatcher {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.me = mailbox.address().try_upgrade();
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Observed> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Observed, _: &mut Context<Self>) {
+        self.observe(Instant::now(), msg);
+    }
+}
+
+impl Handler<Submit> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Submit, _: &mut Context<Self>) {
+        self.submit(Instant::now(), msg);
+    }
+}
+
+impl Handler<Ended> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Ended, _: &mut Context<Self>) {
+        let now = Instant::now();
+        self.upstreams
+            .finished(now, &msg.service, msg.key, msg.end, msg.held, msg.load);
+        if msg.end == TryEnd::Misdirected {
+            log::info!(event = "upstream-replaced", key = msg.key; "");
+        }
+        self.drain_queue(now);
+    }
+}
+
+impl Handler<Refund> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Refund, _: &mut Context<Self>) {
+        self.quotas.refund(Instant::now(), &msg.organisation);
+    }
+}
+
+impl Handler<Tick> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.tick(Instant::now());
+    }
+}
+
+impl Handler<Heard> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Heard, _: &mut Context<Self>) {
+        self.hear(Instant::now(), msg.msg);
+    }
+}
+
+impl Handler<Lookup> for Dispatcher {
+    type Return = Vec<SocketAddr>;
+
+    async fn handle(&mut self, msg: Lookup, _: &mut Context<Self>) -> Vec<SocketAddr> {
+        self.lookup(Instant::now(), msg.query.zone.as_ref())
+    }
+}
+
+impl Handler<IsReady> for Dispatcher {
+    type Return = bool;
+
+    async fn handle(&mut self, _: IsReady, _: &mut Context<Self>) -> bool {
+        self.is_ready(Instant::now())
+    }
+}
+
+impl Handler<IsFresh> for Dispatcher {
+    type Return = bool;
+
+    async fn handle(&mut self, _: IsFresh, _: &mut Context<Self>) -> bool {
+        self.freshness.observe(suspended());
+        self.freshness.holds(Instant::now())
+    }
+}
+
+impl Handler<Leave> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.leaving = true;
+        self.spoke = None;
+        self.speak(Instant::now());
+    }
+}
+
+/// Returns the registration of the host that these settings describe.
+pub fn registration(settings: &Settings) -> HostRegistration {
+    HostRegistration {
+        name: settings.host.clone(),
+        zone: settings.zone.clone(),
+        callers: settings.callers,
+        peers: settings.peers,
+    }
+}
--- /dev/null
+++ b/src/edge/forward.rs
@@ -0,0 +1,509 @@
+//! One request on its way through an entry host.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{
+        Body,
+        Incoming, //
+    },
+    header,
+    http::{
+        request,
+        response, //
+    },
+};
+use smallvec::SmallVec;
+use tokio::{
+    sync::oneshot,
+    time::{
+        Instant,
+        timeout_at, //
+    },
+};
+use xtra::Address;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    answer::Ending,
+    dialect::{
+        AnswerHead,
+        CallerHead,
+        Dialect,
+        UpstreamHead, //
+    },
+    dispatcher::Dispatcher,
+    message::{
+        IsFresh,
+        Job,
+        Placed,
+        Refund,
+        Refused,
+        Submit,
+        Verdict,
+        Why, //
+    },
+    model::{
+        Configuration,
+        Regions,
+        Route, //
+    },
+    routing::{
+        self,
+        NoRoute,
+        Routed, //
+    },
+    upstreams::TryEnd,
+};
+use crate::{
+    body::{
+        PassingBody,
+        ProxyBody,
+        full, //
+    },
+    connection::{
+        ConnectionLease,
+        Connections,
+        SendError, //
+    },
+    gateway::head::{
+        self,
+        remove_hop_by_hop, //
+    },
+    post::post,
+};
+
+/// How long after the deadline an upstream's answer is still waited for; it may
+/// be on its way when the deadline passes.
+const LATE_GRACE: Duration = Duration::from_millis(120);
+/// The longest answer that is read whole before it is handed on, in bytes.
+const WHOLE_ANSWER_MAX: usize = 256 * 1024;
+/// How long a connection to an upstream that names no time may stay idle.
+const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(5);
+/// How much earlier than the upstream a connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
+/// The shortest time in which an upstream can answer at all.
+const TIME_LEFT_MIN: Duration = Duration::from_millis(20);
+/// When a caller comes back whose request found no usable upstream.
+const BUSY_RETRY: Duration = Duration::from_millis(300);
+
+/// What the requests of a host share.
+pub struct Gateway<D> {
+    /// Decides where requests go.
+    pub dispatcher: Address<Dispatcher>,
+    /// The configuration in force.
+    pub configuration: Arc<ArcSwapOption<Configuration>>,
+    /// Connections to upstreams.
+    pub connections: Connections,
+    /// How callers and upstreams spell heads.
+    pub dialect: D,
+}
+
+/// A request whose head and body were read.
+struct Call {
+    parts: request::Parts,
+    id: Bytes,
+    body: Bytes,
+    idempotent: bool,
+    tries: usize,
+    job: Job,
+}
+
+/// How one try ended.
+enum Tried {
+    /// With an answer for the caller.
+    Answer(Response<ProxyBody>),
+    /// The upstream provably did not run the request.
+    NotRun,
+    /// The upstream may have run it, and no usable answer came.
+    Lost,
+    /// No answer came in time.
+    TimedOut,
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Answers a caller's request.
+    pub async fn serve(&self, req: Request<Incoming>) -> Response<ProxyBody> {
+        let received = Instant::now();
+        let (mut parts, body) = req.into_parts();
+        let head = self.dialect.take_caller_head(&mut parts);
+        let id = head.id.clone().unwrap_or_default();
+        let result = match self.prepare(received, parts, head, body).await {
+            Ok(mut call) => self.run(&mut call).await,
+            Err(ending) => Err(ending),
+        };
+        let held_ms = received.elapsed().as_millis() as u64;
+        match result {
+            Ok(res) => {
+                log::debug!(
+                    event = "request-answered",
+                    id:% = String::from_utf8_lossy(&id),
+                    status = res.status().as_u16(),
+                    held_ms;
+                    ""
+                );
+                res
+            }
+            Err(ending) => {
+                log::info!(
+                    event = "request-ended",
+                    id:% = String::from_utf8_lossy(&id),
+                    why = ending.as_str(),
+                    status = ending.status().as_u16(),
+                    held_ms;
+                    ""
+                );
+                ending.response(&self.dialect)
+            }
+        }
+    }
+
+    async fn prepare(
+        &self,
+        received: Instant,
+        parts: request::Parts,
+        head: CallerHead,
+        body: Incoming,
+    ) -> Result<Call, Ending> {
+        let cfg = self.configuration.load_full().ok_or(Ending::NotReady)?;
+        let id = head.id.clone().ok_or(Ending::BadHead)?;
+        let routed = route(&cfg, &parts, &head);
+        if head.key.is_some() || matches!(routed, Err(Ending::Key)) {
+            // Whether a key holds can only be said by a host that would have heard of its end.
+            let fresh = self.dispatcher.send(IsFresh).await.unwrap_or(false);
+            if !fresh {
+                return Err(Ending::NotReady);
+            }
+        }
+        let routed = routed?;
+        let patience = head.patience.unwrap_or(routed.route.timeout);
+        let deadline = received + patience.min(routed.route.timeout);
+        let job = job(&routed, &head, &id, received, deadline)
+            .ok_or(Ending::NotRun(Why::NoUpstream, BUSY_RETRY))?;
+        let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
+        let body = read_body(body, cfg.limits.body_bytes, deadline).await?;
+        Ok(Call {
+            parts,
+            id,
+            body,
+            idempotent,
+            tries,
+            job,
+        })
+    }
+
+    /// Sends a request to upstreams until one answers or none may be tried any more.
+    async fn run(&self, call: &mut Call) -> Result<Response<ProxyBody>, Ending> {
+        let mut timed_out = false;
+        loop {
+            let placed = match self.place(call).await {
+                Verdict::Send(placed) => placed,
+                Verdict::Refused(refused) => return Err(unanswered(call, timed_out, refused)),
+            };
+            call.job.tried.push(placed.key);
+            match self.send(call, placed).await {
+                Tried::Answer(res) => return Ok(res),
+                Tried::NotRun => {}
+                Tried::Lost => call.job.may_have_run = true,
+                Tried::TimedOut => {
+                    call.job.may_have_run = true;
+                    timed_out = true;
+                }
+            }
+            let again = call.idempotent || !call.job.may_have_run;
+            let in_time = Instant::now() + TIME_LEFT_MIN < call.job.deadline;
+            if !again || !in_time || call.job.tried.len() >= call.tries {
+                let refused = Refused {
+                    why: Why::Tries,
+                    after: BUSY_RETRY,
+                };
+                if let (Some(organisation), false) = (&call.job.organisation, call.job.may_have_run)
+                {
+                    let organisation = organisation.clone();
+                    post(&self.dispatcher, Refund { organisation });
+                }
+                return Err(unanswered(call, timed_out, refused));
+            }
+        }
+    }
+
+    async fn place(&self, call: &Call) -> Verdict {
+        let (reply, verdict) = oneshot::channel();
+        let msg = Submit {
+            job: call.job.clone(),
+            reply,
+        };
+        let gone = Verdict::Refused(Refused {
+            why: Why::NoUpstream,
+            after: BUSY_RETRY,
+        });
+        if self.dispatcher.send(msg).await.is_err() {
+            log::error!(event = "actor-gone"; "");
+            return gone;
+        }
+        verdict.await.unwrap_or(gone)
+    }
+
+    async fn send(&self, call: &Call, mut placed: Placed) -> Tried {
+        let left = call.job.deadline.saturating_duration_since(Instant::now());
+        if left < TIME_LEFT_MIN {
+            return Tried::NotRun;
+        }
+        let mut req = outgoing(call);
+        let head = UpstreamHead {
+            left,
+            upstream: &placed.id,
+            organisation: call.job.organisation.as_ref(),
+        };
+        self.dialect.set_upstream_head(req.headers_mut(), &head);
+        let send = self.connections.send(placed.address, req);
+        let until = call.job.deadline + LATE_GRACE;
+        let exchange = match timeout_at(until, send).await {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(SendError::NotSent { cause, .. })) => {
+                log::info!(event = "upstream-unreachable", upstream:% = placed.id, cause:%; "");
+                placed.ended(TryEnd::Unreachable);
+                return Tried::NotRun;
+            }
+            Ok(Err(SendError::Lost { cause, .. })) => {
+                log::info!(
+                    event = "answer-lost",
+                    id:% = call.job.id,
+                    upstream:% = placed.id,
+                    cause:%;
+                    ""
+                );
+                placed.ended(TryEnd::Lost);
+                return Tried::Lost;
+            }
+            Err(_) => {
+                placed.ended(TryEnd::TimedOut);
+                return Tried::TimedOut;
+            }
+        };
+        let (parts, body) = exchange.res.into_parts();
+        let head = self.dialect.answer_head(&parts);
+        if head.id.as_ref() != Some(&call.id) {
+            log::info!(event = "answer-foreign", id:% = call.job.id, upstream:% = placed.id; "");
+            placed.ended(TryEnd::Lost);
+            return Tried::Lost;
+        }
+        placed.reported(head.load);
+        if head.not_run || head.misdirected {
+            placed.ended(match head.misdirected {
+                true => TryEnd::Misdirected,
+                false => TryEnd::Shed,
+            });
+            if !head.misdirected && collect(body, until).await.is_some() {
+                give_back(exchange.lease, &head);
+            }
+            return Tried::NotRun;
+        }
+        self.receive(call, placed, parts, head, body, exchange.lease)
+            .await
+    }
+
+    /// Reads an answer and hands it on.
+    async fn receive(
+        &self,
+        call: &Call,
+        mut placed: Placed,
+        mut parts: response::Parts,
+        head: AnswerHead,
+        body: Incoming,
+        lease: ConnectionLease,
+    ) -> Tried {
+        remove_hop_by_hop(&mut parts.headers);
+        let exact = body.size_hint().exact();
+        if exact.is_some_and(|n| n > WHOLE_ANSWER_MAX as u64) && is_usable(&parts, &head) {
+            return Tried::Answer(Response::from_parts(
+                parts,
+                passing(body, placed, lease, head),
+            ));
+        }
+        let Some(bytes) = collect(body, call.job.deadline + LATE_GRACE).await else {
+            log::info!(event = "answer-broken", id:% = call.job.id, upstream:% = placed.id; "");
+            placed.ended(TryEnd::Lost);
+            return Tried::Lost;
+        };
+        placed.ended(TryEnd::Whole);
+        give_back(lease, &head);
+        if !is_usable(&parts, &head) {
+            log::info!(
+                event = "answer-unusable",
+                id:% = call.job.id,
+                upstream:% = placed.id,
+                status = parts.status.as_u16();
+                ""
+            );
+            return Tried::Lost;
+        }
+        Tried::Answer(Response::from_parts(parts, full(bytes)))
+    }
+}
+
+fn route<'a>(
+    cfg: &'a Configuration,
+    parts: &request::Parts,
+    head: &CallerHead,
+) -> Result<Routed<'a>, Ending> {
+    let header = parts.headers.get(header::HOST);
+    let host = match (header, parts.uri.host()) {
+        (Some(value), _) => routing::host_name(value.as_bytes()),
+        (None, Some(host)) => host.as_bytes(),
+        (None, None) => return Err(Ending::BadHead),
+    };
+    let path = parts.uri.path().as_bytes();
+    routing::find(cfg, host, path, head.key.as_deref()).map_err(|e| match e {
+        NoRoute::Unknown => Ending::NoRoute,
+        NoRoute::Key => Ending::Key,
+    })
+}
+
+fn job(
+    routed: &Routed<'_>,
+    head: &CallerHead,
+    id: &Bytes,
+    received: Instant,
+    deadline: Instant,
+) -> Option<Job> {
+    let Routed {
+        route,
+        organisation,
+    } = routed;
+    let object = match (&head.object, route.affinity) {
+        (Some(object), true) => xxh3_64(object),
+        _ => xxh3_64(id),
+    };
+    let own = organisation.and_then(|o| o.priority);
+    let unrestricted = Regions::new();
+    let regions = common_regions(
+        &route.regions,
+        organisation.map_or(&unrestricted, |o| &o.regions),
+    )?;
+    Some(Job {
+        id: String::from_utf8_lossy(id).into_owned(),
+        service: choose_service(route, id),
+        organisation: organisation.map(|o| o.name.clone()),
+        priority: own.unwrap_or(route.priority),
+        object,
+        regions,
+        received,
+        aim: route.aim,
+        deadline,
+        tried: SmallVec::new(),
+        may_have_run: false,
+    })
+}
+
+/// Returns the regions that both lists allow, where there are any; an empty list allows all.
+fn common_regions(route: &Regions, organisation: &Regions) -> Option<Regions> {
+    if route.is_empty() || organisation.is_empty() {
+        return Some(route.iter().chain(organisation).cloned().collect());
+    }
+    let both = route.iter().filter(|r| organisation.contains(r));
+    let both: Regions = both.cloned().collect();
+    (!both.is_empty()).then_some(both)
+}
+
+/// Picks one of a route's services by its weight, evenly over request ids.
+fn choose_service(route: &Route, id: &Bytes) -> crate::util::id::ServiceName {
+    let whole: u64 = route.services.iter().map(|(_, w)| u64::from(*w)).sum();
+    let mut place = xxh3_64(id) % whole.max(1);
+    for (service, weight) in &route.services {
+        if place < u64::from(*weight) {
+            return service.clone();
+        }
+        place -= u64::from(*weight);
+    }
+    route.services[0].0.clone()
+}
+
+async fn read_body(body: Incoming, most: u64, deadline: Instant) -> Result<Bytes, Ending> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    match timeout_at(deadline, Limited::new(body, most).collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Ending::TooLong),
+        Ok(Err(_)) => Err(Ending::BadHead),
+        Err(_) => Err(Ending::NotRun(Why::Busy, BUSY_RETRY)),
+    }
+}
+
+fn outgoing(call: &Call) -> Request<ProxyBody> {
+    let mut req = head::outgoing(&call.parts, full(call.body.clone()));
+    remove_hop_by_hop(req.headers_mut());
+    req.headers_mut().remove(header::EXPECT);
+    req
+}
+
+/// Reads a body to its end; `None` where it breaks off, is too long or takes too long.
+async fn collect(body: Incoming, until: Instant) -> Option<Bytes> {
+    let whole = timeout_at(until, Limited::new(body, WHOLE_ANSWER_MAX).collect()).await;
+    whole.ok()?.ok().map(|b| b.to_bytes())
+}
+
+/// Returns whether an answer may be handed on as it is.
+///
+/// A status that says "not run" without the upstream's word for it would promise too much.
+fn is_usable(parts: &response::Parts, head: &AnswerHead) -> bool {
+    let promises = matches!(
+        parts.status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    !promises && (head.marked || !parts.status.is_success())
+}
+
+fn give_back(lease: ConnectionLease, head: &AnswerHead) {
+    if head.closing {
+        return;
+    }
+    let idle = head.keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT);
+    lease.give_back_for(idle.saturating_sub(KEEP_ALIVE_MARGIN));
+}
+
+/// Returns the body of a long answer, which is handed on as it comes.
+fn passing(
+    body: Incoming,
+    mut placed: Placed,
+    lease: ConnectionLease,
+    head: AnswerHead,
+) -> ProxyBody {
+    let at_end = move |whole: bool| {
+        placed.ended(match whole {
+            true => TryEnd::Whole,
+            false => TryEnd::Lost,
+        });
+        if whole {
+            give_back(lease, &head);
+        }
+    };
+    PassingBody::new(body)
+        .with_at_end(Box::new(at_end))
+        .boxed_unsync()
+}
+
+/// Returns how a request ends that no upstream answered.
+fn unanswered(call: &Call, timed_out: bool, refused: Refused) -> Ending {
+    match (call.job.may_have_run, timed_out) {
+        (false, _) => Ending::NotRun(refused.why, refused.after),
+        (true, true) => Ending::TimedOut,
+        (true, false) => Ending::Lost,
+    }
+}
--- /dev/null
+++ b/src/edge/message.rs
@@ -0,0 +1,264 @@
+//! Messages to the dispatcher.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use smallvec::SmallVec;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+use xtra::Address;
+
+use super::{
+    dialect::{
+        LoadReport,
+        LookupQuery, //
+    },
+    dispatcher::Dispatcher,
+    model::{
+        Priority,
+        Regions, //
+    },
+    peers::PeerMessage,
+    topic::{
+        Changes,
+        Topic, //
+    },
+    upstreams::{
+        TryEnd,
+        UpstreamKey, //
+    },
+};
+use crate::{
+    post::post,
+    util::id::{
+        OrganisationName,
+        ServiceName,
+        UpstreamId, //
+    },
+};
+
+/// What a topic's follower learned.
+#[derive(Debug)]
+pub struct Observed {
+    /// The topic.
+    pub topic: Topic,
+    /// When the read was sent.
+    pub asked_at: Instant,
+    /// The time spent suspended when the read was sent.
+    pub suspended: Duration,
+    /// What came.
+    pub news: News,
+}
+
+/// What a read of a topic brought.
+#[derive(Debug)]
+pub enum News {
+    /// All records of the topic.
+    Whole(Changes),
+    /// The changes since the last read.
+    Since(Changes),
+    /// Nothing: the platform did not answer.
+    Outage,
+}
+
+/// A request that needs an upstream.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The caller's id of the request, for logs.
+    pub id: String,
+    /// The service.
+    pub service: ServiceName,
+    /// The organisation whose rate it counts against.
+    pub organisation: Option<OrganisationName>,
+    /// Its rank.
+    pub priority: Priority,
+    /// The hash of the object that it concerns, or of the request where there is none.
+    pub object: u64,
+    /// Regions in which it may run; an empty list allows all.
+    pub regions: Regions,
+    /// When its head had been read.
+    pub received: Instant,
+    /// The time within which an answer earns its full worth.
+    pub aim: Duration,
+    /// When the caller or the route stops waiting.
+    pub deadline: Instant,
+    /// Upstreams that were tried already.
+    pub tried: SmallVec<[UpstreamKey; 2]>,
+    /// Whether one of them may have run it.
+    pub may_have_run: bool,
+}
+
+/// Asks for an upstream.
+#[derive(Debug)]
+pub struct Submit {
+    /// The request.
+    pub job: Job,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Verdict>,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// It goes to an upstream.
+    Send(Placed),
+    /// It does not run.
+    Refused(Refused),
+}
+
+/// Why a request does not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its organisation's rate is used up.
+    Rate,
+    /// All slots are taken.
+    Busy,
+    /// No upstream of the service may take it.
+    NoUpstream,
+    /// The retries of the service are used up.
+    RetryBudget,
+    /// It was sent to as many upstreams as its route allows.
+    Tries,
+}
+
+impl Why {
+    /// Returns the word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Rate => "rate",
+            Self::Busy => "busy",
+            Self::NoUpstream => "no-upstream",
+            Self::RetryBudget => "retry-budget",
+            Self::Tries => "tries",
+        }
+    }
+}
+
+/// A refusal: nothing ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub why: Why,
+    /// When to come back.
+    pub after: Duration,
+}
+
+/// An upstream that a request may be sent to; dropping it gives the slot back.
+#[derive(Debug)]
+pub struct Placed {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its id.
+    pub id: UpstreamId,
+    /// Its key.
+    pub key: UpstreamKey,
+    service: ServiceName,
+    since: Instant,
+    end: TryEnd,
+    load: Option<LoadReport>,
+    dispatcher: Option<Address<Dispatcher>>,
+}
+
+impl Placed {
+    /// Returns the right to one slot.
+    pub fn new(
+        address: SocketAddr,
+        id: UpstreamId,
+        key: UpstreamKey,
+        service: ServiceName,
+        dispatcher: Option<Address<Dispatcher>>,
+    ) -> Self {
+        Self {
+            address,
+            id,
+            key,
+            service,
+            since: Instant::now(),
+            end: TryEnd::Abandoned,
+            load: None,
+            dispatcher,
+        }
+    }
+
+    /// Records how the try ended.
+    pub fn ended(&mut self, end: TryEnd) {
+        self.end = end;
+    }
+
+    /// Records the upstream's report of its load.
+    pub fn reported(&mut self, load: Option<LoadReport>) {
+        self.load = load;
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let Some(dispatcher) = &self.dispatcher else {
+            return;
+        };
+        let msg = Ended {
+            service: self.service.clone(),
+            key: self.key,
+            end: self.end,
+            held: self.since.elapsed(),
+            load: self.load,
+        };
+        post(dispatcher, msg);
+    }
+}
+
+/// One try has ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The service.
+    pub service: ServiceName,
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// How.
+    pub end: TryEnd,
+    /// How long it held its slot.
+    pub held: Duration,
+    /// The upstream's report.
+    pub load: Option<LoadReport>,
+}
+
+/// The token of a request that did not run goes back.
+#[derive(Debug)]
+pub struct Refund {
+    /// The organisation.
+    pub organisation: OrganisationName,
+}
+
+/// Time has passed.
+#[derive(Debug)]
+pub struct Tick;
+
+/// Another host spoke.
+#[derive(Debug)]
+pub struct Heard {
+    /// What it said.
+    pub msg: PeerMessage,
+}
+
+/// Asks which hosts a caller should use.
+#[derive(Debug)]
+pub struct Lookup {
+    /// The caller's question.
+    pub query: LookupQuery,
+}
+
+/// Asks whether the host takes requests.
+#[derive(Debug)]
+pub struct IsReady;
+
+/// Asks whether requests with keys may run.
+#[derive(Debug)]
+pub struct IsFresh;
+
+/// The host is about to stop.
+#[derive(Debug)]
+pub struct Leave;
--- /dev/null
+++ b/src/edge/model.rs
@@ -0,0 +1,166 @@
+//! What the platform publishes, as the project names it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+use crate::util::id::{
+    HostName,
+    KeyDigest,
+    OrganisationName,
+    RegionName,
+    ServiceName,
+    UpstreamId,
+    ZoneName, //
+};
+
+/// The number of a published configuration. A later one has a larger number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConfigVersion(pub u64);
+
+impl std::fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// How urgent a request is; 0 is the most urgent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Priority(pub u32);
+
+/// Regions in which work may be done; an empty list allows all.
+pub type Regions = SmallVec<[RegionName; 2]>;
+
+/// Where requests of one path prefix go, and under which promises.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The path prefix; it begins and ends with a slash.
+    pub prefix: Bytes,
+    /// The services that share its requests, by weight.
+    pub services: SmallVec<[(ServiceName, u32); 1]>,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// The longest time that a request may be kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer earns its full worth.
+    pub aim: Duration,
+    /// Upstreams that one request may be sent to.
+    pub tries: u32,
+    /// Its rank among the routes.
+    pub priority: Priority,
+    /// Whether requests need no key.
+    pub open: bool,
+    /// Whether requests for one object should meet the same upstreams.
+    pub affinity: bool,
+    /// Regions in which its requests may run.
+    pub regions: Regions,
+}
+
+/// An organisation and what it may use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: OrganisationName,
+    /// Its rank, where it has one; it goes before a route's.
+    pub priority: Option<Priority>,
+    /// Requests a second over all hosts; `None` is no limit.
+    pub rate: Option<Rate>,
+    /// Regions in which its requests may run.
+    pub regions: Regions,
+}
+
+/// A rate and the requests that may be saved up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Requests.
+    pub burst: f64,
+}
+
+/// What is set for a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// How long an upstream that has just started stays cold.
+    pub cold_time: Duration,
+    /// Requests a second that a cold upstream bears, over all hosts.
+    pub cold_rate: f64,
+}
+
+/// What a caller may send, and how long it may stay idle.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerLimits {
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Bytes of a body.
+    pub body_bytes: u64,
+    /// How long a connection may stay idle.
+    pub idle: Duration,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Its number.
+    pub version: ConfigVersion,
+    /// The routes of each host name.
+    pub routes: HashMap<Bytes, Vec<Route>>,
+    /// The services.
+    pub services: HashMap<ServiceName, Service>,
+    /// The organisations.
+    pub organisations: Vec<Organisation>,
+    /// The organisation of each key, by its place in `organisations`.
+    pub keys: HashMap<KeyDigest, usize>,
+    /// What callers are held to.
+    pub limits: CallerLimits,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// An upstream as it registers itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Registration {
+    /// Its id, unique to one start unless the upstream reuses it.
+    pub id: UpstreamId,
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub standing: Standing,
+    /// How much longer it stays cold.
+    pub cold_for: Duration,
+    /// Its start, in milliseconds of its own time of day; only compared for equality.
+    pub born: Option<u64>,
+}
+
+/// An entry host as it registers itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostRegistration {
+    /// Its name.
+    pub name: HostName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other hosts reach it, by datagrams.
+    pub peers: SocketAddr,
+}
--- /dev/null
+++ b/src/edge/peers.rs
@@ -0,0 +1,245 @@
+//! What entry hosts tell one another by datagrams.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+
+use super::{
+    model::HostRegistration,
+    upstreams::UpstreamKey, //
+};
+use crate::util::id::{
+    HostName,
+    Incarnation,
+    OrganisationName,
+    RegionName,
+    ServiceName,
+    ZoneName, //
+};
+
+/// The time between two messages to the same host, in a small fleet.
+pub const INTERVAL: Duration = Duration::from_millis(100);
+/// The fleet size up to which [`INTERVAL`] holds; larger fleets speak less often.
+const SMALL_FLEET: usize = 16;
+/// Messages that a host misses before it counts as gone.
+const MISSED_MAX: u32 = 10;
+
+/// The state of a host that takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostState {
+    /// It knows the configuration and takes requests.
+    Ready,
+    /// It cannot serve requests with keys now.
+    Stale,
+    /// It is about to stop.
+    Leaving,
+}
+
+/// Messages of a process that must be missing before one with a smaller number replaces it.
+const MISSED_BY_OLD_PROCESS: u32 = 3;
+
+/// One message from host to host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// The sender.
+    pub host: HostName,
+    /// The sender's process.
+    pub incarnation: Incarnation,
+    /// Grows with each message of a process.
+    pub sequence: u64,
+    /// The sender's state.
+    pub state: HostState,
+    /// Requests of the sender that run, by upstream.
+    pub running: Vec<(UpstreamKey, u32)>,
+    /// Requests a second that its callers send, by service.
+    pub offered: Vec<(ServiceName, f32)>,
+    /// Tokens that it asks of the receiver, in thousandths of a request.
+    pub wants: Vec<(OrganisationName, u64)>,
+    /// Tokens that it hands to the receiver, in thousandths of a request.
+    pub grants: Vec<(OrganisationName, u64)>,
+}
+
+/// What is known of one other host.
+#[derive(Clone, Debug)]
+struct Peer {
+    entry: HostRegistration,
+    incarnation: Incarnation,
+    sequence: u64,
+    heard: Option<Instant>,
+    state: HostState,
+    running: Vec<(UpstreamKey, u32)>,
+    offered: Vec<(ServiceName, f32)>,
+}
+
+/// The other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<HostName, Peer>,
+}
+
+impl Peers {
+    /// Takes in a registration.
+    pub fn register(&mut self, entry: HostRegistration) {
+        match self.peers.get_mut(&entry.name) {
+            Some(peer) => peer.entry = entry,
+            None => {
+                let peer = Peer {
+                    entry,
+                    incarnation: Incarnation::default(),
+                    sequence: 0,
+                    heard: None,
+                    state: HostState::Stale,
+                    running: Vec::new(),
+                    offered: Vec::new(),
+                };
+                self.peers.insert(peer.entry.name.clone(), peer);
+            }
+        }
+    }
+
+    /// Forgets a host whose registration was removed.
+    pub fn remove(&mut self, host: &HostName) {
+        self.peers.remove(host);
+    }
+
+    /// Returns the names of all registered hosts.
+    pub fn names(&self) -> Vec<HostName> {
+        self.peers.keys().cloned().collect()
+    }
+
+    /// Returns the number of registered hosts.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns whether no other host is registered.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns the time between two messages to one host.
+    pub fn interval(&self) -> Duration {
+        let times = self.peers.len().div_ceil(SMALL_FLEET).max(1);
+        INTERVAL * u32::try_from(times).unwrap_or(u32::MAX)
+    }
+
+    /// Returns how long a host may be silent before it counts as gone.
+    pub fn patience(&self) -> Duration {
+        self.interval() * MISSED_MAX
+    }
+
+    /// Takes in a message; returns whether it is newer than what is known.
+    pub fn hear(&mut self, now: Instant, msg: &PeerMessage) -> bool {
+        let silence = self.interval() * MISSED_BY_OLD_PROCESS;
+        let Some(peer) = self.peers.get_mut(&msg.host) else {
+            return false;
+        };
+        let newer = match msg.incarnation == peer.incarnation {
+            true => msg.sequence > peer.sequence,
+            // A clock that stepped back gives a later process the smaller number.
+            false => {
+                msg.incarnation > peer.incarnation
+                    || peer.heard.is_none_or(|at| now >= at + silence)
+            }
+        };
+        if !newer {
+            return false;
+        }
+        if peer.heard.is_none() || peer.state != msg.state {
+            log::info!(event = "host-state", host:% = msg.host, state:? = msg.state; "");
+        }
+        peer.incarnation = msg.incarnation;
+        peer.sequence = msg.sequence;
+        peer.heard = Some(now);
+        peer.state = msg.state;
+        peer.running.clone_from(&msg.running);
+        peer.offered.clone_from(&msg.offered);
+        true
+    }
+
+    /// Forgets what silent hosts told.
+    pub fn expire(&mut self, now: Instant) {
+        let patience = self.patience();
+        for (name, peer) in &mut self.peers {
+            let Some(heard) = peer.heard else {
+                continue;
+            };
+            if now.saturating_duration_since(heard) < patience {
+                continue;
+            }
+            log::info!(event = "host-silent", host:% = name; "");
+            peer.heard = None;
+            peer.running.clear();
+            peer.offered.clear();
+        }
+    }
+
+    /// Returns the requests that other hosts run, by upstream.
+    pub fn running(&self) -> HashMap<UpstreamKey, u32> {
+        let mut sum = HashMap::new();
+        for &(key, running) in self.peers.values().flat_map(|p| &p.running) {
+            *sum.entry(key).or_default() += running;
+        }
+        sum
+    }
+
+    /// Returns the requests a second that the callers of other hosts send to a
+    /// service, by the hosts' region.
+    pub fn offered(
+        &self,
+        service: &ServiceName,
+        regions: &BTreeMap<ZoneName, RegionName>,
+    ) -> BTreeMap<RegionName, f64> {
+        let mut sum = BTreeMap::new();
+        for peer in self.peers.values() {
+            let Some(region) = regions.get(&peer.entry.zone) else {
+                continue;
+            };
+            let rate = peer.offered.iter().find(|(s, _)| s == service);
+            *sum.entry(region.clone()).or_default() += rate.map_or(0.0, |(_, r)| f64::from(*r));
+        }
+        sum
+    }
+
+    /// Returns the hosts that were heard lately and do not leave.
+    fn live(&self) -> impl Iterator<Item = &Peer> {
+        let live = |p: &&Peer| p.heard.is_some() && p.state != HostState::Leaving;
+        self.peers.values().filter(live)
+    }
+
+    /// Returns the addresses and zones of hosts that take requests.
+    pub fn ready(&self) -> impl Iterator<Item = (&ZoneName, SocketAddr)> {
+        let ready = self.live().filter(|p| p.state == HostState::Ready);
+        ready.map(|p| (&p.entry.zone, p.entry.callers))
+    }
+
+    /// Returns how many hosts of a zone are registered.
+    pub fn registered_in(&self, zone: &ZoneName) -> usize {
+        self.peers
+            .values()
+            .filter(|p| p.entry.zone == *zone)
+            .count()
+    }
+
+    /// Returns the addresses that messages go to.
+    pub fn addresses(&self) -> Vec<(HostName, SocketAddr)> {
+        let all = self.peers.values();
+        all.map(|p| (p.entry.name.clone(), p.entry.peers)).collect()
+    }
+
+    /// Returns the hosts that may lend tokens.
+    pub fn lenders(&self) -> Vec<HostName> {
+        self.live().map(|p| p.entry.name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/edge/serve.rs
@@ -0,0 +1,335 @@
+//! The daemon: binds its addresses, starts its tasks, and stops gracefully.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+};
+use thiserror::Error;
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        MissedTickBehavior,
+        interval,
+        sleep,
+        timeout, //
+    },
+};
+use xtra::{
+    Address,
+    Mailbox, //
+};
+
+use super::{
+    dialect::Dialect,
+    dispatcher::{
+        Dispatcher,
+        Outgoing,
+        registration, //
+    },
+    follow::follow,
+    forward::Gateway,
+    message::{
+        Heard,
+        IsReady,
+        Leave,
+        Lookup,
+        Tick, //
+    },
+    peers::PeerMessage,
+    settings::Settings,
+    topic::{
+        Source,
+        Topic, //
+    },
+};
+use crate::{
+    body::{
+        ProxyBody,
+        empty,
+        full, //
+    },
+    connection::Connections,
+    listener,
+    membership::new_incarnation,
+    post::post,
+    util::id::Incarnation,
+};
+
+/// The time between two ticks of the dispatcher.
+const TICK: Duration = Duration::from_millis(50);
+/// Messages to other hosts that wait to be sent.
+const OUTGOING_MAX: usize = 1024;
+/// The longest message from host to host, in bytes.
+const DATAGRAM_MAX: usize = 60 * 1024;
+/// The pause after a registration that failed.
+const REGISTER_PAUSE: Duration = Duration::from_millis(500);
+/// Callers keep a look-up for up to this many times its time to live.
+const OVERSTAY: u32 = 3;
+/// The part of the grace after which a stopping host takes no new connections, one in this many.
+const LINGER_PART: u32 = 2;
+/// How long before the end of the grace a stopping host exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// A failure to start or run the daemon.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// An address could not be bound.
+    #[error("cannot bind {address} for {role} ({cause}); stop the process that holds it")]
+    Bind {
+        /// What the address is for.
+        role: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        cause: io::Error,
+    },
+    /// A signal handler could not be installed.
+    #[error("the process could not be set up: {0}")]
+    Process(#[from] io::Error),
+}
+
+/// Runs an entry host until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or the process cannot be set up.
+pub async fn run<S: Source, D: Dialect>(
+    settings: Settings,
+    source: S,
+    dialect: D,
+) -> Result<(), ServeError> {
+    let settings = Arc::new(settings);
+    let callers = bind("callers", settings.callers).await?;
+    let readiness = bind("readiness", settings.readiness).await?;
+    let lookups = bind("look-ups", settings.lookups).await?;
+    let socket = UdpSocket::bind(settings.peers)
+        .await
+        .map_err(|cause| ServeError::Bind {
+            role: "other hosts",
+            address: settings.peers,
+            cause,
+        })?;
+    let configuration = Arc::new(ArcSwapOption::empty());
+    let (outgoing, outgoing_rx) = mpsc::channel(OUTGOING_MAX);
+    let incarnation = incarnation();
+    let dispatcher = Dispatcher::new(
+        settings.clone(),
+        incarnation,
+        configuration.clone(),
+        outgoing,
+        rand::random(),
+    );
+    let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+    let gw = Arc::new(Gateway {
+        dispatcher: dispatcher.clone(),
+        configuration,
+        connections: Connections::new(),
+        dialect,
+    });
+    spawn_tasks(&settings, source, &dispatcher, socket, outgoing_rx);
+    let ttl = settings.bounds.lookup_ttl;
+    // Look-ups and readiness are answered until the process ends.
+    let (_kept, open) = watch::channel(false);
+    for listener in [readiness, lookups] {
+        let gw = gw.clone();
+        tokio::spawn(listener::serve(listener, open.clone(), move |req, _| {
+            serve_platform(gw.clone(), req, ttl)
+        }));
+    }
+    let (stop, stopped) = watch::channel(false);
+    let serving = tokio::spawn(listener::serve(callers, stopped, {
+        let gw = gw.clone();
+        move |req, _| {
+            let gw = gw.clone();
+            async move { gw.serve(req).await }
+        }
+    }));
+    log::info!(
+        event = "started",
+        host:% = settings.host,
+        zone:% = settings.zone,
+        incarnation:%;
+        ""
+    );
+    wait_for_stop().await?;
+    log::info!(event = "stopping", host:% = settings.host; "");
+    if dispatcher.send(Leave).await.is_err() {
+        log::error!(event = "actor-gone"; "");
+    }
+    let grace = settings.bounds.grace;
+    let linger = (ttl * OVERSTAY).min(grace / LINGER_PART);
+    sleep(linger).await;
+    stop.send_replace(true);
+    let rest = grace.saturating_sub(linger + EXIT_MARGIN);
+    match timeout(rest, serving).await {
+        Ok(_) => log::info!(event = "stopped", host:% = settings.host; ""),
+        Err(_) => log::warn!(event = "stopped-busy", host:% = settings.host; ""),
+    }
+    Ok(())
+}
+
+fn spawn_tasks<S: Source>(
+    settings: &Settings,
+    source: S,
+    dispatcher: &Address<Dispatcher>,
+    socket: UdpSocket,
+    outgoing: mpsc::Receiver<Outgoing>,
+) {
+    let source = Arc::new(source);
+    let socket = Arc::new(socket);
+    for topic in [
+        Topic::Configuration,
+        Topic::Upstreams,
+        Topic::Evacuations,
+        Topic::Hosts,
+    ] {
+        tokio::spawn(follow(source.clone(), topic, dispatcher.clone()));
+    }
+    tokio::spawn(register(source, settings.clone()));
+    tokio::spawn(send_messages(socket.clone(), outgoing));
+    tokio::spawn(receive_messages(socket, dispatcher.clone()));
+    tokio::spawn(tick(dispatcher.clone()));
+}
+
+/// Registers this host, again and again until the platform has taken it.
+async fn register<S: Source>(source: Arc<S>, settings: Settings) {
+    let host = registration(&settings);
+    while let Err(cause) = source.register(&host).await {
+        log::warn!(event = "register-failed", cause:%; "");
+        sleep(REGISTER_PAUSE).await;
+    }
+    log::info!(event = "registered", host:% = host.name; "");
+}
+
+async fn tick(dispatcher: Address<Dispatcher>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if dispatcher.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_messages(socket: Arc<UdpSocket>, mut outgoing: mpsc::Receiver<Outgoing>) {
+    while let Some((address, msg)) = outgoing.recv().await {
+        let bytes = match rmp_serde::to_vec(&msg) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(event = "message-unwritable", cause:% = e; "");
+                continue;
+            }
+        };
+        if let Err(e) = socket.send_to(&bytes, address).await {
+            log::debug!(event = "message-unsent", to:% = address, cause:% = e; "");
+        }
+    }
+}
+
+async fn receive_messages(socket: Arc<UdpSocket>, dispatcher: Address<Dispatcher>) {
+    let mut buf = vec![0; DATAGRAM_MAX];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::debug!(event = "receive-failed", cause:% = e; "");
+                continue;
+            }
+        };
+        match rmp_serde::from_slice::<PeerMessage>(&buf[..len]) {
+            Ok(msg) => post(&dispatcher, Heard { msg }),
+            Err(e) => log::info!(event = "message-unreadable", from:%, cause:% = e; ""),
+        }
+    }
+}
+
+/// Answers look-ups and questions about readiness.
+async fn serve_platform<D: Dialect>(
+    gw: Arc<Gateway<D>>,
+    req: Request<Incoming>,
+    ttl: Duration,
+) -> Response<ProxyBody> {
+    let mut res = Response::new(empty());
+    if gw.dialect.is_readiness(req.uri()) {
+        if !gw.dispatcher.send(IsReady).await.unwrap_or(false) {
+            *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        return res;
+    }
+    let Some(query) = gw.dialect.lookup(req.uri()) else {
+        *res.status_mut() = StatusCode::NOT_FOUND;
+        return res;
+    };
+    let hosts = gw
+        .dispatcher
+        .send(Lookup { query })
+        .await
+        .unwrap_or_default();
+    if hosts.is_empty() {
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return res;
+    }
+    let (content_type, body) = gw.dialect.lookup_answer(&hosts, ttl);
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    *res.body_mut() = full(body);
+    res
+}
+
+async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| ServeError::Bind {
+            role,
+            address,
+            cause,
+        })
+}
+
+/// Returns a number that is larger than that of an earlier process of this host,
+/// unless the time of day stepped back in between.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    new_incarnation(u64::try_from(ms).unwrap_or(u64::MAX), rand::random())
+}
+
+async fn wait_for_stop() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            _ = hup.recv() => log::info!(event = "reload-requested"; ""),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/spill.rs
@@ -0,0 +1,135 @@
+//! Which part of a region's requests runs in which region.
+//!
+//! Demand is spread over the regions so that all are loaded alike: a region
+//! serves its own callers up to its part of the whole, and sends the rest to
+//! regions in proportion to what they have left. The parts move slowly, so that
+//! a region's work never jumps.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+
+use crate::util::id::RegionName;
+
+/// The part of its slots up to which a region keeps its own callers while there is room elsewhere.
+const KEEP_AT_HOME: f64 = 0.85;
+
+/// What one region has and what its callers ask, for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RegionLoad {
+    /// Slots that can be used.
+    pub slots: f64,
+    /// Slots that its callers' requests would hold.
+    pub demand: f64,
+}
+
+/// The part of a region's requests that runs in each region; the parts add up to 1.
+pub type Shares = BTreeMap<RegionName, f64>;
+
+/// Returns the shares of the requests from `home`.
+pub fn shares(home: &RegionName, loads: &BTreeMap<RegionName, RegionLoad>) -> Shares {
+    let slots: f64 = loads.values().map(|l| l.slots).sum();
+    let demand: f64 = loads.values().map(|l| l.demand).sum();
+    let mut shares = Shares::new();
+    let own = loads.get(home).copied().unwrap_or_default();
+    if slots <= 0.0 || demand <= 0.0 || own.demand <= 0.0 {
+        shares.insert(home.clone(), 1.0);
+        return shares;
+    }
+    let fill = (demand / slots).max(KEEP_AT_HOME);
+    let spare = |l: &RegionLoad| (l.slots * fill - l.demand).max(0.0);
+    let over = (own.demand - own.slots * fill).max(0.0);
+    let all_spare: f64 = loads.values().map(spare).sum();
+    let mut kept = 1.0;
+    for (region, load) in loads {
+        if region == home || all_spare <= 0.0 {
+            continue;
+        }
+        let part = over / own.demand * spare(load) / all_spare;
+        if part > 0.0 {
+            shares.insert(region.clone(), part);
+            kept -= part;
+        }
+    }
+    shares.insert(home.clone(), kept);
+    shares
+}
+
+/// Shares that follow their target no faster than a bound.
+#[derive(Clone, Debug)]
+pub struct SlowShares {
+    shares: Shares,
+    at: Option<Instant>,
+    per_second: f64,
+}
+
+impl SlowShares {
+    /// Returns shares that keep all at home until the first target is known.
+    ///
+    /// At most `moved` of all requests change region in `window`.
+    pub fn new(home: &RegionName, moved: f64, window: Duration) -> Self {
+        Self {
+            shares: Shares::from([(home.clone(), 1.0)]),
+            at: None,
+            per_second: moved / window.as_secs_f64().max(f64::EPSILON),
+        }
+    }
+
+    /// Moves towards a target. The first target is taken over at once.
+    pub fn follow(&mut self, now: Instant, target: &Shares) {
+        let Some(at) = self.at.replace(now) else {
+            self.shares = target.clone();
+            return;
+        };
+        let most = self.per_second * now.saturating_duration_since(at).as_secs_f64();
+        let mut regions: Vec<RegionName> = self.shares.keys().cloned().collect();
+        regions.extend(
+            target
+                .keys()
+                .filter(|r| !self.shares.contains_key(*r))
+                .cloned(),
+        );
+        let gap = |region: &RegionName| {
+            let to = target.get(region).copied().unwrap_or(0.0);
+            to - self.shares.get(region).copied().unwrap_or(0.0)
+        };
+        let moved: f64 = regions.iter().map(|r| gap(r).max(0.0)).sum();
+        let step = if moved > most { most / moved } else { 1.0 };
+        let next: Shares = regions
+            .iter()
+            .map(|r| {
+                let now = self.shares.get(r).copied().unwrap_or(0.0);
+                (r.clone(), now + gap(r) * step)
+            })
+            .filter(|(_, part)| *part > 0.0)
+            .collect();
+        self.shares = next;
+    }
+
+    /// Returns the shares in force.
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// Returns the region of the request at `point`, from 0 to 1: the home
+    /// region takes the lowest points.
+    pub fn region_at(&self, home: &RegionName, point: f64) -> RegionName {
+        let mut upto = self.shares.get(home).copied().unwrap_or(0.0);
+        if point < upto {
+            return home.clone();
+        }
+        for (region, part) in &self.shares {
+            if region == home {
+                continue;
+            }
+            upto += part;
+            if point < upto {
+                return region.clone();
+            }
+        }
+        home.clone()
+    }
+}
--- /dev/null
+++ b/src/edge/upstreams.rs
@@ -0,0 +1,374 @@
+//! The upstreams of all services, as one host sees them.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::{
+    Xxh3,
+    xxh3_64, //
+};
+
+use super::{
+    cold::ColdPace,
+    dialect::LoadReport,
+    model::{
+        Registration,
+        Service,
+        Standing, //
+    },
+};
+use crate::util::id::{
+    ServiceName,
+    UpstreamId,
+    ZoneName, //
+};
+
+/// How long an upstream that shed a request counts as full.
+const FULL_FOR: Duration = Duration::from_millis(80);
+/// How long an upstream's own report of its load is used.
+const REPORT_MAX_AGE: Duration = Duration::from_millis(150);
+/// How long an upstream is left alone after its first failure.
+const SUSPEND_FIRST: Duration = Duration::from_millis(300);
+/// How long an upstream is left alone at most.
+const SUSPEND_MAX: Duration = Duration::from_secs(4);
+/// Failures in a row after which an upstream is left alone, where it is reachable.
+const FAILURES_MAX: u32 = 2;
+/// The weight of a new sample in a running mean.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Identifies an upstream in messages between hosts.
+pub type UpstreamKey = u32;
+
+/// How one try at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// A whole answer came.
+    Whole,
+    /// The upstream had no room and did not run the request.
+    Shed,
+    /// Another upstream has the address now.
+    Misdirected,
+    /// No connection could be opened.
+    Unreachable,
+    /// The request left and no whole answer came.
+    Lost,
+    /// No answer came in time.
+    TimedOut,
+    /// The caller went away.
+    Abandoned,
+}
+
+/// One upstream and what this host knows of it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Its registration.
+    pub entry: Registration,
+    /// Its key in messages.
+    pub key: UpstreamKey,
+    /// Requests of this host that run there.
+    pub running: u32,
+    /// Requests of other hosts that run there, as they told.
+    pub others: u32,
+    /// Until when it is cold.
+    pub cold_until: Instant,
+    /// Paces requests while it is cold.
+    pub cold_pace: ColdPace,
+    reported: Option<(u32, Instant)>,
+    full_until: Instant,
+    suspended_until: Instant,
+    suspended_for: Duration,
+    failures: u32,
+    gone: bool,
+}
+
+impl Upstream {
+    fn new(entry: Registration, cold_until: Instant, now: Instant) -> Self {
+        Self {
+            key: key_of(&entry.id),
+            entry,
+            running: 0,
+            others: 0,
+            cold_until,
+            cold_pace: ColdPace::new(now),
+            reported: None,
+            full_until: now,
+            suspended_until: now,
+            suspended_for: Duration::ZERO,
+            failures: 0,
+            gone: false,
+        }
+    }
+
+    /// Returns the requests that run there, as far as this host can tell.
+    pub fn load(&self, now: Instant) -> u32 {
+        let others = match self.reported {
+            Some((others, at)) if now.saturating_duration_since(at) < REPORT_MAX_AGE => others,
+            _ => self.others,
+        };
+        self.running + others
+    }
+
+    /// Returns whether it takes new work at all.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.entry.standing == Standing::Ready
+            && !self.gone
+            && self.suspended_until <= now
+            && self.full_until <= now
+    }
+
+    /// Returns whether it is still cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns the free slots.
+    pub fn free(&self, now: Instant) -> u32 {
+        self.entry.slots.saturating_sub(self.load(now))
+    }
+
+    /// Returns its rank for an object; the highest rank is the object's home.
+    pub fn rank(&self, object: u64) -> u64 {
+        let mut h = Xxh3::with_seed(object);
+        h.update(&self.key.to_le_bytes());
+        h.digest()
+    }
+
+    fn report(&mut self, now: Instant, load: LoadReport) {
+        let others = (load.running + load.waiting).saturating_sub(self.running + 1);
+        self.reported = Some((others, now));
+    }
+
+    fn finish(&mut self, now: Instant, end: TryEnd) {
+        match end {
+            TryEnd::Whole => {
+                self.failures = 0;
+                self.suspended_for = Duration::ZERO;
+            }
+            TryEnd::Shed => self.full_until = now + FULL_FOR,
+            TryEnd::Misdirected => self.gone = true,
+            TryEnd::Unreachable => self.suspend(now),
+            TryEnd::Lost | TryEnd::TimedOut => {
+                self.failures += 1;
+                if self.failures >= FAILURES_MAX {
+                    self.suspend(now);
+                }
+            }
+            TryEnd::Abandoned => {}
+        }
+    }
+
+    fn suspend(&mut self, now: Instant) {
+        let next = (self.suspended_for * 2).clamp(SUSPEND_FIRST, SUSPEND_MAX);
+        self.suspended_for = next;
+        self.suspended_until = now + next;
+        log::info!(
+            event = "upstream-suspended",
+            upstream:% = self.entry.id,
+            zone:% = self.entry.zone,
+            failures = self.failures,
+            for_ms = next.as_millis() as u64;
+            ""
+        );
+    }
+}
+
+/// Returns the key of an upstream in messages between hosts.
+pub fn key_of(id: &UpstreamId) -> UpstreamKey {
+    (xxh3_64(id.as_str().as_bytes()) & u64::from(u32::MAX)) as UpstreamKey
+}
+
+/// One service and its upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// Its upstreams, in the order in which they were learned.
+    pub upstreams: Vec<Upstream>,
+    /// The mean time that a request holds a slot, in seconds.
+    work: Option<f64>,
+}
+
+impl Pool {
+    /// Returns the mean time that a request holds a slot, in seconds.
+    pub fn work(&self) -> f64 {
+        // Before the first answer all services are taken to be alike.
+        self.work.unwrap_or(1.0)
+    }
+}
+
+/// All upstreams, by service.
+#[derive(Clone, Debug, Default)]
+pub struct Upstreams {
+    pools: BTreeMap<ServiceName, Pool>,
+}
+
+impl Upstreams {
+    /// Returns a service's pool.
+    pub fn pool(&self, service: &ServiceName) -> Option<&Pool> {
+        self.pools.get(service)
+    }
+
+    /// Returns all pools.
+    pub fn pools(&self) -> impl Iterator<Item = (&ServiceName, &Pool)> {
+        self.pools.iter()
+    }
+
+    /// Returns whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.pools.values().all(|p| p.upstreams.is_empty())
+    }
+
+    /// Returns the ids of all upstreams.
+    pub fn ids(&self) -> Vec<UpstreamId> {
+        let all = self.pools.values().flat_map(|p| &p.upstreams);
+        all.map(|u| u.entry.id.clone()).collect()
+    }
+
+    /// Takes in a registration. An upstream that has started again under its id
+    /// is cold for as long as its service says.
+    pub fn register(&mut self, now: Instant, entry: Registration, service: Option<&Service>) {
+        let mut cold_until = now + entry.cold_for;
+        let known = self.take(&entry.id);
+        let Some(mut u) = known else {
+            let u = Upstream::new(entry, cold_until, now);
+            log::info!(
+                event = "upstream-joined",
+                upstream:% = u.entry.id,
+                service:% = u.entry.service,
+                zone:% = u.entry.zone,
+                cold_ms = u.entry.cold_for.as_millis() as u64;
+                ""
+            );
+            self.pool_mut(&u.entry.service.clone()).upstreams.push(u);
+            return;
+        };
+        if u.entry.born != entry.born {
+            let cold_time = service.map_or(Duration::ZERO, |s| s.cold_time);
+            cold_until = cold_until.max(now + cold_time);
+            u.failures = 0;
+            u.gone = false;
+        }
+        if u.entry.standing != entry.standing {
+            log::info!(
+                event = "upstream-standing",
+                upstream:% = entry.id,
+                standing:? = entry.standing;
+                ""
+            );
+        }
+        u.cold_until = match entry.cold_for.is_zero() && u.entry.born == entry.born {
+            true => u.cold_until,
+            false => u.cold_until.max(cold_until),
+        };
+        u.entry = entry;
+        self.pool_mut(&u.entry.service.clone()).upstreams.push(u);
+    }
+
+    fn take(&mut self, id: &UpstreamId) -> Option<Upstream> {
+        for pool in self.pools.values_mut() {
+            if let Some(place) = pool.upstreams.iter().position(|u| u.entry.id == *id) {
+                return Some(pool.upstreams.remove(place));
+            }
+        }
+        None
+    }
+
+    fn pool_mut(&mut self, service: &ServiceName) -> &mut Pool {
+        self.pools.entry(service.clone()).or_default()
+    }
+
+    /// Forgets an upstream; it gets no new work from now on.
+    pub fn remove(&mut self, id: &UpstreamId) -> bool {
+        let removed = self.take(id).is_some();
+        if removed {
+            log::info!(event = "upstream-left", upstream:% = id; "");
+        }
+        removed
+    }
+
+    /// Makes all upstreams of a zone cold until an instant.
+    pub fn chill(
+        &mut self,
+        zone: &ZoneName,
+        cold_time: impl Fn(&ServiceName) -> Duration,
+        now: Instant,
+    ) {
+        for (service, pool) in &mut self.pools {
+            let until = now + cold_time(service);
+            for u in &mut pool.upstreams {
+                if u.entry.zone == *zone {
+                    u.cold_until = u.cold_until.max(until);
+                }
+            }
+        }
+    }
+
+    /// Finds an upstream by its key.
+    pub fn get_mut(&mut self, service: &ServiceName, key: UpstreamKey) -> Option<&mut Upstream> {
+        let pool = self.pools.get_mut(service)?;
+        pool.upstreams.iter_mut().find(|u| u.key == key)
+    }
+
+    /// Notes that a request was sent.
+    pub fn started(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        key: UpstreamKey,
+        cold: Option<(f64, usize)>,
+    ) {
+        let Some(u) = self.get_mut(service, key) else {
+            return;
+        };
+        u.running += 1;
+        if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
+            u.cold_pace.sent(now, rate, hosts);
+        }
+    }
+
+    /// Notes how a try ended, after `held` at the upstream.
+    pub fn finished(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        key: UpstreamKey,
+        end: TryEnd,
+        held: Duration,
+        load: Option<LoadReport>,
+    ) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        if end == TryEnd::Whole {
+            let sample = held.as_secs_f64();
+            let mean = pool.work.unwrap_or(sample);
+            pool.work = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
+        }
+        let Some(u) = pool.upstreams.iter_mut().find(|u| u.key == key) else {
+            return;
+        };
+        u.running = u.running.saturating_sub(1);
+        if let Some(load) = load {
+            u.report(now, load);
+        }
+        u.finish(now, end);
+    }
+
+    /// Replaces what other hosts run at the upstreams.
+    pub fn set_others(&mut self, running: &std::collections::HashMap<UpstreamKey, u32>) {
+        for pool in self.pools.values_mut() {
+            for u in &mut pool.upstreams {
+                u.others = running.get(&u.key).copied().unwrap_or(0);
+            }
+        }
+    }
+
+    /// Returns what this host runs, by upstream.
+    pub fn running(&self) -> Vec<(UpstreamKey, u32)> {
+        let all = self.pools.values().flat_map(|p| &p.upstreams);
+        all.filter(|u| u.running > 0)
+            .map(|u| (u.key, u.running))
+            .collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod credential;
 pub mod demand;
 pub mod drain;
+pub mod edge;
 pub mod entry;
 pub mod error;
 pub mod explain;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -33,9 +33,17 @@
 ///
 /// It limits the extra load of retries to [`RETRY_RATIO_MILLI`] of the load
 /// however many requests fail.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Budget {
     milli: u64,
+    ratio_milli: u64,
+    most_milli: u64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::with_limits(RETRY_RATIO_MILLI, RETRY_TOKENS_MAX_MILLI)
+    }
 }
 
 impl Budget {
@@ -44,13 +52,23 @@
         Self::default()
     }
 
+    /// Creates an empty budget that earns `ratio_milli` thousandths of a retry
+    /// for each first try and saves up `most_milli` thousandths.
+    pub fn with_limits(ratio_milli: u64, most_milli: u64) -> Self {
+        Self {
+            milli: 0,
+            ratio_milli,
+            most_milli,
+        }
+    }
+
     /// Earns for a first try.
     pub fn earn(&mut self) {
-        self.milli = (self.milli + RETRY_RATIO_MILLI).min(RETRY_TOKENS_MAX_MILLI);
+        self.milli = (self.milli + self.ratio_milli).min(self.most_milli);
     }
 
     /// Takes one retry out of the budget; returns whether there was one.
-    fn take(&mut self) -> bool {
+    pub fn take(&mut self) -> bool {
         let Some(left) = self.milli.checked_sub(RETRY_COST_MILLI) else {
             return false;
         };
--- a/src/util/id.rs
+++ b/src/util/id.rs
@@ -153,6 +153,10 @@
     /// The name of a service.
     ServiceName
 );
+name!(
+    /// The id of one start of an upstream.
+    UpstreamId
+);
 name!(
     /// The name of any other configured object: route, link, key, pool, drain, client block.
     ObjectName
