Tell the users of an upstream at once of each start and end

Cause: hosts placed requests on upstreams that others had just filled. Ruled out: the upstreams' reports (they count the answered request, as assumed). Change: a datagram of one number to the hosts that use the upstream at each start and end; whole states at 150 ms in the region and 450 ms beyond.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -60,16 +60,22 @@
         HostRegistration, //
     },
     peers::{
+        Datagram,
+        FAR_INTERVALS,
         HostState,
         PeerMessage,
-        Peers, //
+        Peers,
+        RunningMessage, //
     },
     placement::{
         self,
         Places,
         Wish, //
     },
-    quota::Quotas,
+    quota::{
+        Debit,
+        Quotas, //
+    },
     settings::{
         SHIFT_WINDOW,
         Settings, //
@@ -86,6 +92,7 @@
     },
     upstreams::{
         TryEnd,
+        UpstreamKey,
         Upstreams, //
     },
 };
@@ -104,8 +111,10 @@
     },
 };
 
-/// The part of its aim that a request waits for an upstream, one in this many.
+/// The part of its aim that a request waits in any case, one in this many.
 const WAIT_PART: u32 = 8;
+/// Time that an answer takes beside the work itself.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// The shortest time after which a refused caller comes back.
 const RETURN_MIN: Duration = Duration::from_millis(250);
 /// The further time over which returning callers are spread.
@@ -113,7 +122,7 @@
 /// The time between two looks at the shares of the regions.
 const SHARES_INTERVAL: Duration = Duration::from_millis(250);
 /// The part of [`super::settings::Bounds::shift`] that the shares use; the rest is for chance.
-const SHIFT_PART: f64 = 0.4;
+const SHIFT_PART: f64 = 0.6;
 /// The part of the retry bounds that the hosts use; the rest is for chance.
 const RETRY_PART: f64 = 0.5;
 /// Requests a second that a zone's callers are taken to send before any were seen.
@@ -133,11 +142,13 @@
     job: Job,
     region: RegionName,
     until: Instant,
+    /// Whether its organisation's token was taken.
+    paid: bool,
     reply: oneshot::Sender<Verdict>,
 }
 
 /// A message to another host, and where it goes.
-pub type Outgoing = (SocketAddr, PeerMessage);
+pub type Outgoing = (SocketAddr, Datagram);
 
 /// The actor.
 pub struct Dispatcher {
@@ -157,9 +168,9 @@
     /// Upstreams whose registration vanished during an outage, and when they count as gone.
     vanished: HashMap<UpstreamId, Instant>,
     seen: BTreeMap<&'static str, bool>,
-    wants: BTreeMap<HostName, Vec<(crate::util::id::OrganisationName, u64)>>,
     outgoing: mpsc::Sender<Outgoing>,
     sequence: u64,
+    rounds: u32,
     spoke: Option<Instant>,
     shared: Option<Instant>,
     hosts_known: bool,
@@ -199,9 +210,9 @@
             outage: Outage::default(),
             vanished: HashMap::new(),
             seen: BTreeMap::new(),
-            wants: BTreeMap::new(),
             outgoing,
             sequence: 0,
+            rounds: 0,
             spoke: None,
             shared: None,
             hosts_known: false,
@@ -386,12 +397,12 @@
 
     fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
+        let mut paid = true;
         if job.tried.is_empty() {
-            if let Some(organisation) = &job.organisation
-                && !self.quotas.debit(now, organisation)
-            {
-                answer(reply, self.refused(Why::Rate));
-                return;
+            if let Some(organisation) = &job.organisation {
+                self.quotas.arrived(now, organisation);
+                paid = self.quotas.debit(now, organisation) == Debit::Paid;
+                self.ask_for_tokens(now);
             }
             let demand = self.demand_mut(&job.service, now);
             demand.offered.finished(now);
@@ -402,11 +413,12 @@
             return;
         }
         let region = self.region_of(now, &job);
-        let until = (job.received + job.aim / WAIT_PART).min(job.deadline);
+        let until = self.wait_until(&job);
         let waiting = Waiting {
             job,
             region,
             until,
+            paid,
             reply,
         };
         if let Some(waiting) = self.try_place(now, waiting) {
@@ -414,6 +426,17 @@
         }
     }
 
+    /// Returns until when a request waits for an upstream: as long as it can
+    /// still be answered in time, and a little in any case.
+    fn wait_until(&self, job: &Job) -> Instant {
+        let pool = self.upstreams.pool(&job.service);
+        let work = pool.map_or(0.0, super::upstreams::Pool::work);
+        let work = Duration::from_secs_f64(work) + ANSWER_MARGIN;
+        let in_time = job.aim.saturating_sub(job.lost + work);
+        let wait = in_time.max(job.aim / WAIT_PART);
+        (job.received + wait).min(job.deadline)
+    }
+
     /// Returns the region in which a request runs.
     fn region_of(&mut self, now: Instant, job: &Job) -> RegionName {
         let home = self.settings.region.clone();
@@ -433,11 +456,19 @@
     }
 
     /// Places a request, refuses it, or returns it where it has to wait.
-    fn try_place(&mut self, now: Instant, waiting: Waiting) -> Option<Waiting> {
+    fn try_place(&mut self, now: Instant, mut waiting: Waiting) -> Option<Waiting> {
         if waiting.reply.is_closed() {
-            self.refund(now, &waiting.job);
+            if waiting.paid {
+                self.refund(now, &waiting.job);
+            }
             return None;
         }
+        if !waiting.paid {
+            waiting = self.pay(now, waiting)?;
+            if !waiting.paid {
+                return Some(waiting);
+            }
+        }
         let late = waiting.until <= now;
         let picked = self.pick(now, &waiting.job, &waiting.region, late);
         if let Some(placed) = picked {
@@ -454,6 +485,32 @@
         None
     }
 
+    /// Takes a waiting request's token, or refuses it where none is to be had.
+    fn pay(&mut self, now: Instant, mut waiting: Waiting) -> Option<Waiting> {
+        let Some(organisation) = &waiting.job.organisation else {
+            waiting.paid = true;
+            return Some(waiting);
+        };
+        let patience = waiting.job.received + waiting.job.aim / WAIT_PART;
+        match self.quotas.debit(now, organisation) {
+            Debit::Paid => waiting.paid = true,
+            Debit::Short if now < patience => {}
+            Debit::Short | Debit::Spent => {
+                log::info!(
+                    event = "rate-used-up",
+                    id:% = waiting.job.id,
+                    organisation:%,
+                    share:% = self.quotas.describe(organisation);
+                    ""
+                );
+                let verdict = self.refused(Why::Rate);
+                answer(waiting.reply, verdict);
+                return None;
+            }
+        }
+        Some(waiting)
+    }
+
     fn pick(&mut self, now: Instant, job: &Job, region: &RegionName, any: bool) -> Option<Placed> {
         let places = Places {
             zone: &self.settings.zone,
@@ -473,9 +530,23 @@
         let hosts = self.peers.registered_in(&self.settings.zone) + 1;
         let cold = service.map(|s| (s.cold_rate, hosts));
         self.upstreams.started(now, &job.service, key, cold);
+        self.announce(&job.service, key);
         let me = self.me.clone();
         let u = self.upstreams.get_mut(&job.service, key)?;
         let (address, id) = (u.entry.address, u.entry.id.clone());
+        log::info!(
+            event = "placed",
+            id:% = job.id,
+            upstream:% = id,
+            key = u.key,
+            zone:% = u.entry.zone,
+            running = u.running,
+            load = u.load(now),
+            others = u.others,
+            object = job.object % 1000,
+            waited_ms = now.saturating_duration_since(job.received).as_millis() as u64;
+            ""
+        );
         Some(Placed::new(address, id, key, job.service.clone(), me))
     }
 
@@ -509,33 +580,81 @@
 
     // Other hosts.
 
-    fn hear(&mut self, now: Instant, msg: PeerMessage) {
+    fn hear(&mut self, now: Instant, msg: Datagram) {
+        match msg {
+            Datagram::State(msg) => self.hear_state(now, msg),
+            Datagram::Running(msg) => {
+                let change = self.peers.hear_running(now, &msg);
+                self.upstreams.adjust_others(msg.upstream, change);
+                if change < 0 {
+                    self.drain_queue(now);
+                }
+            }
+        }
+    }
+
+    fn hear_state(&mut self, now: Instant, msg: PeerMessage) {
         if !self.peers.hear(now, &msg) {
             return;
         }
         for (organisation, granted) in &msg.grants {
             self.quotas.deposit(now, organisation, *granted);
         }
-        if !msg.wants.is_empty() && !self.leaving {
-            self.wants.insert(msg.host.clone(), msg.wants);
-        }
+        self.lend(now, &msg);
         self.upstreams.set_others(&self.peers.running());
         self.drain_queue(now);
     }
 
-    fn speak(&mut self, now: Instant) {
-        if self
-            .spoke
-            .is_some_and(|at| now < at + self.peers.interval())
-        {
+    /// Grants what another host asks for, as far as it can be spared.
+    fn lend(&mut self, now: Instant, msg: &PeerMessage) {
+        let mut grants = Vec::new();
+        for (organisation, wanted) in &msg.wants {
+            let granted = match self.leaving {
+                true => 0,
+                false => self.quotas.lend(now, organisation, *wanted),
+            };
+            if granted > 0 {
+                grants.push((organisation.clone(), granted));
+            }
+        }
+        if grants.is_empty() {
             return;
         }
-        self.spoke = Some(now);
+        if let Some(address) = self.peers.address(&msg.host) {
+            let mut reply = self.message(now);
+            reply.grants = grants;
+            self.post_message(address, reply);
+        }
+    }
+
+    /// Asks two other hosts for the tokens that this one is about to miss.
+    fn ask_for_tokens(&mut self, now: Instant) {
+        let asks = self.quotas.asks(now);
+        if asks.is_empty() {
+            return;
+        }
+        let near = self
+            .peers
+            .lenders(&self.settings.regions, Some(&self.settings.region));
+        let all = self.peers.lenders(&self.settings.regions, None);
+        for lenders in [near, all] {
+            if lenders.is_empty() {
+                continue;
+            }
+            let address = lenders[self.rng.random_range(0..lenders.len())];
+            let mut msg = self.message(now);
+            msg.wants.clone_from(&asks);
+            self.post_message(address, msg);
+        }
+    }
+
+    fn message(&mut self, now: Instant) -> PeerMessage {
+        self.sequence += 1;
         let offered = self.demand.iter();
-        let mut msg = PeerMessage {
+        PeerMessage {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
-            sequence: 0,
+            sequence: self.sequence,
             state: self.state(now),
             running: self.upstreams.running(),
             offered: offered
@@ -543,30 +662,59 @@
                 .collect(),
             wants: Vec::new(),
             grants: Vec::new(),
+        }
+    }
+
+    fn post_message(&self, address: SocketAddr, msg: PeerMessage) {
+        self.post_datagram(address, Datagram::State(msg));
+    }
+
+    fn post_datagram(&self, address: SocketAddr, msg: Datagram) {
+        if let Err(e) = self.outgoing.try_send((address, msg)) {
+            log::debug!(event = "message-dropped", to:% = address, cause:% = e; "");
+        }
+    }
+
+    /// Tells all other hosts what runs here.
+    fn speak(&mut self, now: Instant) {
+        if self
+            .spoke
+            .is_some_and(|at| now < at + self.peers.interval())
+        {
+            return;
+        }
+        self.spoke = Some(now);
+        let msg = self.message(now);
+        let (regions, home) = (&self.settings.regions, &self.settings.region);
+        for address in self.peers.addresses(regions, home, true) {
+            self.post_message(address, msg.clone());
+        }
+        self.rounds += 1;
+        if !self.leaving && !self.rounds.is_multiple_of(FAR_INTERVALS) {
+            return;
+        }
+        for address in self.peers.addresses(regions, home, false) {
+            self.post_message(address, msg.clone());
+        }
+    }
+
+    /// Tells the hosts that use an upstream how many requests of this one run there.
+    fn announce(&mut self, service: &ServiceName, key: UpstreamKey) {
+        let Some(u) = self.upstreams.get_mut(service, key) else {
+            return;
         };
-        let missing = self.quotas.take_missing();
-        let lenders = self.peers.lenders();
-        let lender = match (missing.is_empty(), lenders.is_empty()) {
-            (false, false) => Some(lenders[self.rng.random_range(0..lenders.len())].clone()),
-            _ => None,
+        self.sequence += 1;
+        let msg = RunningMessage {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            upstream: key,
+            running: u.running,
         };
-        for (host, address) in self.peers.addresses() {
-            self.sequence += 1;
-            msg.sequence = self.sequence;
-            msg.wants.clear();
-            msg.grants.clear();
-            if Some(&host) == lender.as_ref() {
-                msg.wants.clone_from(&missing);
-            }
-            for (organisation, wanted) in self.wants.remove(&host).unwrap_or_default() {
-                let granted = self.quotas.lend(now, &organisation, wanted);
-                if granted > 0 {
-                    msg.grants.push((organisation, granted));
-                }
-            }
-            if let Err(e) = self.outgoing.try_send((address, msg.clone())) {
-                log::debug!(event = "message-dropped", to:% = host, cause:% = e; "");
-            }
+        let zone = u.entry.zone.clone();
+        let (regions, home) = (&self.settings.regions, &self.settings.region);
+        for address in self.peers.prompt(regions, &zone, home) {
+            self.post_datagram(address, Datagram::Running(msg.clone()));
         }
     }
 
@@ -615,7 +763,9 @@
         let was_fresh = self.freshness.holds(now);
         self.freshness.observe(suspended());
         self.note_freshness(was_fresh, self.freshness.holds(now));
-        self.peers.expire(now);
+        if self.peers.expire(now) {
+            self.upstreams.set_others(&self.peers.running());
+        }
         let gone: Vec<UpstreamId> = self
             .vanished
             .iter()
@@ -627,6 +777,7 @@
             self.upstreams.remove(&id);
         }
         self.speak(now);
+        self.ask_for_tokens(now);
         self.share(now);
         self.drain_queue(now);
     }
@@ -705,6 +856,7 @@
         let now = Instant::now();
         self.upstreams
             .finished(now, &msg.service, msg.key, msg.end, msg.held, msg.load);
+        self.announce(&msg.service, msg.key);
         if msg.end == TryEnd::Misdirected {
             log::info!(event = "upstream-replaced", key = msg.key; "");
         }
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -1,7 +1,11 @@
 //! One request on its way through an entry host.
 
 use std::{
-    sync::Arc,
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::Duration, //
 };
 
@@ -108,6 +112,8 @@
     pub connections: Connections,
     /// How callers and upstreams spell heads.
     pub dialect: D,
+    /// The longest patience that callers showed, by route.
+    pub patience: Mutex<HashMap<Bytes, Duration>>,
 }
 
 /// A request whose head and body were read.
@@ -146,7 +152,7 @@
         let held_ms = received.elapsed().as_millis() as u64;
         match result {
             Ok(res) => {
-                log::debug!(
+                log::info!(
                     event = "request-answered",
                     id:% = String::from_utf8_lossy(&id),
                     status = res.status().as_u16(),
@@ -189,8 +195,9 @@
         let routed = routed?;
         let patience = head.patience.unwrap_or(routed.route.timeout);
         let deadline = received + patience.min(routed.route.timeout);
-        let job = job(&routed, &head, &id, received, deadline)
+        let mut job = job(&routed, &head, &id, received, deadline)
             .ok_or(Ending::NotRun(Why::NoUpstream, BUSY_RETRY))?;
+        job.lost = self.time_lost(&routed.route.prefix, patience);
         let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
         let body = read_body(body, cfg.limits.body_bytes, deadline).await?;
         Ok(Call {
@@ -203,6 +210,17 @@
         })
     }
 
+    /// Returns the time that a caller has lost already: what its patience falls
+    /// short of the longest one seen on its route.
+    fn time_lost(&self, route: &Bytes, patience: Duration) -> Duration {
+        let Ok(mut longest) = self.patience.lock() else {
+            return Duration::ZERO;
+        };
+        let longest = longest.entry(route.clone()).or_default();
+        *longest = patience.max(*longest);
+        longest.saturating_sub(patience)
+    }
+
     /// Sends a request to upstreams until one answers or none may be tried any more.
     async fn run(&self, call: &mut Call) -> Result<Response<ProxyBody>, Ending> {
         let mut timed_out = false;
@@ -400,6 +418,7 @@
         object,
         regions,
         received,
+        lost: Duration::ZERO,
         aim: route.aim,
         deadline,
         tried: SmallVec::new(),
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -22,7 +22,7 @@
         Priority,
         Regions, //
     },
-    peers::PeerMessage,
+    peers::Datagram,
     topic::{
         Changes,
         Topic, //
@@ -82,6 +82,8 @@
     pub regions: Regions,
     /// When its head had been read.
     pub received: Instant,
+    /// Time that the caller lost with earlier attempts.
+    pub lost: Duration,
     /// The time within which an answer earns its full worth.
     pub aim: Duration,
     /// When the caller or the route stops waiting.
@@ -241,7 +243,7 @@
 #[derive(Debug)]
 pub struct Heard {
     /// What it said.
-    pub msg: PeerMessage,
+    pub msg: Datagram,
 }
 
 /// Asks which hosts a caller should use.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -28,12 +28,17 @@
     ZoneName, //
 };
 
-/// The time between two messages to the same host, in a small fleet.
-pub const INTERVAL: Duration = Duration::from_millis(100);
+/// The time between two messages to a host of the same region, in a small fleet.
+pub const INTERVAL: Duration = Duration::from_millis(150);
+/// The time between two messages to a host of another region, in multiples of the time to one of
+/// the same region; bytes between regions are dear.
+pub const FAR_INTERVALS: u32 = 3;
+/// Hosts that hear at once of each request that starts or ends.
+const PROMPT_MAX: usize = 10;
 /// The fleet size up to which [`INTERVAL`] holds; larger fleets speak less often.
 const SMALL_FLEET: usize = 16;
-/// Messages that a host misses before it counts as gone.
-const MISSED_MAX: u32 = 10;
+/// Messages of a host of another region that are missed before it counts as gone.
+const MISSED_MAX: u32 = 3;
 
 /// The state of a host that takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,7 +52,7 @@
 }
 
 /// Messages of a process that must be missing before one with a smaller number replaces it.
-const MISSED_BY_OLD_PROCESS: u32 = 3;
+const MISSED_BY_OLD_PROCESS: u32 = 4;
 
 /// One message from host to host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -70,6 +75,30 @@
     pub grants: Vec<(OrganisationName, u64)>,
 }
 
+/// Tells at once how many requests of the sender run at one upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunningMessage {
+    /// The sender.
+    pub host: HostName,
+    /// The sender's process.
+    pub incarnation: Incarnation,
+    /// Grows with each message of a process.
+    pub sequence: u64,
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Requests of the sender that run there.
+    pub running: u32,
+}
+
+/// Anything that hosts send one another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// All that a host tells.
+    State(PeerMessage),
+    /// A change at one upstream.
+    Running(RunningMessage),
+}
+
 /// What is known of one other host.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -82,6 +111,22 @@
     offered: Vec<(ServiceName, f32)>,
 }
 
+impl Peer {
+    fn is_newer(
+        &self,
+        now: Instant,
+        incarnation: Incarnation,
+        sequence: u64,
+        silence: Duration,
+    ) -> bool {
+        if incarnation == self.incarnation {
+            return sequence > self.sequence;
+        }
+        // A clock that stepped back gives a later process the smaller number.
+        incarnation > self.incarnation || self.heard.is_none_or(|at| now >= at + silence)
+    }
+}
+
 /// The other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -136,7 +181,7 @@
 
     /// Returns how long a host may be silent before it counts as gone.
     pub fn patience(&self) -> Duration {
-        self.interval() * MISSED_MAX
+        self.interval() * FAR_INTERVALS * MISSED_MAX
     }
 
     /// Takes in a message; returns whether it is newer than what is known.
@@ -145,15 +190,7 @@
         let Some(peer) = self.peers.get_mut(&msg.host) else {
             return false;
         };
-        let newer = match msg.incarnation == peer.incarnation {
-            true => msg.sequence > peer.sequence,
-            // A clock that stepped back gives a later process the smaller number.
-            false => {
-                msg.incarnation > peer.incarnation
-                    || peer.heard.is_none_or(|at| now >= at + silence)
-            }
-        };
-        if !newer {
+        if !peer.is_newer(now, msg.incarnation, msg.sequence, silence) {
             return false;
         }
         if peer.heard.is_none() || peer.state != msg.state {
@@ -168,8 +205,36 @@
         true
     }
 
-    /// Forgets what silent hosts told.
-    pub fn expire(&mut self, now: Instant) {
+    /// Takes in a change at one upstream; returns by how much the requests there changed.
+    pub fn hear_running(&mut self, now: Instant, msg: &RunningMessage) -> i64 {
+        let silence = self.interval() * MISSED_BY_OLD_PROCESS;
+        let Some(peer) = self.peers.get_mut(&msg.host) else {
+            return 0;
+        };
+        if msg.incarnation != peer.incarnation
+            || !peer.is_newer(now, msg.incarnation, msg.sequence, silence)
+        {
+            return 0;
+        }
+        peer.sequence = msg.sequence;
+        peer.heard = Some(now);
+        let known = peer
+            .running
+            .iter_mut()
+            .find(|(key, _)| *key == msg.upstream);
+        let before = match known {
+            Some((_, running)) => std::mem::replace(running, msg.running),
+            None => {
+                peer.running.push((msg.upstream, msg.running));
+                0
+            }
+        };
+        i64::from(msg.running) - i64::from(before)
+    }
+
+    /// Forgets what silent hosts told; returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let mut expired = false;
         let patience = self.patience();
         for (name, peer) in &mut self.peers {
             let Some(heard) = peer.heard else {
@@ -179,10 +244,12 @@
                 continue;
             }
             log::info!(event = "host-silent", host:% = name; "");
+            expired = true;
             peer.heard = None;
             peer.running.clear();
             peer.offered.clear();
         }
+        expired
     }
 
     /// Returns the requests that other hosts run, by upstream.
@@ -232,14 +299,56 @@
             .count()
     }
 
-    /// Returns the addresses that messages go to.
-    pub fn addresses(&self) -> Vec<(HostName, SocketAddr)> {
-        let all = self.peers.values();
-        all.map(|p| (p.entry.name.clone(), p.entry.peers)).collect()
+    /// Returns the addresses of the hosts of a region, or of all other regions.
+    pub fn addresses(
+        &self,
+        regions: &BTreeMap<ZoneName, RegionName>,
+        region: &RegionName,
+        inside: bool,
+    ) -> Vec<SocketAddr> {
+        let wanted = |p: &&Peer| (regions.get(&p.entry.zone) == Some(region)) == inside;
+        let wanted = self.peers.values().filter(wanted);
+        wanted.map(|p| p.entry.peers).collect()
     }
 
-    /// Returns the hosts that may lend tokens.
-    pub fn lenders(&self) -> Vec<HostName> {
-        self.live().map(|p| p.entry.name.clone()).collect()
+    /// Returns the addresses of the hosts that hear at once of a request at an
+    /// upstream: those of its zone first, then those of its region and of `home`.
+    pub fn prompt(
+        &self,
+        regions: &BTreeMap<ZoneName, RegionName>,
+        zone: &ZoneName,
+        home: &RegionName,
+    ) -> Vec<SocketAddr> {
+        let region = regions.get(zone);
+        let distance = |p: &Peer| {
+            let its = regions.get(&p.entry.zone);
+            match () {
+                () if p.entry.zone == *zone => Some(0),
+                () if its == region => Some(1),
+                () if its == Some(home) => Some(2),
+                () => None,
+            }
+        };
+        let near = self
+            .live()
+            .filter_map(|p| Some((distance(p)?, p.entry.peers)));
+        let mut near: Vec<(u8, SocketAddr)> = near.collect();
+        near.sort_by_key(|(distance, _)| *distance);
+        near.into_iter().take(PROMPT_MAX).map(|(_, a)| a).collect()
+    }
+
+    /// Returns the address that messages to a host go to.
+    pub fn address(&self, host: &HostName) -> Option<SocketAddr> {
+        self.peers.get(host).map(|p| p.entry.peers)
+    }
+
+    /// Returns the addresses of hosts that may lend tokens, in one region or in all.
+    pub fn lenders(
+        &self,
+        regions: &BTreeMap<ZoneName, RegionName>,
+        region: Option<&RegionName>,
+    ) -> Vec<SocketAddr> {
+        let wanted = |p: &&Peer| region.is_none() || regions.get(&p.entry.zone) == region;
+        self.live().filter(wanted).map(|p| p.entry.peers).collect()
     }
 }
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -27,6 +27,9 @@
 /// Upstreams of a zone that one object's requests go to first.
 const HOMES_PER_ZONE: usize = 2;
 
+/// The part of its slots that an upstream has free when it counts as idle, one in this many.
+const IDLE_PART: u32 = 2;
+
 /// What a request asks of its upstream.
 #[derive(Clone, Debug)]
 pub struct Wish<'a> {
@@ -83,6 +86,8 @@
     }
     for (_, members) in &zones {
         let open = members.iter().filter(|u| is_open(u, places, now));
+        // A strange object takes long and drives known ones out, so only idle upstreams get it.
+        let open = open.filter(|u| u.free(now) * IDLE_PART >= u.entry.slots);
         if let Some(u) = open.max_by_key(|u| u.free(now)) {
             return Some(u.key);
         }
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -17,15 +17,20 @@
         Bucket,
         Quota, //
     },
+    retry::DrainMeter,
     util::id::OrganisationName,
 };
 
 /// Thousandths in a request.
 const MILLI: u64 = 1000;
 /// How long borrowed tokens may be spent.
-const BORROWED_FOR: Duration = Duration::from_millis(800);
-/// The part of its bucket that a lender keeps, one in this many.
-const KEPT_PART: u64 = 4;
+const BORROWED_FOR: Duration = Duration::from_millis(2000);
+/// The span of its own demand for which a host keeps tokens.
+const KEPT_SPAN: Duration = Duration::from_millis(400);
+/// The time between two asks for the same organisation.
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
+/// The time after which an ask that brought nothing shows that there is nothing to lend.
+const FRUITLESS_AFTER: Duration = Duration::from_millis(250);
 
 /// One organisation's tokens on this host, in thousandths of a request.
 #[derive(Clone, Debug)]
@@ -34,7 +39,22 @@
     own: Bucket,
     borrowed: u64,
     borrowed_until: Instant,
-    missing: u64,
+    /// Requests a second, the refused ones among them.
+    demand: DrainMeter,
+    asked: Option<Instant>,
+    /// Since when asks bring nothing.
+    fruitless: Option<Instant>,
+}
+
+/// What becomes of a request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Debit {
+    /// It has its token.
+    Paid,
+    /// There is none; a loan may come shortly.
+    Short,
+    /// There is none, and nobody lent any lately.
+    Spent,
 }
 
 /// The tokens of all organisations on one host.
@@ -89,28 +109,40 @@
                     own: Bucket::new(quota, now),
                     borrowed: 0,
                     borrowed_until: now,
-                    missing: 0,
+                    demand: DrainMeter::new(now),
+                    asked: None,
+                    fruitless: None,
                 },
             };
             self.tokens.insert(name.clone(), tokens);
         }
     }
 
-    /// Takes a request's token; returns whether it may run.
-    pub fn debit(&mut self, now: Instant, organisation: &OrganisationName) -> bool {
+    /// Counts a request that arrived.
+    pub fn arrived(&mut self, now: Instant, organisation: &OrganisationName) {
+        if let Some(tokens) = self.tokens.get_mut(organisation) {
+            tokens.demand.finished(now);
+        }
+    }
+
+    /// Takes a request's token.
+    pub fn debit(&mut self, now: Instant, organisation: &OrganisationName) -> Debit {
         let Some(tokens) = self.tokens.get_mut(organisation) else {
-            return true;
+            return Debit::Paid;
         };
         tokens.lapse(now);
         if tokens.borrowed >= MILLI {
             tokens.borrowed -= MILLI;
-            return true;
+            return Debit::Paid;
         }
         if tokens.own.debit(now, MILLI) {
-            return true;
+            return Debit::Paid;
+        }
+        let fruitless = |since| now.saturating_duration_since(since) >= FRUITLESS_AFTER;
+        match tokens.fruitless.is_some_and(fruitless) {
+            true => Debit::Spent,
+            false => Debit::Short,
         }
-        tokens.missing = tokens.missing.saturating_add(MILLI);
-        false
     }
 
     /// Gives the token of a request back that did not run.
@@ -120,15 +152,35 @@
         }
     }
 
-    /// Returns what this host misses, in thousandths of a request, and forgets it.
-    pub fn take_missing(&mut self) -> Vec<(OrganisationName, u64)> {
-        let mut missing = Vec::new();
+    /// Describes a host's part of a rate, for logs.
+    pub fn describe(&self, organisation: &OrganisationName) -> String {
+        match self.tokens.get(organisation) {
+            Some(t) => format!(
+                "1/{} of {}/s, burst {}",
+                self.hosts, t.rate.per_second, t.rate.burst
+            ),
+            None => "unlimited".to_owned(),
+        }
+    }
+
+    /// Returns what to ask other hosts for now, in thousandths of a request.
+    pub fn asks(&mut self, now: Instant) -> Vec<(OrganisationName, u64)> {
+        let mut asks = Vec::new();
         for (name, tokens) in &mut self.tokens {
-            if tokens.missing > 0 {
-                missing.push((name.clone(), std::mem::take(&mut tokens.missing)));
+            tokens.lapse(now);
+            let kept = tokens.kept(now);
+            if tokens.own.level(now) + tokens.borrowed >= kept.max(MILLI) {
+                tokens.fruitless = None;
+                continue;
             }
+            if tokens.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
+                continue;
+            }
+            tokens.asked = Some(now);
+            tokens.fruitless.get_or_insert(now);
+            asks.push((name.clone(), kept.max(MILLI)));
         }
-        missing
+        asks
     }
 
     /// Takes tokens out for another host; returns how many.
@@ -136,7 +188,7 @@
         let Some(tokens) = self.tokens.get_mut(organisation) else {
             return 0;
         };
-        let kept = tokens.own.quota().burst / KEPT_PART;
+        let kept = tokens.kept(now);
         let granted = tokens.own.level(now).saturating_sub(kept).min(wanted);
         match tokens.own.debit(now, granted) {
             true => granted,
@@ -150,6 +202,7 @@
             tokens.lapse(now);
             tokens.borrowed = tokens.borrowed.saturating_add(granted);
             tokens.borrowed_until = now + BORROWED_FOR;
+            tokens.fruitless = None;
         }
     }
 }
@@ -160,6 +213,12 @@
             self.borrowed = 0;
         }
     }
+
+    /// Returns the tokens that the host's own callers are about to need.
+    fn kept(&self, now: Instant) -> u64 {
+        let requests = self.demand.rate_at(now) * KEPT_SPAN.as_secs_f64();
+        (requests * MILLI as f64) as u64
+    }
 }
 
 /// Returns one host's part of a rate, in thousandths of a request.
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -3,7 +3,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::{
         Duration,
         SystemTime, //
@@ -61,7 +64,7 @@
         Lookup,
         Tick, //
     },
-    peers::PeerMessage,
+    peers::Datagram,
     settings::Settings,
     topic::{
         Source,
@@ -151,6 +154,7 @@
         configuration,
         connections: Connections::new(),
         dialect,
+        patience: Mutex::default(),
     });
     spawn_tasks(&settings, source, &dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
@@ -263,7 +267,7 @@
                 continue;
             }
         };
-        match rmp_serde::from_slice::<PeerMessage>(&buf[..len]) {
+        match rmp_serde::from_slice::<Datagram>(&buf[..len]) {
             Ok(msg) => post(&dispatcher, Heard { msg }),
             Err(e) => log::info!(event = "message-unreadable", from:%, cause:% = e; ""),
         }
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -29,7 +29,7 @@
 /// How long an upstream that shed a request counts as full.
 const FULL_FOR: Duration = Duration::from_millis(80);
 /// How long an upstream's own report of its load is used.
-const REPORT_MAX_AGE: Duration = Duration::from_millis(150);
+const REPORT_MAX_AGE: Duration = Duration::from_millis(60);
 /// How long an upstream is left alone after its first failure.
 const SUSPEND_FIRST: Duration = Duration::from_millis(300);
 /// How long an upstream is left alone at most.
@@ -105,7 +105,9 @@
     /// Returns the requests that run there, as far as this host can tell.
     pub fn load(&self, now: Instant) -> u32 {
         let others = match self.reported {
-            Some((others, at)) if now.saturating_duration_since(at) < REPORT_MAX_AGE => others,
+            Some((others, at)) if now.saturating_duration_since(at) < REPORT_MAX_AGE => {
+                others.max(self.others)
+            }
             _ => self.others,
         };
         self.running + others
@@ -364,6 +366,18 @@
         }
     }
 
+    /// Notes a change of what other hosts run at one upstream.
+    pub fn adjust_others(&mut self, key: UpstreamKey, change: i64) {
+        if change == 0 {
+            return;
+        }
+        let mut all = self.pools.values_mut().flat_map(|p| &mut p.upstreams);
+        if let Some(u) = all.find(|u| u.key == key) {
+            let others = i64::from(u.others) + change;
+            u.others = u32::try_from(others.max(0)).unwrap_or(u32::MAX);
+        }
+    }
+
     /// Returns what this host runs, by upstream.
     pub fn running(&self) -> Vec<(UpstreamKey, u32)> {
         let all = self.pools.values().flat_map(|p| &p.upstreams);
