Place by the expected time of the answer, with learned warmth of upstreams

A fifth of the requests went to upstreams that did not know the object, which made them late and drove known objects out. Change: hosts of a region tell one another which object went where; the work by place in that order is learned by route; a request goes where its answer is expected first, and waits for a busy upstream that knows its object. Objects have their homes by region, so that hosts of other regions guess right. New upstreams get their first objects.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -24,3 +24,4 @@
 pub mod spill;
 pub mod topic;
 pub mod upstreams;
+pub mod warmth;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -65,6 +65,7 @@
         HostState,
         PeerMessage,
         Peers,
+        RunEvent,
         RunningMessage, //
     },
     placement::{
@@ -430,7 +431,7 @@
     /// still be answered in time, and a little in any case.
     fn wait_until(&self, job: &Job) -> Instant {
         let pool = self.upstreams.pool(&job.service);
-        let work = pool.map_or(0.0, super::upstreams::Pool::work);
+        let work = pool.map_or(0.0, |p| p.work_of(job.route).expect(Some(0)));
         let work = Duration::from_secs_f64(work) + ANSWER_MARGIN;
         let in_time = job.aim.saturating_sub(job.lost + work);
         let wait = in_time.max(job.aim / WAIT_PART);
@@ -511,7 +512,7 @@
         Some(waiting)
     }
 
-    fn pick(&mut self, now: Instant, job: &Job, region: &RegionName, any: bool) -> Option<Placed> {
+    fn pick(&mut self, now: Instant, job: &Job, region: &RegionName, late: bool) -> Option<Placed> {
         let places = Places {
             zone: &self.settings.zone,
             regions: &self.settings.regions,
@@ -519,9 +520,11 @@
         };
         let wish = Wish {
             object: job.object,
+            route: job.route,
+            bytes: job.bytes,
             region,
             tried: &job.tried,
-            any,
+            late,
         };
         let pool = self.upstreams.pool(&job.service)?;
         let key = placement::pick(pool, places, &wish, now)?;
@@ -529,8 +532,9 @@
         let service = cfg.as_ref().and_then(|c| c.services.get(&job.service));
         let hosts = self.peers.registered_in(&self.settings.zone) + 1;
         let cold = service.map(|s| (s.cold_rate, hosts));
-        self.upstreams.started(now, &job.service, key, cold);
-        self.announce(&job.service, key);
+        let object = job.object;
+        let place = self.upstreams.started(now, &job.service, key, object, cold);
+        self.announce(&job.service, key, RunEvent::Started { object });
         let me = self.me.clone();
         let u = self.upstreams.get_mut(&job.service, key)?;
         let (address, id) = (u.entry.address, u.entry.id.clone());
@@ -544,10 +548,20 @@
             load = u.load(now),
             others = u.others,
             object = job.object % 1000,
+            place:?,
             waited_ms = now.saturating_duration_since(job.received).as_millis() as u64;
             ""
         );
-        Some(Placed::new(address, id, key, job.service.clone(), me))
+        let ended = Ended {
+            service: job.service.clone(),
+            key,
+            route: job.route,
+            place,
+            end: TryEnd::Abandoned,
+            held: Duration::ZERO,
+            load: None,
+        };
+        Some(Placed::new(address, id, ended, me))
     }
 
     fn refund(&mut self, now: Instant, job: &Job) {
@@ -585,7 +599,7 @@
             Datagram::State(msg) => self.hear_state(now, msg),
             Datagram::Running(msg) => {
                 let change = self.peers.hear_running(now, &msg);
-                self.upstreams.adjust_others(msg.upstream, change);
+                self.upstreams.hear(now, change, &msg);
                 if change < 0 {
                     self.drain_queue(now);
                 }
@@ -699,7 +713,7 @@
     }
 
     /// Tells the hosts that use an upstream how many requests of this one run there.
-    fn announce(&mut self, service: &ServiceName, key: UpstreamKey) {
+    fn announce(&mut self, service: &ServiceName, key: UpstreamKey, event: RunEvent) {
         let Some(u) = self.upstreams.get_mut(service, key) else {
             return;
         };
@@ -710,6 +724,7 @@
             sequence: self.sequence,
             upstream: key,
             running: u.running,
+            event,
         };
         let zone = u.entry.zone.clone();
         let (regions, home) = (&self.settings.regions, &self.settings.region);
@@ -854,9 +869,13 @@
 
     async fn handle(&mut self, msg: Ended, _: &mut Context<Self>) {
         let now = Instant::now();
-        self.upstreams
-            .finished(now, &msg.service, msg.key, msg.end, msg.held, msg.load);
-        self.announce(&msg.service, msg.key);
+        let settings = self.settings.clone();
+        let is_near = |zone: &ZoneName| settings.region_of(zone) == Some(&settings.region);
+        let event = match self.upstreams.finished(now, &msg, is_near) {
+            Some(slowness) => RunEvent::Answered { slowness },
+            None => RunEvent::Unanswered,
+        };
+        self.announce(&msg.service, msg.key, event);
         if msg.end == TryEnd::Misdirected {
             log::info!(event = "upstream-replaced", key = msg.key; "");
         }
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -37,7 +37,10 @@
     },
 };
 use xtra::Address;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::{
     answer::Ending,
@@ -200,6 +203,7 @@
         job.lost = self.time_lost(&routed.route.prefix, patience);
         let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
         let body = read_body(body, cfg.limits.body_bytes, deadline).await?;
+        job.bytes = body.len() as u64;
         Ok(Call {
             parts,
             id,
@@ -400,8 +404,9 @@
         route,
         organisation,
     } = routed;
+    let route_hash = xxh3_64(&route.prefix);
     let object = match (&head.object, route.affinity) {
-        (Some(object), true) => xxh3_64(object),
+        (Some(object), true) => xxh3_64_with_seed(object, route_hash),
         _ => xxh3_64(id),
     };
     let own = organisation.and_then(|o| o.priority);
@@ -415,6 +420,8 @@
         service: choose_service(route, id),
         organisation: organisation.map(|o| o.name.clone()),
         priority: own.unwrap_or(route.priority),
+        route: route_hash,
+        bytes: 0,
         object,
         regions,
         received,
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -76,6 +76,10 @@
     pub organisation: Option<OrganisationName>,
     /// Its rank.
     pub priority: Priority,
+    /// The hash of its route.
+    pub route: u64,
+    /// Bytes of its body.
+    pub bytes: u64,
     /// The hash of the object that it concerns, or of the request where there is none.
     pub object: u64,
     /// Regions in which it may run; an empty list allows all.
@@ -158,69 +162,66 @@
     pub id: UpstreamId,
     /// Its key.
     pub key: UpstreamKey,
-    service: ServiceName,
     since: Instant,
-    end: TryEnd,
-    load: Option<LoadReport>,
+    ended: Option<Ended>,
     dispatcher: Option<Address<Dispatcher>>,
 }
 
 impl Placed {
-    /// Returns the right to one slot.
+    /// Returns the right to one slot. `ended` is told when it is dropped.
     pub fn new(
         address: SocketAddr,
         id: UpstreamId,
-        key: UpstreamKey,
-        service: ServiceName,
+        ended: Ended,
         dispatcher: Option<Address<Dispatcher>>,
     ) -> Self {
         Self {
             address,
             id,
-            key,
-            service,
+            key: ended.key,
             since: Instant::now(),
-            end: TryEnd::Abandoned,
-            load: None,
+            ended: Some(ended),
             dispatcher,
         }
     }
 
     /// Records how the try ended.
     pub fn ended(&mut self, end: TryEnd) {
-        self.end = end;
+        if let Some(ended) = &mut self.ended {
+            ended.end = end;
+        }
     }
 
     /// Records the upstream's report of its load.
     pub fn reported(&mut self, load: Option<LoadReport>) {
-        self.load = load;
+        if let Some(ended) = &mut self.ended {
+            ended.load = load;
+        }
     }
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
-        let Some(dispatcher) = &self.dispatcher else {
+        let (Some(dispatcher), Some(mut ended)) = (&self.dispatcher, self.ended.take()) else {
             return;
         };
-        let msg = Ended {
-            service: self.service.clone(),
-            key: self.key,
-            end: self.end,
-            held: self.since.elapsed(),
-            load: self.load,
-        };
-        post(dispatcher, msg);
+        ended.held = self.since.elapsed();
+        post(dispatcher, ended);
     }
 }
 
 /// One try has ended.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Ended {
     /// The service.
     pub service: ServiceName,
     /// The upstream.
     pub key: UpstreamKey,
-    /// How.
+    /// The hash of the request's route.
+    pub route: u64,
+    /// The place that its object had among those that the upstream handled lately.
+    pub place: Option<usize>,
+    /// How it ended.
     pub end: TryEnd,
     /// How long it held its slot.
     pub held: Duration,
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -75,6 +75,23 @@
     pub grants: Vec<(OrganisationName, u64)>,
 }
 
+/// What happened at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RunEvent {
+    /// A request for this object was sent there.
+    Started {
+        /// The object's hash.
+        object: u64,
+    },
+    /// It answered, after this many times the expected work.
+    Answered {
+        /// Parts of the expected work.
+        slowness: f32,
+    },
+    /// A request ended there without a whole answer.
+    Unanswered,
+}
+
 /// Tells at once how many requests of the sender run at one upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunningMessage {
@@ -88,6 +105,8 @@
     pub upstream: UpstreamKey,
     /// Requests of the sender that run there.
     pub running: u32,
+    /// What happened.
+    pub event: RunEvent,
 }
 
 /// Anything that hosts send one another.
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -1,10 +1,11 @@
-//! Which upstream a request goes to.
+//! Which upstream a request goes to, and when it had better wait.
 //!
-//! Under a standing load above all slots an upstream that handled the object
-//! before is worth more than a free one: it answers sooner and frees its slot
-//! sooner. Each object has a few home upstreams in each zone, the same on all
-//! hosts. A request goes to a home in its own zone, then to one in another zone
-//! of the region, and to any other upstream only once it has waited.
+//! The pattern is a standing load above all slots of objects that few upstreams
+//! know. An upstream that knows the object answers sooner and frees its slot
+//! sooner, and each strange object drives a known one out. So a request goes
+//! where its answer is expected first, waits for a busy upstream that knows its
+//! object rather than going to a free one that does not, and only the object's
+//! home upstreams, or idle ones, ever get to know it.
 
 use std::collections::{
     BTreeMap,
@@ -24,23 +25,38 @@
     ZoneName, //
 };
 
-/// Upstreams of a zone that one object's requests go to first.
-const HOMES_PER_ZONE: usize = 2;
-
+/// Upstreams of a region that get to know an object first, beside the first one of each zone.
+const HOMES: usize = 2;
+/// Objects that an upstream has to know before it stops counting as new.
+const NEW_OBJECTS: usize = 4;
+/// What each further rank costs a strange upstream, in parts of its own work.
+const RANK_PART: f64 = 0.01;
 /// The part of its slots that an upstream has free when it counts as idle, one in this many.
 const IDLE_PART: u32 = 2;
+/// What a strange object costs the others, in parts of its own work.
+const STRANGE_PART: f64 = 0.5;
+/// Time that a request to another zone takes longer, in seconds.
+const ZONE_SECONDS: f64 = 0.004;
+/// Time that a kilobyte to another zone is worth, in seconds; bytes between zones are billed.
+const ZONE_SECONDS_PER_KB: f64 = 0.005;
+/// Time that is lost between the end of a request and the start of the next one, in seconds.
+const HANDOVER_SECONDS: f64 = 0.005;
 
 /// What a request asks of its upstream.
 #[derive(Clone, Debug)]
 pub struct Wish<'a> {
     /// The object's hash.
     pub object: u64,
+    /// The hash of its route.
+    pub route: u64,
+    /// Bytes of its body.
+    pub bytes: u64,
     /// The region in which it is to run.
     pub region: &'a RegionName,
     /// Upstreams that were tried already.
     pub tried: &'a [UpstreamKey],
-    /// Whether an upstream that does not know the object will do.
-    pub any: bool,
+    /// Whether it cannot wait any longer.
+    pub late: bool,
 }
 
 /// What a placement depends on beside the pool.
@@ -59,40 +75,77 @@
     pub fn allow(&self, u: &Upstream, region: &RegionName) -> bool {
         self.regions.get(&u.entry.zone) == Some(region) && !self.evacuated.contains(&u.entry.zone)
     }
+
+    /// Returns whether the other hosts tell this one what the upstreams of a region handle.
+    fn knows(&self, region: &RegionName) -> bool {
+        self.regions.get(self.zone) == Some(region)
+    }
 }
 
-/// Picks an upstream with a free slot; none where the request has to wait.
+/// Picks an upstream with a free slot; none where the request had better wait.
 pub fn pick(pool: &Pool, places: Places<'_>, wish: &Wish<'_>, now: Instant) -> Option<UpstreamKey> {
-    let mut zones: SmallVec<[(&ZoneName, SmallVec<[&Upstream; 16]>); 4]> = SmallVec::new();
-    for u in &pool.upstreams {
-        if !places.allow(u, wish.region) || !u.is_usable(now) || wish.tried.contains(&u.key) {
-            continue;
+    let work = pool.work_of(wish.route);
+    let knows = places.knows(wish.region);
+    let mut met: SmallVec<[&ZoneName; 4]> = SmallVec::new();
+    let mut free: Option<(f64, UpstreamKey)> = None;
+    let mut busy = f64::INFINITY;
+    for (rank, u) in candidates(pool, places, wish, now).into_iter().enumerate() {
+        let first_of_zone = !met.contains(&&u.entry.zone);
+        if first_of_zone {
+            met.push(&u.entry.zone);
         }
-        match zones.iter_mut().find(|(zone, _)| *zone == &u.entry.zone) {
-            Some((_, members)) => members.push(u),
-            None => zones.push((&u.entry.zone, SmallVec::from_iter([u]))),
+        let far = match u.entry.zone == *places.zone {
+            true => 0.0,
+            false => ZONE_SECONDS + wish.bytes as f64 / 1000.0 * ZONE_SECONDS_PER_KB,
+        };
+        // What the hosts of another region do there is not told; its first home knows the object.
+        let place = match knows {
+            true => u.recent.place(wish.object),
+            false => (rank == 0).then_some(0),
+        };
+        let warm = work.is_warm(place);
+        let home = rank < HOMES || first_of_zone;
+        let is_idle = u.free(now) * IDLE_PART >= u.entry.slots;
+        if !warm && !home && !is_idle {
+            continue;
         }
-    }
-    zones.sort_by_key(|(zone, _)| (*zone != places.zone, *zone));
-    for (_, members) in &mut zones {
-        members.sort_by_cached_key(|u| std::cmp::Reverse(u.rank(wish.object)));
-        let homes = members.iter().take(HOMES_PER_ZONE);
-        if let Some(u) = homes.copied().find(|u| is_open(u, places, now)) {
-            return Some(u.key);
+        let is_new = knows && first_of_zone && u.recent.len() < NEW_OBJECTS;
+        // Among strange upstreams the homes go first, in the order of their rank.
+        let strange = match warm {
+            true => 0.0,
+            false => STRANGE_PART + rank as f64 * RANK_PART,
+        };
+        let slowness = u.slowness.factor(now);
+        let cost = match is_new {
+            true => far,
+            false => work.expect(place) * (slowness + strange) + far,
+        };
+        if !is_open(u, places, now) {
+            let wait = pool.work() / f64::from(u.entry.slots.max(1)) + HANDOVER_SECONDS;
+            busy = busy.min(cost + wait);
+            continue;
         }
-    }
-    if !wish.any {
-        return None;
-    }
-    for (_, members) in &zones {
-        let open = members.iter().filter(|u| is_open(u, places, now));
-        // A strange object takes long and drives known ones out, so only idle upstreams get it.
-        let open = open.filter(|u| u.free(now) * IDLE_PART >= u.entry.slots);
-        if let Some(u) = open.max_by_key(|u| u.free(now)) {
-            return Some(u.key);
+        if free.is_none_or(|(least, _)| cost < least) {
+            free = Some((cost, u.key));
         }
     }
-    None
+    let (cost, key) = free?;
+    (wish.late || cost <= busy).then_some(key)
+}
+
+/// Returns the usable upstreams of the wished region, the object's homes first.
+fn candidates<'a>(
+    pool: &'a Pool,
+    places: Places<'_>,
+    wish: &Wish<'_>,
+    now: Instant,
+) -> SmallVec<[&'a Upstream; 32]> {
+    let usable = pool.upstreams.iter().filter(|u| {
+        places.allow(u, wish.region) && u.is_usable(now) && !wish.tried.contains(&u.key)
+    });
+    let mut usable: SmallVec<[&Upstream; 32]> = usable.collect();
+    usable.sort_by_cached_key(|u| std::cmp::Reverse(u.rank(wish.object)));
+    usable
 }
 
 /// Returns whether an upstream has a free slot and, where it is cold, bears
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -1,7 +1,10 @@
 //! The upstreams of all services, as one host sees them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     time::Duration, //
 };
 
@@ -14,11 +17,21 @@
 use super::{
     cold::ColdPace,
     dialect::LoadReport,
+    message::Ended,
     model::{
         Registration,
         Service,
         Standing, //
     },
+    peers::{
+        RunEvent,
+        RunningMessage, //
+    },
+    warmth::{
+        Recent,
+        Slowness,
+        WorkByPlace, //
+    },
 };
 use crate::util::id::{
     ServiceName,
@@ -39,6 +52,9 @@
 /// The weight of a new sample in a running mean.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
+/// The shortest work that a ratio is taken of, in seconds.
+const WORK_MIN: f64 = 0.001;
+
 /// Identifies an upstream in messages between hosts.
 pub type UpstreamKey = u32;
 
@@ -76,6 +92,10 @@
     pub cold_until: Instant,
     /// Paces requests while it is cold.
     pub cold_pace: ColdPace,
+    /// What it handled lately.
+    pub recent: Recent,
+    /// How much slower it is than others.
+    pub slowness: Slowness,
     reported: Option<(u32, Instant)>,
     full_until: Instant,
     suspended_until: Instant,
@@ -93,6 +113,8 @@
             others: 0,
             cold_until,
             cold_pace: ColdPace::new(now),
+            recent: Recent::default(),
+            slowness: Slowness::new(now),
             reported: None,
             full_until: now,
             suspended_until: now,
@@ -189,6 +211,8 @@
     pub upstreams: Vec<Upstream>,
     /// The mean time that a request holds a slot, in seconds.
     work: Option<f64>,
+    /// The work of each route's requests.
+    by_route: HashMap<u64, WorkByPlace>,
 }
 
 impl Pool {
@@ -197,6 +221,11 @@
         // Before the first answer all services are taken to be alike.
         self.work.unwrap_or(1.0)
     }
+
+    /// Returns the work of a route's requests.
+    pub fn work_of(&self, route: u64) -> WorkByPlace {
+        self.by_route.get(&route).cloned().unwrap_or_default()
+    }
 }
 
 /// All upstreams, by service.
@@ -250,6 +279,7 @@
             cold_until = cold_until.max(now + cold_time);
             u.failures = 0;
             u.gone = false;
+            u.recent.clear();
         }
         if u.entry.standing != entry.standing {
             log::info!(
@@ -312,53 +342,58 @@
         pool.upstreams.iter_mut().find(|u| u.key == key)
     }
 
-    /// Notes that a request was sent.
+    /// Notes that a request was sent; returns the place that its object had there.
     pub fn started(
         &mut self,
         now: Instant,
         service: &ServiceName,
         key: UpstreamKey,
+        object: u64,
         cold: Option<(f64, usize)>,
-    ) {
-        let Some(u) = self.get_mut(service, key) else {
-            return;
-        };
+    ) -> Option<usize> {
+        let u = self.get_mut(service, key)?;
         u.running += 1;
         if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
             u.cold_pace.sent(now, rate, hosts);
         }
+        let place = u.recent.place(object);
+        u.recent.touch(object);
+        place
     }
 
-    /// Notes how a try ended, after `held` at the upstream.
+    /// Notes how a try ended; returns how long it took in parts of what was
+    /// expected, where a whole answer came from an upstream of the own region.
     pub fn finished(
         &mut self,
         now: Instant,
-        service: &ServiceName,
-        key: UpstreamKey,
-        end: TryEnd,
-        held: Duration,
-        load: Option<LoadReport>,
-    ) {
-        let Some(pool) = self.pools.get_mut(service) else {
-            return;
-        };
-        if end == TryEnd::Whole {
-            let sample = held.as_secs_f64();
-            let mean = pool.work.unwrap_or(sample);
-            pool.work = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
+        ended: &Ended,
+        is_near: impl Fn(&ZoneName) -> bool,
+    ) -> Option<f32> {
+        let pool = self.pools.get_mut(&ended.service)?;
+        let u = pool.upstreams.iter_mut().find(|u| u.key == ended.key)?;
+        let mut sample = None;
+        // The way to another region would count as work.
+        if ended.end == TryEnd::Whole && is_near(&u.entry.zone) {
+            let held = ended.held.as_secs_f64();
+            let mean = pool.work.unwrap_or(held);
+            pool.work = Some(mean + (held - mean) * SAMPLE_WEIGHT);
+            let by_place = pool.by_route.entry(ended.route).or_default();
+            sample = Some(held / by_place.expect(ended.place).max(WORK_MIN));
+            by_place.note(ended.place, ended.held);
         }
-        let Some(u) = pool.upstreams.iter_mut().find(|u| u.key == key) else {
-            return;
-        };
         u.running = u.running.saturating_sub(1);
-        if let Some(load) = load {
+        if let Some(load) = ended.load {
             u.report(now, load);
         }
-        u.finish(now, end);
+        if let Some(sample) = sample {
+            u.slowness.note(now, sample);
+        }
+        u.finish(now, ended.end);
+        sample.map(|s| s as f32)
     }
 
     /// Replaces what other hosts run at the upstreams.
-    pub fn set_others(&mut self, running: &std::collections::HashMap<UpstreamKey, u32>) {
+    pub fn set_others(&mut self, running: &HashMap<UpstreamKey, u32>) {
         for pool in self.pools.values_mut() {
             for u in &mut pool.upstreams {
                 u.others = running.get(&u.key).copied().unwrap_or(0);
@@ -366,15 +401,19 @@
         }
     }
 
-    /// Notes a change of what other hosts run at one upstream.
-    pub fn adjust_others(&mut self, key: UpstreamKey, change: i64) {
-        if change == 0 {
-            return;
-        }
+    /// Takes in what another host told of one upstream: by how much its running
+    /// requests changed, what it started, and how an answer came.
+    pub fn hear(&mut self, now: Instant, change: i64, msg: &RunningMessage) {
         let mut all = self.pools.values_mut().flat_map(|p| &mut p.upstreams);
-        if let Some(u) = all.find(|u| u.key == key) {
-            let others = i64::from(u.others) + change;
-            u.others = u32::try_from(others.max(0)).unwrap_or(u32::MAX);
+        let Some(u) = all.find(|u| u.key == msg.upstream) else {
+            return;
+        };
+        let others = i64::from(u.others) + change;
+        u.others = u32::try_from(others.max(0)).unwrap_or(u32::MAX);
+        match msg.event {
+            RunEvent::Started { object } => u.recent.touch(object),
+            RunEvent::Answered { slowness } => u.slowness.note(now, f64::from(slowness)),
+            RunEvent::Unanswered => {}
         }
     }
 
