--- a/src/edge.rs
+++ b/src/edge.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod placement;
 pub mod quota;
+pub mod relay;
 pub mod routing;
 pub mod serve;
 pub mod settings;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -20,7 +20,8 @@
 use tokio::{
     sync::{
         mpsc,
-        oneshot, //
+        oneshot,
+        watch, //
     },
     time::Instant,
 };
@@ -75,7 +76,8 @@
     },
     quota::{
         Debit,
-        Quotas, //
+        Quotas,
+        Sharers, //
     },
     settings::{
         SHIFT_WINDOW,
@@ -105,6 +107,7 @@
     util::id::{
         HostName,
         Incarnation,
+        OrganisationName,
         RegionName,
         ServiceName,
         UpstreamId,
@@ -170,6 +173,7 @@
     vanished: HashMap<UpstreamId, Instant>,
     seen: BTreeMap<&'static str, bool>,
     outgoing: mpsc::Sender<Outgoing>,
+    relay: watch::Sender<Option<SocketAddr>>,
     sequence: u64,
     rounds: u32,
     spoke: Option<Instant>,
@@ -193,6 +197,7 @@
         incarnation: Incarnation,
         configuration: Arc<ArcSwapOption<Configuration>>,
         outgoing: mpsc::Sender<Outgoing>,
+        relay: watch::Sender<Option<SocketAddr>>,
         seed: u64,
     ) -> Self {
         Self {
@@ -204,14 +209,14 @@
             upstreams: Upstreams::default(),
             evacuated: BTreeSet::new(),
             peers: Peers::default(),
-            // Until the other hosts are known this host's part of any rate is nothing.
-            quotas: Quotas::new(u32::MAX),
+            quotas: Quotas::default(),
             demand: HashMap::new(),
             queue: Vec::new(),
             outage: Outage::default(),
             vanished: HashMap::new(),
             seen: BTreeMap::new(),
             outgoing,
+            relay,
             sequence: 0,
             rounds: 0,
             spoke: None,
@@ -267,8 +272,7 @@
         }
         if msg.topic == Topic::Hosts {
             self.hosts_known = true;
-            let hosts = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-            self.quotas.set_hosts(now, hosts);
+            self.quotas.set_sharers(now, self.sharers());
         }
         self.drain_queue(now);
     }
@@ -403,7 +407,6 @@
             if let Some(organisation) = &job.organisation {
                 self.quotas.arrived(now, organisation);
                 paid = self.quotas.debit(now, organisation) == Debit::Paid;
-                self.ask_for_tokens(now);
             }
             let demand = self.demand_mut(&job.service, now);
             demand.offered.finished(now);
@@ -425,6 +428,7 @@
         if let Some(waiting) = self.try_place(now, waiting) {
             self.queue.push(waiting);
         }
+        self.ask_for_tokens(now);
     }
 
     /// Returns until when a request waits for an upstream: as long as it can
@@ -641,23 +645,38 @@
         }
     }
 
-    /// Asks two other hosts for the tokens that this one is about to miss.
-    fn ask_for_tokens(&mut self, now: Instant) {
-        let asks = self.quotas.asks(now);
-        if asks.is_empty() {
-            return;
+    /// Returns the hosts that share the organisations' rates.
+    fn sharers(&self) -> Sharers {
+        let mut zones = self.peers.by_zone();
+        let own = zones.entry(self.settings.zone.clone()).or_default();
+        own.push(self.settings.host.clone());
+        Sharers {
+            host: Some(self.settings.host.clone()),
+            zone: Some(self.settings.zone.clone()),
+            zones,
         }
-        let near = self
-            .peers
-            .lenders(&self.settings.regions, Some(&self.settings.region));
-        let all = self.peers.lenders(&self.settings.regions, None);
-        for lenders in [near, all] {
-            if lenders.is_empty() {
-                continue;
+    }
+
+    /// Asks homes of this zone, or of others, for the tokens that are about to be missing.
+    fn ask_for_tokens(&mut self, now: Instant) {
+        let mut asks: BTreeMap<SocketAddr, Vec<(OrganisationName, u64)>> = BTreeMap::new();
+        let mut waiting: HashMap<OrganisationName, u64> = HashMap::new();
+        let unpaid = self.queue.iter().filter(|w| !w.paid);
+        for organisation in unpaid.filter_map(|w| w.job.organisation.as_ref()) {
+            *waiting.entry(organisation.clone()).or_default() += 1;
+        }
+        for want in self.quotas.asks(now, &waiting) {
+            for lenders in [&want.near, &want.far] {
+                let lender = lenders.iter().find(|h| self.peers.is_live(h));
+                if let Some(address) = lender.and_then(|h| self.peers.address(h)) {
+                    let entry = asks.entry(address).or_default();
+                    entry.push((want.organisation.clone(), want.amount));
+                }
             }
-            let address = lenders[self.rng.random_range(0..lenders.len())];
+        }
+        for (address, wants) in asks {
             let mut msg = self.message(now);
-            msg.wants.clone_from(&asks);
+            msg.wants = wants;
             self.post_message(address, msg);
         }
     }
@@ -793,10 +812,26 @@
         }
         self.speak(now);
         self.ask_for_tokens(now);
+        self.choose_relay(now);
         self.share(now);
         self.drain_queue(now);
     }
 
+    /// Chooses the host that reads the store for this zone.
+    fn choose_relay(&mut self, now: Instant) {
+        let own = registration(&self.settings);
+        let relay = self.peers.relay(&own, self.is_ready(now));
+        self.relay.send_if_modified(|known| {
+            if *known == relay {
+                return false;
+            }
+            let address = relay.map_or_else(|| "self".to_owned(), |a| a.to_string());
+            log::info!(event = "relay-chosen", address:%; "");
+            *known = relay;
+            true
+        });
+    }
+
     fn note_freshness(&mut self, was: bool, is: bool) {
         let known = self.seen.insert("fresh", is).unwrap_or(was);
         if known != is {
@@ -949,5 +984,6 @@
         zone: settings.zone.clone(),
         callers: settings.callers,
         peers: settings.peers,
+        millicores: settings.millicores,
     }
 }
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -1,36 +1,70 @@
-//! Follows one topic of the platform and tells the dispatcher what changes.
+//! Follows the platform's topics, at the store or at the zone's relay.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
-use tokio::time::{
-    Instant,
-    sleep,
-    sleep_until, //
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
+};
+use thiserror::Error;
+use tokio::{
+    sync::watch,
+    time::{
+        Instant,
+        sleep,
+        sleep_until,
+        timeout, //
+    },
 };
-use xtra::Address;
 
 use super::{
-    dispatcher::Dispatcher,
-    freshness::suspended,
-    message::{
-        News,
-        Observed, //
+    message::News,
+    relay::{
+        Asked,
+        RelayAnswer,
+        RelayQuery,
+        Shelves, //
     },
     topic::{
-        Revision,
         Source,
         SourceError,
         Topic, //
     },
 };
+use crate::{
+    body::{
+        ProxyBody,
+        empty,
+        full, //
+    },
+    connection::{
+        Connections,
+        SendError, //
+    },
+};
 
 /// The pause after a read that failed, doubled up to [`PAUSE_MAX`].
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 /// The longest pause between two reads that fail.
 const PAUSE_MAX: Duration = Duration::from_millis(800);
+/// How long a question to the relay waits for changes.
+const RELAY_WAIT: Duration = Duration::from_millis(400);
+/// How long the relay's answer may take beyond that.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
+/// The pause after a question that the relay did not answer.
+const RELAY_PAUSE: Duration = Duration::from_millis(500);
+/// How much older than a watch's own wait what a relay knows may be, before its
+/// followers read for themselves.
+const RELAY_SLACK: Duration = Duration::from_millis(350);
 
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
@@ -43,8 +77,8 @@
 
 fn pace(topic: Topic) -> Pace {
     let (wait_ms, gap_ms) = match topic {
-        Topic::Configuration => (1500, 100),
-        Topic::Upstreams => (1500, 400),
+        Topic::Configuration => (1000, 100),
+        Topic::Upstreams => (1000, 400),
         Topic::Evacuations => (2000, 200),
         Topic::Hosts => (8_000, 500),
     };
@@ -54,50 +88,152 @@
     }
 }
 
-/// Follows a topic until the dispatcher is gone.
-pub async fn follow<S: Source>(source: Arc<S>, topic: Topic, dispatcher: Address<Dispatcher>) {
+/// Follows a topic at the store, while no relay does.
+pub async fn follow_store<S: Source>(source: Arc<S>, topic: Topic, shelves: Shelves) {
     let pace = pace(topic);
-    let mut after: Option<Revision> = None;
     let mut pause = PAUSE_MIN;
+    let mut lost = false;
     loop {
-        let asked_at = Instant::now();
-        let asleep = suspended();
-        let result = match after {
-            None => source.list(topic).await,
-            Some(revision) => source.watch(topic, revision, pace.wait).await,
+        if let Some(until) = covered_until(&shelves, topic, pace)
+            && !lost
+        {
+            sleep_until(until).await;
+            continue;
+        }
+        let asked = Asked::now();
+        let base = match lost {
+            true => None,
+            false => shelves.revision(topic),
         };
-        let news = match result {
-            Ok(changes) => {
-                let whole = after.is_none();
-                // An answer never takes the topic back to an older state.
-                after = Some(after.unwrap_or_default().max(changes.revision));
+        let result = match base {
+            None => source.list(topic).await.map(News::Whole),
+            Some(revision) => source
+                .watch(topic, revision, pace.wait)
+                .await
+                .map(News::Since),
+        };
+        match result {
+            Ok(news) => {
+                // A new list replaces whatever is known by now.
+                let base = if lost { shelves.revision(topic) } else { base };
+                shelves.take(topic, base, news, asked);
                 pause = PAUSE_MIN;
-                match whole {
-                    true => News::Whole(changes),
-                    false => News::Since(changes),
-                }
+                lost = false;
             }
             Err(SourceError::HistoryLost) => {
                 log::info!(event = "history-lost", topic:%; "");
-                after = None;
-                continue;
+                lost = true;
             }
             Err(cause) => {
                 log::info!(event = "read-failed", topic:%, cause:%, pause_ms = pause.as_millis() as u64; "");
                 sleep(pause).await;
                 pause = (pause * 2).min(PAUSE_MAX);
-                News::Outage
+                shelves.take(topic, base, News::Outage, asked);
             }
+        }
+        sleep_until(asked.at + pace.gap).await;
+    }
+}
+
+/// Returns until when a topic needs no reading, since a relay told it lately.
+fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace) -> Option<Instant> {
+    let (asked, by_relay) = shelves.asked(topic)?;
+    let left = (pace.wait + RELAY_SLACK).checked_sub(asked.age())?;
+    (by_relay && !left.is_zero()).then(|| Instant::now() + left)
+}
+
+/// A failure to ask the relay.
+#[derive(Debug, Error)]
+enum RelayError {
+    #[error(transparent)]
+    Send(#[from] SendError),
+    #[error("the answer broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("the relay refused with status {0}")]
+    Refused(StatusCode),
+    #[error("a message cannot be written: {0}")]
+    Unwritable(#[from] rmp_serde::encode::Error),
+    #[error("a message cannot be read: {0}")]
+    Unreadable(#[from] rmp_serde::decode::Error),
+}
+
+/// Follows all topics at the zone's relay, while there is one.
+pub async fn follow_relay(mut relay: watch::Receiver<Option<SocketAddr>>, shelves: Shelves) {
+    let connections = Connections::new();
+    loop {
+        let address = *relay.borrow_and_update();
+        let Some(address) = address else {
+            if relay.changed().await.is_err() {
+                return;
+            }
+            continue;
         };
-        let msg = Observed {
-            topic,
-            asked_at,
-            suspended: asleep,
-            news,
+        let query = RelayQuery {
+            after: shelves.revisions(),
+            wait_ms: RELAY_WAIT.as_millis() as u64,
         };
-        if dispatcher.send(msg).await.is_err() {
-            return;
+        let sent = Asked::now();
+        let asked = timeout(
+            RELAY_WAIT + RELAY_TIMEOUT,
+            ask(&connections, address, &query),
+        )
+        .await;
+        match asked.unwrap_or(Err(RelayError::TimedOut)) {
+            Ok(answer) => shelves.take_relayed(&query, answer, sent),
+            Err(cause) => {
+                log::info!(event = "relay-silent", relay:% = address, cause:%; "");
+                sleep(RELAY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask(
+    connections: &Connections,
+    address: SocketAddr,
+    query: &RelayQuery,
+) -> Result<RelayAnswer, RelayError> {
+    let mut req = Request::new(full(Bytes::from(rmp_serde::to_vec(query)?)));
+    *req.method_mut() = Method::POST;
+    let host = address.to_string().parse();
+    if let Ok(host) = host {
+        req.headers_mut().insert(hyper::header::HOST, host);
+    }
+    let exchange = connections.send(address, req).await?;
+    let status = exchange.res.status();
+    let bytes = exchange.res.into_body().collect().await?.to_bytes();
+    exchange.lease.give_back();
+    if status != StatusCode::OK {
+        return Err(RelayError::Refused(status));
+    }
+    Ok(rmp_serde::from_slice(&bytes)?)
+}
+
+/// Answers a follower.
+pub async fn serve_follower(shelves: Shelves, req: Request<Incoming>) -> Response<ProxyBody> {
+    let mut res = Response::new(empty());
+    let result = match req.into_body().collect().await {
+        Ok(body) => {
+            rmp_serde::from_slice::<RelayQuery>(&body.to_bytes()).map_err(|e| e.to_string())
+        }
+        Err(e) => Err(e.to_string()),
+    };
+    let query = match result {
+        Ok(query) => query,
+        Err(cause) => {
+            log::info!(event = "follower-unreadable", cause:%; "");
+            *res.status_mut() = StatusCode::BAD_REQUEST;
+            return res;
+        }
+    };
+    match rmp_serde::to_vec(&shelves.answer(&query).await) {
+        Ok(bytes) => *res.body_mut() = full(bytes),
+        Err(e) => {
+            log::error!(event = "answer-unwritable", cause:% = e; "");
+            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         }
-        sleep_until(asked_at + pace.gap).await;
     }
+    res
 }
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -5,6 +5,10 @@
     time::Duration, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smallvec::SmallVec;
 use tokio::{
     sync::oneshot,
@@ -55,7 +59,7 @@
 }
 
 /// What a read of a topic brought.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum News {
     /// All records of the topic.
     Whole(Changes),
--- a/src/edge/model.rs
+++ b/src/edge/model.rs
@@ -7,6 +7,10 @@
 };
 
 use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smallvec::SmallVec;
 
 use crate::util::id::{
@@ -20,7 +24,9 @@
 };
 
 /// The number of a published configuration. A later one has a larger number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct ConfigVersion(pub u64);
 
 impl std::fmt::Display for ConfigVersion {
@@ -30,14 +36,16 @@
 }
 
 /// How urgent a request is; 0 is the most urgent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Priority(pub u32);
 
 /// Regions in which work may be done; an empty list allows all.
 pub type Regions = SmallVec<[RegionName; 2]>;
 
 /// Where requests of one path prefix go, and under which promises.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The path prefix; it begins and ends with a slash.
     pub prefix: Bytes,
@@ -62,7 +70,7 @@
 }
 
 /// An organisation and what it may use.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
     /// Its name.
     pub name: OrganisationName,
@@ -75,7 +83,7 @@
 }
 
 /// A rate and the requests that may be saved up.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rate {
     /// Requests a second.
     pub per_second: f64,
@@ -84,7 +92,7 @@
 }
 
 /// What is set for a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -95,7 +103,7 @@
 }
 
 /// What a caller may send, and how long it may stay idle.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a head.
     pub head_bytes: usize,
@@ -106,7 +114,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its number.
     pub version: ConfigVersion,
@@ -123,7 +131,7 @@
 }
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// It does.
     Ready,
@@ -132,7 +140,7 @@
 }
 
 /// An upstream as it registers itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Registration {
     /// Its id, unique to one start unless the upstream reuses it.
     pub id: UpstreamId,
@@ -153,7 +161,7 @@
 }
 
 /// An entry host as it registers itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRegistration {
     /// Its name.
     pub name: HostName,
@@ -161,6 +169,8 @@
     pub zone: ZoneName,
     /// Where callers reach it.
     pub callers: SocketAddr,
-    /// Where other hosts reach it, by datagrams.
+    /// Where other hosts reach it, by datagrams and by HTTP.
     pub peers: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    pub millicores: u32,
 }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -14,6 +14,7 @@
     Serialize, //
 };
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     model::HostRegistration,
@@ -310,6 +311,35 @@
         ready.map(|p| (&p.entry.zone, p.entry.callers))
     }
 
+    /// Returns the host that reads the store for the others of a zone: the
+    /// largest one that is ready, the own one among them; none where it is the own one.
+    pub fn relay(&self, own: &HostRegistration, is_ready: bool) -> Option<SocketAddr> {
+        let rank = |h: &HostRegistration| (h.millicores, xxh3_64(h.name.as_str().as_bytes()));
+        let ready = self.live().filter(|p| p.state == HostState::Ready);
+        let near = ready.filter(|p| p.entry.zone == own.zone).map(|p| &p.entry);
+        let best = near.max_by_key(|h| rank(h))?;
+        match is_ready && rank(own) > rank(best) {
+            true => None,
+            false => Some(best.peers),
+        }
+    }
+
+    /// Returns the registered hosts by zone.
+    pub fn by_zone(&self) -> BTreeMap<ZoneName, Vec<HostName>> {
+        let mut zones: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
+        for peer in self.peers.values() {
+            let hosts = zones.entry(peer.entry.zone.clone()).or_default();
+            hosts.push(peer.entry.name.clone());
+        }
+        zones
+    }
+
+    /// Returns whether a host takes part: it was heard lately and does not leave.
+    pub fn is_live(&self, host: &HostName) -> bool {
+        let live = |p: &Peer| p.heard.is_some() && p.state != HostState::Leaving;
+        self.peers.get(host).is_some_and(live)
+    }
+
     /// Returns how many hosts of a zone are registered.
     pub fn registered_in(&self, zone: &ZoneName) -> usize {
         self.peers
@@ -360,14 +390,4 @@
     pub fn address(&self, host: &HostName) -> Option<SocketAddr> {
         self.peers.get(host).map(|p| p.entry.peers)
     }
-
-    /// Returns the addresses of hosts that may lend tokens, in one region or in all.
-    pub fn lenders(
-        &self,
-        regions: &BTreeMap<ZoneName, RegionName>,
-        region: Option<&RegionName>,
-    ) -> Vec<SocketAddr> {
-        let wanted = |p: &&Peer| region.is_none() || regions.get(&p.entry.zone) == region;
-        self.live().filter(wanted).map(|p| p.entry.peers).collect()
-    }
 }
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -1,15 +1,27 @@
-//! Organisations' rates, divided evenly among the hosts, with loans of tokens.
+//! Organisations' rates, divided among their home hosts, with loans of tokens.
+//!
+//! An even split over all hosts would be dust. Each zone has an even part of a
+//! rate, which a few homes of the zone hold, as many as make a useful share;
+//! all hosts compute them alike from the registered hosts. Another host asks a
+//! home of its zone for tokens, and a home asks those of other zones.
 //!
 //! A host that runs short asks another one for tokens. Tokens that are granted
 //! leave the lender's bucket before the message does, so that a lost message
 //! loses tokens and never doubles them. Borrowed tokens lapse soon.
 
 use std::{
-    collections::HashMap,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
 };
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::model::Rate;
 use crate::{
@@ -18,7 +30,11 @@
         Quota, //
     },
     retry::DrainMeter,
-    util::id::OrganisationName,
+    util::id::{
+        HostName,
+        OrganisationName,
+        ZoneName, //
+    },
 };
 
 /// Thousandths in a request.
@@ -29,8 +45,12 @@
 const KEPT_SPAN: Duration = Duration::from_millis(400);
 /// The time between two asks for the same organisation.
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
-/// The time after which an ask that brought nothing shows that there is nothing to lend.
-const FRUITLESS_AFTER: Duration = Duration::from_millis(250);
+/// Asks in a row that bring nothing, after which there is nothing to lend.
+const VAIN_MAX: u32 = 3;
+/// The time after which asks that brought nothing are forgotten.
+const VAIN_FOR: Duration = Duration::from_millis(500);
+/// The least share of a home, in requests a second.
+const SHARE_MIN: f64 = 4.0;
 
 /// One organisation's tokens on this host, in thousandths of a request.
 #[derive(Clone, Debug)]
@@ -42,8 +62,66 @@
     /// Requests a second, the refused ones among them.
     demand: DrainMeter,
     asked: Option<Instant>,
-    /// Since when asks bring nothing.
-    fruitless: Option<Instant>,
+    /// Asks in a row that brought nothing.
+    vain: u32,
+    /// Other hosts that hold a share, those of the own zone first.
+    lenders: Lenders,
+}
+
+/// Where tokens can be borrowed.
+#[derive(Clone, Debug, Default)]
+struct Lenders {
+    /// Homes in the own zone.
+    near: Vec<HostName>,
+    /// Homes in other zones.
+    far: Vec<HostName>,
+}
+
+/// The hosts that share the rates.
+#[derive(Clone, Debug, Default)]
+pub struct Sharers {
+    /// The own host.
+    pub host: Option<HostName>,
+    /// Its zone.
+    pub zone: Option<ZoneName>,
+    /// All registered hosts by zone, the own one among them.
+    pub zones: BTreeMap<ZoneName, Vec<HostName>>,
+}
+
+impl Sharers {
+    /// Returns an organisation's homes in one zone.
+    fn homes(&self, zone: &ZoneName, organisation: &OrganisationName, rate: Rate) -> Vec<HostName> {
+        let mut hosts = self.zones.get(zone).cloned().unwrap_or_default();
+        let rank = |host: &HostName| {
+            let seed = xxh3_64(organisation.as_str().as_bytes());
+            xxh3_64_with_seed(host.as_str().as_bytes(), seed)
+        };
+        hosts.sort_by_key(rank);
+        let of_zone = rate.per_second / self.zones.len().max(1) as f64;
+        let homes = (of_zone / SHARE_MIN) as usize;
+        hosts.truncate(homes.max(1));
+        hosts
+    }
+
+    /// Returns the own part of a rate, and who else holds parts of it.
+    fn divide(&self, organisation: &OrganisationName, rate: Rate) -> (Quota, Lenders) {
+        let mut lenders = Lenders::default();
+        let mut own = Quota::default();
+        for zone in self.zones.keys() {
+            let mut homes = self.homes(zone, organisation, rate);
+            if Some(zone) != self.zone.as_ref() {
+                lenders.far.extend(homes);
+                continue;
+            }
+            let parts = self.zones.len() * homes.len().max(1);
+            if homes.iter().any(|h| Some(h) == self.host.as_ref()) {
+                own = part_of(rate, parts);
+            }
+            homes.retain(|h| Some(h) != self.host.as_ref());
+            lenders.near = homes;
+        }
+        (own, lenders)
+    }
 }
 
 /// What becomes of a request that needs a token.
@@ -58,31 +136,34 @@
 }
 
 /// The tokens of all organisations on one host.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Quotas {
-    hosts: u32,
+    sharers: Sharers,
     tokens: HashMap<OrganisationName, Tokens>,
 }
 
-impl Quotas {
-    /// Returns the quotas of a fleet of so many hosts, with empty buckets.
-    pub fn new(hosts: u32) -> Self {
-        Self {
-            hosts: hosts.max(1),
-            tokens: HashMap::new(),
-        }
-    }
+/// Tokens that this host wants of others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Want {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// Thousandths of a request.
+    pub amount: u64,
+    /// The homes of the own zone that may lend, the one whose turn it is first.
+    pub near: Vec<HostName>,
+    /// The homes of other zones that may lend, the one whose turn it is first.
+    pub far: Vec<HostName>,
+}
 
-    /// Changes the number of hosts that share the rates.
-    pub fn set_hosts(&mut self, now: Instant, hosts: u32) {
-        if hosts.max(1) == self.hosts {
-            return;
-        }
-        self.hosts = hosts.max(1);
-        for tokens in self.tokens.values_mut() {
-            tokens
-                .own
-                .set_quota(now, own_quota(tokens.rate, self.hosts));
+impl Quotas {
+    /// Changes the hosts that share the rates. Before the first call this host
+    /// has no part of any rate.
+    pub fn set_sharers(&mut self, now: Instant, sharers: Sharers) {
+        self.sharers = sharers;
+        for (name, tokens) in &mut self.tokens {
+            let (quota, lenders) = self.sharers.divide(name, tokens.rate);
+            tokens.own.set_quota(now, quota);
+            tokens.lenders = lenders;
         }
     }
 
@@ -97,11 +178,12 @@
             let Some(rate) = rate else {
                 continue;
             };
-            let quota = own_quota(rate, self.hosts);
+            let (quota, lenders) = self.sharers.divide(name, rate);
             let tokens = match old.remove(name) {
                 Some(mut tokens) => {
                     tokens.own.set_quota(now, quota);
                     tokens.rate = rate;
+                    tokens.lenders = lenders;
                     tokens
                 }
                 None => Tokens {
@@ -111,7 +193,8 @@
                     borrowed_until: now,
                     demand: DrainMeter::new(now),
                     asked: None,
-                    fruitless: None,
+                    vain: 0,
+                    lenders,
                 },
             };
             self.tokens.insert(name.clone(), tokens);
@@ -138,8 +221,8 @@
         if tokens.own.debit(now, MILLI) {
             return Debit::Paid;
         }
-        let fruitless = |since| now.saturating_duration_since(since) >= FRUITLESS_AFTER;
-        match tokens.fruitless.is_some_and(fruitless) {
+        let lately = tokens.asked.is_some_and(|at| now < at + VAIN_FOR);
+        match lately && tokens.vain >= VAIN_MAX {
             true => Debit::Spent,
             false => Debit::Short,
         }
@@ -156,29 +239,59 @@
     pub fn describe(&self, organisation: &OrganisationName) -> String {
         match self.tokens.get(organisation) {
             Some(t) => format!(
-                "1/{} of {}/s, burst {}",
-                self.hosts, t.rate.per_second, t.rate.burst
+                "{}m/s of {}/s, burst {}, {} homes near and {} far",
+                t.own.quota().rate,
+                t.rate.per_second,
+                t.rate.burst,
+                t.lenders.near.len(),
+                t.lenders.far.len()
             ),
             None => "unlimited".to_owned(),
         }
     }
 
-    /// Returns what to ask other hosts for now, in thousandths of a request.
-    pub fn asks(&mut self, now: Instant) -> Vec<(OrganisationName, u64)> {
+    /// Returns what to ask other hosts for now. `waiting` are the requests that
+    /// wait for a token.
+    pub fn asks(&mut self, now: Instant, waiting: &HashMap<OrganisationName, u64>) -> Vec<Want> {
         let mut asks = Vec::new();
         for (name, tokens) in &mut self.tokens {
             tokens.lapse(now);
             let kept = tokens.kept(now);
-            if tokens.own.level(now) + tokens.borrowed >= kept.max(MILLI) {
-                tokens.fruitless = None;
+            let is_home = !tokens.own.quota().is_zero();
+            let wanted = match is_home {
+                true => kept.max(MILLI),
+                // Tokens that many hosts keep for callers that come rarely would be lost to all.
+                false if kept < MILLI => 0,
+                false => kept,
+            };
+            let unpaid = waiting.get(name).map_or(0, |n| n * MILLI);
+            let missing = wanted.max(unpaid);
+            if tokens.own.level(now) + tokens.borrowed >= missing {
+                if is_home {
+                    tokens.vain = 0;
+                }
                 continue;
             }
             if tokens.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
                 continue;
             }
+            if tokens.asked.is_some_and(|at| now >= at + VAIN_FOR) {
+                tokens.vain = 0;
+            }
             tokens.asked = Some(now);
-            tokens.fruitless.get_or_insert(now);
-            asks.push((name.clone(), kept.max(MILLI)));
+            tokens.vain += 1;
+            // Each home is asked in its turn, before its bucket runs over.
+            for lenders in [&mut tokens.lenders.near, &mut tokens.lenders.far] {
+                if !lenders.is_empty() {
+                    lenders.rotate_left(1);
+                }
+            }
+            asks.push(Want {
+                organisation: name.clone(),
+                amount: missing.max(MILLI),
+                near: tokens.lenders.near.clone(),
+                far: tokens.lenders.far.clone(),
+            });
         }
         asks
     }
@@ -202,7 +315,7 @@
             tokens.lapse(now);
             tokens.borrowed = tokens.borrowed.saturating_add(granted);
             tokens.borrowed_until = now + BORROWED_FOR;
-            tokens.fruitless = None;
+            tokens.vain = 0;
         }
     }
 }
@@ -221,9 +334,9 @@
     }
 }
 
-/// Returns one host's part of a rate, in thousandths of a request.
-fn own_quota(rate: Rate, hosts: u32) -> Quota {
-    let part = |whole: f64| (whole.max(0.0) * MILLI as f64 / f64::from(hosts)) as u64;
+/// Returns one of `parts` even parts of a rate, in thousandths of a request.
+fn part_of(rate: Rate, parts: usize) -> Quota {
+    let part = |whole: f64| (whole.max(0.0) * MILLI as f64 / parts as f64) as u64;
     // A bucket that cannot hold one token would never let a request pass.
     Quota::new(part(rate.per_second), part(rate.burst).max(MILLI))
 }
--- /dev/null
+++ b/src/edge/relay.rs
@@ -0,0 +1,317 @@
+//! What a host knows of the platform's topics, and how it hands it on.
+//!
+//! One host of each zone reads the store for its zone; the others follow that
+//! host. All keep the same [`Shelves`], with the store's own revisions, so that
+//! any host can take over, and a follower can go on at the store where it left
+//! off at the other host. An answer carries the age of the read that it rests
+//! on: a follower whose relay has lost the store notices, and reads for itself.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+use xtra::Address;
+
+use super::{
+    dispatcher::Dispatcher,
+    freshness::suspended,
+    message::{
+        News,
+        Observed, //
+    },
+    topic::{
+        Change,
+        Changes,
+        Record,
+        Revision,
+        Topic, //
+    },
+};
+use crate::post::post;
+
+/// Changes of a topic that are kept to be handed on.
+const LOG_MAX: usize = 2048;
+
+/// When a read was sent, by both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// The runtime's clock, which stands still while the machine is suspended.
+    pub at: Instant,
+    /// The time spent suspended until then.
+    pub suspended: Duration,
+}
+
+impl Asked {
+    /// Returns the present instant.
+    pub fn now() -> Self {
+        Self {
+            at: Instant::now(),
+            suspended: suspended(),
+        }
+    }
+
+    /// Returns the time that really passed since.
+    pub fn age(&self) -> Duration {
+        let asleep = suspended().saturating_sub(self.suspended);
+        self.at.elapsed() + asleep
+    }
+
+    /// Returns the instant that lies so much earlier, where the clock reaches back that far.
+    fn earlier(self, age: Duration) -> Option<Self> {
+        Some(Self {
+            at: self.at.checked_sub(age)?,
+            suspended: self.suspended,
+        })
+    }
+}
+
+/// One topic.
+#[derive(Debug, Default)]
+struct Shelf {
+    revision: Option<Revision>,
+    records: BTreeMap<String, Record>,
+    /// The latest changes, each with the revision that the topic had with it.
+    log: VecDeque<(Revision, Change)>,
+    /// Changes up to this revision are not in the log.
+    log_from: Revision,
+    asked: Option<Asked>,
+    /// Whether the last read was another host's.
+    by_relay: bool,
+}
+
+impl Shelf {
+    fn take(&mut self, base: Option<Revision>, news: &News, asked: Asked) -> bool {
+        let (whole, changes) = match news {
+            News::Outage => return true,
+            News::Whole(changes) => (true, changes),
+            News::Since(changes) => (false, changes),
+        };
+        // Another answer came first; this one may be older.
+        if base != self.revision || self.revision.is_some_and(|r| changes.revision < r) {
+            return false;
+        }
+        if whole {
+            self.records.clear();
+            self.log.clear();
+            self.log_from = changes.revision;
+        }
+        for change in &changes.changes {
+            match &change.record {
+                Some(record) => self.records.insert(change.name.clone(), record.clone()),
+                None => self.records.remove(&change.name),
+            };
+            if !whole {
+                self.log.push_back((changes.revision, change.clone()));
+            }
+        }
+        while self.log.len() > LOG_MAX {
+            if let Some((revision, _)) = self.log.pop_front() {
+                self.log_from = revision;
+            }
+        }
+        self.revision = Some(changes.revision);
+        self.asked = Some(asked);
+        true
+    }
+
+    /// Returns what is new after a revision; none where this host knows less.
+    fn since(&self, after: Option<Revision>) -> Option<News> {
+        let revision = self.revision?;
+        let log_reaches = after.is_some_and(|after| after >= self.log_from);
+        if after.is_some_and(|after| after > revision) {
+            return None;
+        }
+        if log_reaches {
+            let later = self.log.iter().filter(|(r, _)| Some(*r) > after);
+            return Some(News::Since(Changes {
+                changes: later.map(|(_, change)| change.clone()).collect(),
+                revision,
+            }));
+        }
+        let all = self.records.iter().map(|(name, record)| Change {
+            name: name.clone(),
+            record: Some(record.clone()),
+        });
+        Some(News::Whole(Changes {
+            changes: all.collect(),
+            revision,
+        }))
+    }
+}
+
+/// The topics that a host knows, shared by its tasks.
+#[derive(Clone, Debug)]
+pub struct Shelves {
+    shelves: Arc<Mutex<[Shelf; Topic::ALL.len()]>>,
+    changed: watch::Sender<u64>,
+    dispatcher: Address<Dispatcher>,
+}
+
+/// A follower's question.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RelayQuery {
+    /// The revision that it has, for each topic.
+    pub after: [Option<Revision>; Topic::ALL.len()],
+    /// How long the answer may wait for changes, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// One topic of an answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RelayNews {
+    /// The topic.
+    pub topic: Topic,
+    /// The age of the read that it rests on, in milliseconds.
+    pub age_ms: u64,
+    /// What is new.
+    pub news: News,
+}
+
+/// The answer to a follower.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RelayAnswer {
+    /// The topics that this host knows as well as the follower, or better.
+    pub topics: Vec<RelayNews>,
+}
+
+impl Shelves {
+    /// Returns empty shelves that tell a dispatcher of each change.
+    pub fn new(dispatcher: Address<Dispatcher>) -> Self {
+        Self {
+            shelves: Arc::default(),
+            changed: watch::Sender::new(0),
+            dispatcher,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, [Shelf; Topic::ALL.len()]> {
+        self.shelves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a topic's revision.
+    pub fn revision(&self, topic: Topic) -> Option<Revision> {
+        self.lock()[topic.index()].revision
+    }
+
+    /// Returns the revisions of all topics.
+    pub fn revisions(&self) -> [Option<Revision>; Topic::ALL.len()] {
+        let shelves = self.lock();
+        Topic::ALL.map(|topic| shelves[topic.index()].revision)
+    }
+
+    /// Returns when the read was sent that a topic rests on, and whether another
+    /// host handed it on.
+    pub fn asked(&self, topic: Topic) -> Option<(Asked, bool)> {
+        let shelves = self.lock();
+        let shelf = &shelves[topic.index()];
+        Some((shelf.asked?, shelf.by_relay))
+    }
+
+    /// Takes in what a read of the store brought that was based on revision `base`.
+    pub fn take(&self, topic: Topic, base: Option<Revision>, news: News, asked: Asked) {
+        self.take_from(topic, base, news, asked, false);
+    }
+
+    fn take_from(
+        &self,
+        topic: Topic,
+        base: Option<Revision>,
+        news: News,
+        asked: Asked,
+        by_relay: bool,
+    ) {
+        let mut shelves = self.lock();
+        if !shelves[topic.index()].take(base, &news, asked) {
+            return;
+        }
+        shelves[topic.index()].by_relay = by_relay;
+        let is_change = match &news {
+            News::Whole(_) => true,
+            News::Since(changes) => !changes.changes.is_empty(),
+            News::Outage => false,
+        };
+        // Sent under the lock, so that the dispatcher sees the same order.
+        post(
+            &self.dispatcher,
+            Observed {
+                topic,
+                asked_at: asked.at,
+                suspended: asked.suspended,
+                news,
+            },
+        );
+        if is_change {
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Takes in what another host handed on, in answer to a question that was sent at `sent`.
+    pub fn take_relayed(&self, query: &RelayQuery, answer: RelayAnswer, sent: Asked) {
+        for relayed in answer.topics {
+            let age = Duration::from_millis(relayed.age_ms);
+            let Some(asked) = sent.earlier(age) else {
+                continue;
+            };
+            let base = query.after[relayed.topic.index()];
+            self.take_from(relayed.topic, base, relayed.news, asked, true);
+        }
+    }
+
+    /// Answers a follower, at once where there is something new.
+    pub async fn answer(&self, query: &RelayQuery) -> RelayAnswer {
+        let mut changed = self.changed.subscribe();
+        let end = Instant::now() + Duration::from_millis(query.wait_ms);
+        loop {
+            let (answer, is_new) = self.answer_now(query);
+            if is_new || Instant::now() >= end {
+                return answer;
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep_until(end) => {}
+            }
+        }
+    }
+
+    fn answer_now(&self, query: &RelayQuery) -> (RelayAnswer, bool) {
+        let shelves = self.lock();
+        let mut answer = RelayAnswer::default();
+        let mut is_new = false;
+        for topic in Topic::ALL {
+            let shelf = &shelves[topic.index()];
+            let (Some(news), Some(asked)) = (shelf.since(query.after[topic.index()]), shelf.asked)
+            else {
+                continue;
+            };
+            is_new |= match &news {
+                News::Whole(_) => true,
+                News::Since(changes) => !changes.changes.is_empty(),
+                News::Outage => false,
+            };
+            answer.topics.push(RelayNews {
+                topic,
+                age_ms: u64::try_from(asked.age().as_millis()).unwrap_or(u64::MAX),
+                news,
+            });
+        }
+        (answer, is_new)
+    }
+}
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -55,7 +55,11 @@
         Outgoing,
         registration, //
     },
-    follow::follow,
+    follow::{
+        follow_relay,
+        follow_store,
+        serve_follower, //
+    },
     forward::Gateway,
     message::{
         Heard,
@@ -65,6 +69,7 @@
         Tick, //
     },
     peers::Datagram,
+    relay::Shelves,
     settings::Settings,
     topic::{
         Source,
@@ -128,6 +133,7 @@
     dialect: D,
 ) -> Result<(), ServeError> {
     let settings = Arc::new(settings);
+    let source = Arc::new(source);
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let lookups = bind("look-ups", settings.lookups).await?;
@@ -138,7 +144,9 @@
             address: settings.peers,
             cause,
         })?;
+    let relaying = bind("followers", settings.peers).await?;
     let configuration = Arc::new(ArcSwapOption::empty());
+    let (relay, relay_rx) = watch::channel(None);
     let (outgoing, outgoing_rx) = mpsc::channel(OUTGOING_MAX);
     let incarnation = incarnation();
     let dispatcher = Dispatcher::new(
@@ -146,6 +154,7 @@
         incarnation,
         configuration.clone(),
         outgoing,
+        relay,
         rand::random(),
     );
     let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
@@ -156,10 +165,19 @@
         dialect,
         patience: Mutex::default(),
     });
-    spawn_tasks(&settings, source, &dispatcher, socket, outgoing_rx);
+    let shelves = Shelves::new(dispatcher.clone());
+    for topic in Topic::ALL {
+        tokio::spawn(follow_store(source.clone(), topic, shelves.clone()));
+    }
+    tokio::spawn(follow_relay(relay_rx, shelves.clone()));
+    tokio::spawn(register(source, settings.clone()));
+    spawn_peer_tasks(&dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
     let (_kept, open) = watch::channel(false);
+    tokio::spawn(listener::serve(relaying, open.clone(), move |req, _| {
+        serve_follower(shelves.clone(), req)
+    }));
     for listener in [readiness, lookups] {
         let gw = gw.clone();
         tokio::spawn(listener::serve(listener, open.clone(), move |req, _| {
@@ -198,31 +216,19 @@
     Ok(())
 }
 
-fn spawn_tasks<S: Source>(
-    settings: &Settings,
-    source: S,
+fn spawn_peer_tasks(
     dispatcher: &Address<Dispatcher>,
     socket: UdpSocket,
     outgoing: mpsc::Receiver<Outgoing>,
 ) {
-    let source = Arc::new(source);
     let socket = Arc::new(socket);
-    for topic in [
-        Topic::Configuration,
-        Topic::Upstreams,
-        Topic::Evacuations,
-        Topic::Hosts,
-    ] {
-        tokio::spawn(follow(source.clone(), topic, dispatcher.clone()));
-    }
-    tokio::spawn(register(source, settings.clone()));
     tokio::spawn(send_messages(socket.clone(), outgoing));
     tokio::spawn(receive_messages(socket, dispatcher.clone()));
     tokio::spawn(tick(dispatcher.clone()));
 }
 
 /// Registers this host, again and again until the platform has taken it.
-async fn register<S: Source>(source: Arc<S>, settings: Settings) {
+async fn register<S: Source>(source: Arc<S>, settings: Arc<Settings>) {
     let host = registration(&settings);
     while let Err(cause) = source.register(&host).await {
         log::warn!(event = "register-failed", cause:%; "");
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -57,6 +57,8 @@
     pub store: SocketAddr,
     /// What it is held to.
     pub bounds: Bounds,
+    /// The host's processor, in thousandths of a core.
+    pub millicores: u32,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
 }
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -7,6 +7,10 @@
     time::Duration, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use thiserror::Error;
 
 use super::model::{
@@ -17,7 +21,7 @@
 use crate::util::id::ZoneName;
 
 /// A list of named records that the platform keeps.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Topic {
     /// The configuration in force.
     Configuration,
@@ -29,6 +33,26 @@
     Hosts,
 }
 
+impl Topic {
+    /// All topics, in the order of their indexes.
+    pub const ALL: [Self; 4] = [
+        Self::Configuration,
+        Self::Upstreams,
+        Self::Evacuations,
+        Self::Hosts,
+    ];
+
+    /// Returns the topic's place in [`Topic::ALL`].
+    pub fn index(self) -> usize {
+        match self {
+            Self::Configuration => 0,
+            Self::Upstreams => 1,
+            Self::Evacuations => 2,
+            Self::Hosts => 3,
+        }
+    }
+}
+
 impl fmt::Display for Topic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -41,7 +65,7 @@
 }
 
 /// A record of any topic.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// A configuration.
     Configuration(Arc<Configuration>),
@@ -54,7 +78,7 @@
 }
 
 /// The state of one name; `None` when it was removed or its record cannot be used.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     /// The record's name.
     pub name: String,
@@ -63,11 +87,11 @@
 }
 
 /// The store's revision as of an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
 /// Records of a topic, and the revision up to which they are complete.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes, oldest first.
     pub changes: Vec<Change>,
--- /dev/null
+++ b/tests/edge_placement.rs
@@ -0,0 +1,363 @@
+//! The pattern: a standing load above all slots, of objects that few upstreams know.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use cardamomroad::{
+    edge::{
+        message::Ended,
+        model::{
+            Registration,
+            Standing, //
+        },
+        peers::{
+            RunEvent,
+            RunningMessage, //
+        },
+        placement::{
+            Places,
+            Wish,
+            pick, //
+        },
+        upstreams::{
+            TryEnd,
+            UpstreamKey,
+            Upstreams,
+            key_of, //
+        },
+    },
+    util::id::{
+        Incarnation,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+use tokio::time::Instant;
+
+const KNOWN_WORK: Duration = Duration::from_millis(150);
+const STRANGE_WORK: Duration = Duration::from_millis(500);
+const SLOTS: u32 = 4;
+const ROUTE: u64 = 1;
+
+struct World {
+    now: Instant,
+    upstreams: Upstreams,
+    regions: BTreeMap<ZoneName, RegionName>,
+    evacuated: BTreeSet<ZoneName>,
+}
+
+fn service() -> ServiceName {
+    "dispatch".parse().expect("service")
+}
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().expect("zone")
+}
+
+fn region(name: &str) -> RegionName {
+    name.parse().expect("region")
+}
+
+impl World {
+    /// Two zones of one region with three upstreams each, and one of another region.
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut upstreams = Upstreams::default();
+        for (place, name) in ["north-a", "north-b", "south-a"].iter().enumerate() {
+            for n in 0..3 {
+                let entry = registration(&format!("{name}-{n}"), name, (place * 10 + n) as u16);
+                upstreams.register(now, entry, None);
+            }
+        }
+        let regions = [
+            ("north-a", "north"),
+            ("north-b", "north"),
+            ("south-a", "south"),
+        ];
+        Self {
+            now,
+            upstreams,
+            regions: regions.iter().map(|(z, r)| (zone(z), region(r))).collect(),
+            evacuated: BTreeSet::new(),
+        }
+    }
+
+    /// A world in which the difference between known and strange objects was measured.
+    fn measured() -> Self {
+        let mut world = Self::new();
+        for place in [None, Some(0)] {
+            let held = place.map_or(STRANGE_WORK, |_| KNOWN_WORK);
+            world.answer("north-a-0", place, held);
+            world.answer("north-a-0", place, held);
+        }
+        for id in world.upstreams.ids() {
+            for object in 1000..1010 {
+                world.hear(key_of(&id), 0, 0, RunEvent::Started { object });
+            }
+        }
+        world.now += Duration::from_secs(60);
+        world
+    }
+
+    fn answer(&mut self, id: &str, place: Option<usize>, held: Duration) {
+        let ended = Ended {
+            service: service(),
+            key: key(id),
+            route: ROUTE,
+            place,
+            end: TryEnd::Whole,
+            held,
+            load: None,
+        };
+        self.upstreams.finished(self.now, &ended, |_| true);
+    }
+
+    fn hear(&mut self, upstream: UpstreamKey, change: i64, running: u32, event: RunEvent) {
+        let msg = RunningMessage {
+            host: "other".parse().expect("host"),
+            incarnation: Incarnation(1),
+            sequence: 1,
+            upstream,
+            running,
+            event,
+        };
+        self.upstreams.hear(self.now, change, &msg);
+    }
+
+    fn pick(&self, object: u64, late: bool) -> Option<UpstreamKey> {
+        self.pick_in("north", object, late)
+    }
+
+    fn pick_in(&self, wished: &str, object: u64, late: bool) -> Option<UpstreamKey> {
+        let home = zone("north-a");
+        let places = Places {
+            zone: &home,
+            regions: &self.regions,
+            evacuated: &self.evacuated,
+        };
+        let wished = region(wished);
+        let wish = Wish {
+            object,
+            route: ROUTE,
+            bytes: 0,
+            region: &wished,
+            tried: &[],
+            late,
+        };
+        let pool = self.upstreams.pool(&service()).expect("pool");
+        pick(pool, places, &wish, self.now)
+    }
+
+    fn fill(&mut self, upstream: UpstreamKey) {
+        self.hear(upstream, i64::from(SLOTS), SLOTS, RunEvent::Unanswered);
+    }
+}
+
+fn registration(id: &str, zone_name: &str, port: u16) -> Registration {
+    Registration {
+        id: id.parse().expect("id"),
+        service: service(),
+        address: ([127, 0, 0, 1], 9000 + port).into(),
+        zone: zone(zone_name),
+        slots: SLOTS,
+        standing: Standing::Ready,
+        cold_for: Duration::ZERO,
+        born: Some(1),
+    }
+}
+
+fn key(id: &str) -> UpstreamKey {
+    key_of(&id.parse().expect("id"))
+}
+
+#[test]
+fn an_object_goes_to_the_upstream_that_knows_it() {
+    let mut world = World::measured();
+    for id in ["north-a-0", "north-a-1", "north-a-2"] {
+        world.hear(key(id), 0, 0, RunEvent::Started { object: 77 });
+        assert_eq!(world.pick(77, false), Some(key(id)), "{id} handled it last");
+        let forget = World::measured();
+        world = forget;
+    }
+}
+
+#[test]
+fn a_request_waits_for_a_busy_upstream_that_knows_its_object() {
+    let mut world = World::measured();
+    let knows = key("north-a-1");
+    world.hear(knows, 0, 0, RunEvent::Started { object: 77 });
+    world.fill(knows);
+    assert_eq!(world.pick(77, false), None, "a strange upstream is free");
+    let late = world.pick(77, true);
+    assert!(
+        late.is_some_and(|k| k != knows),
+        "one that waited too long takes any home"
+    );
+}
+
+#[test]
+fn a_slow_upstream_loses_its_objects() {
+    let mut world = World::measured();
+    let slow = key("north-a-1");
+    world.hear(slow, 0, 0, RunEvent::Started { object: 77 });
+    for _ in 0..12 {
+        world.hear(slow, 0, 0, RunEvent::Answered { slowness: 6.0 });
+    }
+    assert!(world.pick(77, false).is_some_and(|k| k != slow));
+}
+
+#[test]
+fn full_upstreams_get_nothing() {
+    let mut world = World::measured();
+    for id in world.upstreams.ids() {
+        world.fill(key_of(&id));
+    }
+    for object in 0..50 {
+        assert_eq!(world.pick(object, true), None);
+    }
+}
+
+#[test]
+fn an_evacuated_zone_gets_nothing() {
+    let mut world = World::measured();
+    world.evacuated.insert(zone("north-a"));
+    let own = ["north-a-0", "north-a-1", "north-a-2"].map(key);
+    for object in 0..50 {
+        let picked = world.pick(object, true).expect("the other zone is free");
+        assert!(!own.contains(&picked));
+    }
+}
+
+#[test]
+fn a_draining_upstream_gets_nothing() {
+    let mut world = World::measured();
+    for id in [
+        "north-a-0",
+        "north-a-1",
+        "north-a-2",
+        "north-b-0",
+        "north-b-1",
+    ] {
+        let mut entry = registration(id, &id[..7], 1);
+        entry.standing = Standing::Draining;
+        world.upstreams.register(world.now, entry, None);
+    }
+    for object in 0..50 {
+        assert_eq!(world.pick(object, true), Some(key("north-b-2")));
+    }
+}
+
+/// Hosts of other regions do not hear what runs there, and must guess the same home.
+#[test]
+fn hosts_of_other_regions_go_to_the_home_that_is_filled_first() {
+    for object in 0..100 {
+        let world = World::measured();
+        let inside = {
+            let home = zone("south-a");
+            let places = Places {
+                zone: &home,
+                regions: &world.regions,
+                evacuated: &world.evacuated,
+            };
+            let wished = region("south");
+            let wish = Wish {
+                object,
+                route: ROUTE,
+                bytes: 0,
+                region: &wished,
+                tried: &[],
+                late: false,
+            };
+            let pool = world.upstreams.pool(&service()).expect("pool");
+            pick(pool, places, &wish, world.now)
+        };
+        assert_eq!(world.pick_in("south", object, false), inside);
+    }
+}
+
+/// A cold upstream is paced by the hosts of its zone, and gets nothing from others.
+#[test]
+fn a_cold_upstream_gets_no_more_than_it_bears() {
+    const COLD_RATE: f64 = 7.0;
+    let mut world = World::new();
+    for id in world.upstreams.ids() {
+        let mut entry = registration(id.as_str(), &id.as_str()[..7], 1);
+        entry.cold_for = Duration::from_secs(3);
+        world.upstreams.register(world.now, entry, None);
+    }
+    let mut sent: HashMap<UpstreamKey, usize> = HashMap::new();
+    let end = world.now + Duration::from_secs(1);
+    while world.now < end {
+        for object in 0..20 {
+            let Some(picked) = world.pick(object, true) else {
+                continue;
+            };
+            let cold = Some((COLD_RATE, 2));
+            world
+                .upstreams
+                .started(world.now, &service(), picked, object, cold);
+            world.upstreams.finished(
+                world.now,
+                &Ended {
+                    service: service(),
+                    key: picked,
+                    route: ROUTE,
+                    place: None,
+                    end: TryEnd::Abandoned,
+                    held: Duration::ZERO,
+                    load: None,
+                },
+                |_| true,
+            );
+            *sent.entry(picked).or_default() += 1;
+        }
+        world.now += Duration::from_millis(5);
+    }
+    assert!(!sent.is_empty());
+    for (upstream, sent) in sent {
+        // Two hosts share the zone, and a window may hold one request more than its rate.
+        let most = (COLD_RATE / 2.0) as usize + 1;
+        assert!(sent <= most, "{sent} of {most} to {upstream}");
+    }
+}
+
+/// Objects of a steady load are each known by few upstreams.
+#[test]
+fn objects_stay_with_few_upstreams() {
+    let mut world = World::measured();
+    let mut knowers: HashMap<u64, BTreeSet<UpstreamKey>> = HashMap::new();
+    for turn in 0..2000_u64 {
+        let object = turn * 7 % 40;
+        let picked = world.pick(object, false).expect("free slots");
+        let place = world
+            .upstreams
+            .started(world.now, &service(), picked, object, None);
+        knowers.entry(object).or_default().insert(picked);
+        let held = place.map_or(STRANGE_WORK, |_| KNOWN_WORK);
+        let ended = Ended {
+            service: service(),
+            key: picked,
+            route: ROUTE,
+            place,
+            end: TryEnd::Whole,
+            held,
+            load: None,
+        };
+        world.upstreams.finished(world.now, &ended, |_| true);
+        world.now += Duration::from_millis(10);
+    }
+    for (object, knowers) in knowers {
+        assert!(
+            knowers.len() <= 3,
+            "object {object} is known by {}",
+            knowers.len()
+        );
+    }
+}
--- /dev/null
+++ b/tests/edge_quota.rs
@@ -0,0 +1,207 @@
+//! Hosts that share a rate never let more through than it allows.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration,
+};
+
+use cardamomroad::{
+    edge::{
+        model::Rate,
+        quota::{
+            Debit,
+            Quotas,
+            Sharers, //
+        },
+    },
+    util::id::{
+        HostName,
+        OrganisationName,
+        ZoneName, //
+    },
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::time::Instant;
+
+const HOSTS: usize = 11;
+const RATE: Rate = Rate {
+    per_second: 100.0,
+    burst: 100.0,
+};
+/// Over any window the promise is rate x window + burst.
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn organisation() -> OrganisationName {
+    "stations".parse().expect("organisation")
+}
+
+fn host(n: usize) -> HostName {
+    format!("host-{n}").parse().expect("host")
+}
+
+/// Returns the hosts by zone, two in each zone but for the last one.
+fn zones() -> BTreeMap<ZoneName, Vec<HostName>> {
+    let mut zones: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
+    for n in 0..HOSTS {
+        let zone = format!("zone-{}", n / 2).parse().expect("zone");
+        zones.entry(zone).or_default().push(host(n));
+    }
+    zones
+}
+
+fn fleet(now: Instant) -> Vec<Quotas> {
+    let mut hosts = Vec::new();
+    for n in 0..HOSTS {
+        let mut quotas = Quotas::default();
+        quotas.configure(now, [(&organisation(), Some(RATE))].into_iter());
+        let sharers = Sharers {
+            host: Some(host(n)),
+            zone: Some(format!("zone-{}", n / 2).parse().expect("zone")),
+            zones: zones(),
+        };
+        quotas.set_sharers(now, sharers);
+        hosts.push(quotas);
+    }
+    hosts
+}
+
+/// Runs a load for 20 s; returns the instants of what ran, in milliseconds, and
+/// how many were refused. A message is lost with probability `loss`.
+fn run(arrive: impl Fn(u64, &mut SmallRng) -> Vec<usize>, loss: f64) -> (Vec<u64>, usize) {
+    let t0 = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut hosts = fleet(t0);
+    let (mut ran, mut refused) = (Vec::new(), 0);
+    for ms in 0..20_000 {
+        let now = t0 + Duration::from_millis(ms);
+        let mut waiting = vec![0; HOSTS];
+        for host in arrive(ms, &mut rng) {
+            hosts[host].arrived(now, &organisation());
+            match hosts[host].debit(now, &organisation()) {
+                Debit::Paid => ran.push(ms),
+                Debit::Short | Debit::Spent => waiting[host] += 1,
+            }
+        }
+        for i in 0..HOSTS {
+            let unpaid = HashMap::from([(organisation(), waiting[i])]);
+            for want in hosts[i].asks(now, &unpaid) {
+                for lenders in [&want.near, &want.far] {
+                    let Some(lender) = lenders.first() else {
+                        continue;
+                    };
+                    if rng.random::<f64>() < loss {
+                        continue;
+                    }
+                    let lender = (0..HOSTS).find(|n| host(*n) == *lender).expect("a host");
+                    let granted = hosts[lender].lend(now, &want.organisation, want.amount);
+                    if rng.random::<f64>() >= loss {
+                        hosts[i].deposit(now, &want.organisation, granted);
+                    }
+                }
+            }
+            // What waited has one more chance.
+            for _ in 0..waiting[i] {
+                match hosts[i].debit(now, &organisation()) {
+                    Debit::Paid => ran.push(ms),
+                    Debit::Short | Debit::Spent => refused += 1,
+                }
+            }
+        }
+    }
+    (ran, refused)
+}
+
+fn most_in_a_window(ran: &[u64]) -> usize {
+    let window = WINDOW.as_millis() as u64;
+    let count = |start: &u64| {
+        ran.iter()
+            .filter(|t| (*start..start + window).contains(*t))
+            .count()
+    };
+    ran.iter().map(count).max().unwrap_or(0)
+}
+
+fn allowed() -> usize {
+    (RATE.per_second * WINDOW.as_secs_f64() + RATE.burst) as usize
+}
+
+/// One organisation sends eight times its rate through every host.
+#[test]
+fn a_flood_through_all_hosts_stays_within_the_rate() {
+    let (ran, _) = run(|ms, _| (0..HOSTS).filter(|_| ms % 13 == 0).collect(), 0.0);
+    let most = most_in_a_window(&ran);
+    assert!(
+        most <= allowed(),
+        "{most} ran in a window, {} allowed",
+        allowed()
+    );
+    assert!(most >= allowed() / 2, "only {most} ran in a window");
+}
+
+#[test]
+fn lost_messages_never_add_tokens() {
+    let (ran, _) = run(|ms, _| (0..HOSTS).filter(|_| ms % 13 == 0).collect(), 0.4);
+    let most = most_in_a_window(&ran);
+    assert!(most <= allowed(), "{most} ran in a window");
+}
+
+/// Nine tenths of the rate come to one of eleven hosts: an even split alone
+/// would refuse nine in ten.
+#[test]
+fn callers_of_one_host_get_their_rate_by_loans() {
+    let (ran, refused) = run(
+        |ms, _| match ms % 11 == 0 && ms > 2000 {
+            true => vec![3],
+            false => Vec::new(),
+        },
+        0.0,
+    );
+    let all = ran.len() + refused;
+    assert!(
+        refused * 20 <= all,
+        "{refused} of {all} were refused inside the rate"
+    );
+}
+
+fn alone() -> Sharers {
+    let zone: ZoneName = "zone-0".parse().expect("zone");
+    Sharers {
+        host: Some(host(0)),
+        zone: Some(zone.clone()),
+        zones: BTreeMap::from([(zone, vec![host(0)])]),
+    }
+}
+
+#[test]
+fn the_token_of_a_request_that_did_not_run_comes_back() {
+    let t0 = Instant::now();
+    let mut quotas = Quotas::default();
+    quotas.set_sharers(t0, alone());
+    let rate = Rate {
+        per_second: 1.0,
+        burst: 1.0,
+    };
+    quotas.configure(t0, [(&organisation(), Some(rate))].into_iter());
+    let t1 = t0 + Duration::from_secs(1);
+    assert_eq!(quotas.debit(t1, &organisation()), Debit::Paid);
+    assert_ne!(quotas.debit(t1, &organisation()), Debit::Paid);
+    quotas.refund(t1, &organisation());
+    assert_eq!(quotas.debit(t1, &organisation()), Debit::Paid);
+}
+
+/// A host that does not know the others yet has no part of any rate.
+#[test]
+fn before_the_other_hosts_are_known_nothing_may_run() {
+    let t0 = Instant::now();
+    let mut quotas = Quotas::default();
+    quotas.configure(t0, [(&organisation(), Some(RATE))].into_iter());
+    let later = t0 + Duration::from_secs(10);
+    assert_ne!(quotas.debit(later, &organisation()), Debit::Paid);
+}
--- /dev/null
+++ b/tests/edge_spill.rs
@@ -0,0 +1,124 @@
+//! The pattern: one region has a sixth of the slots that its callers ask for.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use cardamomroad::{
+    edge::spill::{
+        RegionLoad,
+        Shares,
+        SlowShares,
+        shares, //
+    },
+    util::id::RegionName,
+};
+use tokio::time::Instant;
+
+/// The promise of the settings: the part of a region's requests that may change region in a window.
+const MOVED_MAX: f64 = 0.15;
+const WINDOW: Duration = Duration::from_secs(2);
+
+fn region(name: &str) -> RegionName {
+    name.parse().expect("region")
+}
+
+fn loads(of: &[(&str, f64, f64)]) -> BTreeMap<RegionName, RegionLoad> {
+    let load = |&(name, slots, demand)| (region(name), RegionLoad { slots, demand });
+    of.iter().map(load).collect()
+}
+
+/// Returns the demand that meets each region's slots, in parts of them.
+fn fills(loads: &BTreeMap<RegionName, RegionLoad>) -> Vec<f64> {
+    let mut met: BTreeMap<&RegionName, f64> = BTreeMap::new();
+    for (home, load) in loads {
+        for (to, part) in shares(home, loads) {
+            let (to, _) = loads.get_key_value(&to).expect("known region");
+            *met.entry(to).or_default() += part * load.demand;
+        }
+    }
+    loads.iter().map(|(r, l)| met[r] / l.slots).collect()
+}
+
+#[test]
+fn under_overload_all_regions_are_loaded_alike() {
+    let loads = loads(&[
+        ("north", 48.0, 52.0),
+        ("middle", 56.0, 52.0),
+        ("south", 8.0, 52.0),
+    ]);
+    let fills = fills(&loads);
+    let mean = 156.0 / 112.0;
+    for fill in fills {
+        assert!((fill - mean).abs() < 0.01, "{fill} against {mean}");
+    }
+}
+
+#[test]
+fn with_room_to_spare_a_region_serves_its_own_callers() {
+    let loads = loads(&[("north", 48.0, 20.0), ("south", 48.0, 30.0)]);
+    assert_eq!(
+        shares(&region("south"), &loads),
+        Shares::from([(region("south"), 1.0)])
+    );
+}
+
+#[test]
+fn a_region_without_slots_sends_all_away() {
+    let loads = loads(&[("north", 48.0, 20.0), ("south", 0.0, 10.0)]);
+    let shares = shares(&region("south"), &loads);
+    assert!(shares[&region("north")] > 0.999, "{shares:?}");
+}
+
+#[test]
+fn shares_add_up_to_one_whatever_the_loads() {
+    for seed in 0..200_u32 {
+        let number = |i: u32| f64::from((seed * 7919 + i * 104_729) % 100);
+        let loads = loads(&[
+            ("a", number(1), number(2)),
+            ("b", number(3), number(4)),
+            ("c", number(5), number(6)),
+        ]);
+        for home in loads.keys() {
+            let shares = shares(home, &loads);
+            let sum: f64 = shares.values().sum();
+            assert!((sum - 1.0).abs() < 1e-9, "{shares:?} for {loads:?}");
+            assert!(shares.values().all(|p| *p >= -1e-9), "{shares:?}");
+        }
+    }
+}
+
+/// The region's own slots vanish at once; its requests move no faster than allowed.
+#[test]
+fn shares_follow_a_jump_no_faster_than_allowed() {
+    let t0 = Instant::now();
+    let home = region("south");
+    let mut slow = SlowShares::new(&home, MOVED_MAX, WINDOW);
+    slow.follow(t0, &Shares::from([(home.clone(), 1.0)]));
+    let away = Shares::from([(region("north"), 1.0)]);
+    let mut before = 1.0;
+    for window in 1..=20_u32 {
+        for step in 0..8 {
+            slow.follow(t0 + WINDOW * (window - 1) + WINDOW / 8 * (step + 1), &away);
+        }
+        let now = slow.shares().get(&home).copied().unwrap_or(0.0);
+        assert!(
+            before - now <= MOVED_MAX + 1e-9,
+            "window {window}: {before} to {now}"
+        );
+        before = now;
+    }
+    assert!(before < 1e-9, "{before} is still at home");
+}
+
+#[test]
+fn points_follow_the_shares() {
+    let home = region("south");
+    let mut slow = SlowShares::new(&home, MOVED_MAX, WINDOW);
+    let target = Shares::from([(home.clone(), 0.25), (region("north"), 0.75)]);
+    slow.follow(Instant::now(), &target);
+    let points = (0..1000).map(|i| f64::from(i) / 1000.0);
+    let stay = points.filter(|p| slow.region_at(&home, *p) == home).count();
+    assert_eq!(stay, 250);
+}
