--- a/src/connection.rs
+++ b/src/connection.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc,
@@ -208,6 +209,12 @@
     }
 }
 
+/// Returns whether nothing listens at an address: the other side refuses a connection.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender, String> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -38,7 +38,9 @@
         Freshness,
         suspended, //
     },
+    lines::LineBudget,
     message::{
+        Crashed,
         Ended,
         Heard,
         IsFresh,
@@ -51,11 +53,17 @@
         Placed,
         Refund,
         Refused,
+        Reload,
         Submit,
         Tick,
         Verdict,
         Why, //
     },
+    metrics::{
+        EdgeMetrics,
+        PlaceLabels,
+        TryLabels, //
+    },
     model::{
         Configuration,
         HostRegistration, //
@@ -100,6 +108,7 @@
     },
 };
 use crate::{
+    quarantine::Quarantine,
     retry::{
         Budget,
         DrainMeter, //
@@ -125,6 +134,10 @@
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// The time between two looks at the shares of the regions.
 const SHARES_INTERVAL: Duration = Duration::from_millis(250);
+/// When a caller comes back whose request crashes upstreams.
+const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
+/// Suspect requests that one message tells of.
+const SUSPECTS_TOLD: usize = 8;
 /// The part of [`super::settings::Bounds::shift`] that the shares use; the rest is for chance.
 const SHIFT_PART: f64 = 0.6;
 /// The part of the retry bounds that the hosts use; the rest is for chance.
@@ -174,6 +187,10 @@
     seen: BTreeMap<&'static str, bool>,
     outgoing: mpsc::Sender<Outgoing>,
     relay: watch::Sender<Option<SocketAddr>>,
+    quarantine: Quarantine,
+    metrics: Arc<EdgeMetrics>,
+    placed_lines: LineBudget,
+    rate_lines: LineBudget,
     sequence: u64,
     rounds: u32,
     spoke: Option<Instant>,
@@ -198,11 +215,11 @@
         configuration: Arc<ArcSwapOption<Configuration>>,
         outgoing: mpsc::Sender<Outgoing>,
         relay: watch::Sender<Option<SocketAddr>>,
+        metrics: Arc<EdgeMetrics>,
         seed: u64,
     ) -> Self {
         Self {
             freshness: Freshness::new(settings.bounds.revocation),
-            settings,
             incarnation,
             me: None,
             configuration,
@@ -217,12 +234,17 @@
             seen: BTreeMap::new(),
             outgoing,
             relay,
+            quarantine: Quarantine::new(&settings.host, incarnation),
+            metrics,
+            placed_lines: LineBudget::default(),
+            rate_lines: LineBudget::default(),
             sequence: 0,
             rounds: 0,
             spoke: None,
             shared: None,
             hosts_known: false,
             leaving: false,
+            settings,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -403,6 +425,11 @@
     fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
         let mut paid = true;
+        if self.quarantine.is_refused(now, job.suspect) {
+            self.refund_later_try(now, &job);
+            answer(reply, self.quarantined());
+            return;
+        }
         if job.tried.is_empty() {
             if let Some(organisation) = &job.organisation {
                 self.quotas.arrived(now, organisation);
@@ -501,13 +528,15 @@
             Debit::Paid => waiting.paid = true,
             Debit::Short if now < patience => {}
             Debit::Short | Debit::Spent => {
-                log::info!(
-                    event = "rate-used-up",
-                    id:% = waiting.job.id,
-                    organisation:%,
-                    share:% = self.quotas.describe(organisation);
-                    ""
-                );
+                if self.rate_lines.allows("rate-used-up") {
+                    log::info!(
+                        event = "rate-used-up",
+                        id:% = waiting.job.id,
+                        organisation:%,
+                        share:% = self.quotas.describe(organisation);
+                        ""
+                    );
+                }
                 let verdict = self.refused(Why::Rate);
                 answer(waiting.reply, verdict);
                 return None;
@@ -542,20 +571,7 @@
         let me = self.me.clone();
         let u = self.upstreams.get_mut(&job.service, key)?;
         let (address, id) = (u.entry.address, u.entry.id.clone());
-        log::info!(
-            event = "placed",
-            id:% = job.id,
-            upstream:% = id,
-            key = u.key,
-            zone:% = u.entry.zone,
-            running = u.running,
-            load = u.load(now),
-            others = u.others,
-            object = job.object % 1000,
-            place:?,
-            waited_ms = now.saturating_duration_since(job.received).as_millis() as u64;
-            ""
-        );
+        self.note_placed(now, job, &id, key, place);
         let ended = Ended {
             service: job.service.clone(),
             key,
@@ -568,6 +584,46 @@
         Some(Placed::new(address, id, ended, me))
     }
 
+    /// Logs and counts where a request goes, and from what that was decided.
+    fn note_placed(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        id: &UpstreamId,
+        key: UpstreamKey,
+        place: Option<usize>,
+    ) {
+        let Some(u) = self.upstreams.get_mut(&job.service, key) else {
+            return;
+        };
+        let (zone, load, slots) = (u.entry.zone.clone(), u.load(now), u.entry.slots);
+        let waited = now.saturating_duration_since(job.received);
+        self.metrics.waiting.observe(waited.as_secs_f64());
+        let labels = PlaceLabels {
+            place: match () {
+                () if zone == self.settings.zone => "zone",
+                () if self.settings.region_of(&zone) == Some(&self.settings.region) => "region",
+                () => "other-region",
+            },
+            object: if place.is_some() { "known" } else { "strange" },
+        };
+        self.metrics.placed.get_or_create(&labels).inc();
+        if self.placed_lines.allows("placed") {
+            log::info!(
+                event = "placed",
+                id:% = job.id,
+                upstream:% = id,
+                zone:%,
+                load,
+                slots,
+                object_place:? = place,
+                lost_ms = job.lost.as_millis() as u64,
+                waited_ms = waited.as_millis() as u64;
+                ""
+            );
+        }
+    }
+
     fn refund(&mut self, now: Instant, job: &Job) {
         if let (Some(organisation), false) = (&job.organisation, job.may_have_run) {
             self.quotas.refund(now, organisation);
@@ -582,6 +638,20 @@
         })
     }
 
+    /// Gives the token of a request back that was tried before and is not sent again.
+    fn refund_later_try(&mut self, now: Instant, job: &Job) {
+        if !job.tried.is_empty() {
+            self.refund(now, job);
+        }
+    }
+
+    fn quarantined(&self) -> Verdict {
+        Verdict::Refused(Refused {
+            why: Why::Quarantine,
+            after: QUARANTINE_RETURN,
+        })
+    }
+
     /// Gives waiting requests another chance, the most urgent ones first.
     fn drain_queue(&mut self, now: Instant) {
         if self.queue.is_empty() {
@@ -618,6 +688,7 @@
         for (organisation, granted) in &msg.grants {
             self.quotas.deposit(now, organisation, *granted);
         }
+        self.quarantine.merge(now, &msg.suspects);
         self.lend(now, &msg);
         self.upstreams.set_others(&self.peers.running());
         self.drain_queue(now);
@@ -695,6 +766,7 @@
                 .collect(),
             wants: Vec::new(),
             grants: Vec::new(),
+            suspects: self.quarantine.entries(now, SUSPECTS_TOLD),
         }
     }
 
@@ -797,6 +869,7 @@
         let was_fresh = self.freshness.holds(now);
         self.freshness.observe(suspended());
         self.note_freshness(was_fresh, self.freshness.holds(now));
+        self.set_gauges(now);
         if self.peers.expire(now) {
             self.upstreams.set_others(&self.peers.running());
         }
@@ -817,6 +890,24 @@
         self.drain_queue(now);
     }
 
+    fn set_gauges(&self, now: Instant) {
+        let age = self.freshness.age(now).unwrap_or(Duration::MAX);
+        let number = |n: u128| i64::try_from(n).unwrap_or(i64::MAX);
+        self.metrics.key_age.set(number(age.as_millis()));
+        self.metrics
+            .hosts
+            .set(number(self.peers.live_count() as u128));
+        let upstreams = self.upstreams.pools().map(|(_, p)| p.upstreams.len());
+        self.metrics
+            .upstreams
+            .set(number(upstreams.sum::<usize>() as u128));
+        if let Some(cfg) = self.configuration.load().as_ref() {
+            self.metrics
+                .configuration
+                .set(number(u128::from(cfg.version.0)));
+        }
+    }
+
     /// Chooses the host that reads the store for this zone.
     fn choose_relay(&mut self, now: Instant) {
         let own = registration(&self.settings);
@@ -910,6 +1001,12 @@
             Some(slowness) => RunEvent::Answered { slowness },
             None => RunEvent::Unanswered,
         };
+        self.metrics
+            .tries
+            .get_or_create(&TryLabels {
+                end: msg.end.as_str(),
+            })
+            .inc();
         self.announce(&msg.service, msg.key, event);
         if msg.end == TryEnd::Misdirected {
             log::info!(event = "upstream-replaced", key = msg.key; "");
@@ -918,6 +1015,30 @@
     }
 }
 
+impl Handler<Crashed> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Crashed, _: &mut Context<Self>) {
+        let now = Instant::now();
+        log::warn!(
+            event = "upstream-crashed",
+            upstream:% = msg.upstream,
+            suspect:% = msg.suspect;
+            ""
+        );
+        self.quarantine.on_death(now, msg.upstream, &[msg.suspect]);
+    }
+}
+
+impl Handler<Reload> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: Reload, _: &mut Context<Self>) {
+        self.freshness.set_bound(msg.settings.bounds.revocation);
+        self.settings = msg.settings;
+    }
+}
+
 impl Handler<Refund> for Dispatcher {
     type Return = ();
 
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -28,6 +28,10 @@
 
 use super::{
     message::News,
+    metrics::{
+        EdgeMetrics,
+        ReadLabels, //
+    },
     relay::{
         Asked,
         RelayAnswer,
@@ -89,7 +93,12 @@
 }
 
 /// Follows a topic at the store, while no relay does.
-pub async fn follow_store<S: Source>(source: Arc<S>, topic: Topic, shelves: Shelves) {
+pub async fn follow_store<S: Source>(
+    source: Arc<S>,
+    topic: Topic,
+    shelves: Shelves,
+    metrics: Arc<EdgeMetrics>,
+) {
     let pace = pace(topic);
     let mut pause = PAUSE_MIN;
     let mut lost = false;
@@ -112,6 +121,7 @@
                 .await
                 .map(News::Since),
         };
+        note_read(&metrics, "store", result.is_ok());
         match result {
             Ok(news) => {
                 // A new list replaces whatever is known by now.
@@ -135,6 +145,14 @@
     }
 }
 
+fn note_read(metrics: &EdgeMetrics, from: &'static str, is_ok: bool) {
+    let outcome = if is_ok { "ok" } else { "failed" };
+    metrics
+        .reads
+        .get_or_create(&ReadLabels { from, outcome })
+        .inc();
+}
+
 /// Returns until when a topic needs no reading, since a relay told it lately.
 fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace) -> Option<Instant> {
     let (asked, by_relay) = shelves.asked(topic)?;
@@ -160,7 +178,11 @@
 }
 
 /// Follows all topics at the zone's relay, while there is one.
-pub async fn follow_relay(mut relay: watch::Receiver<Option<SocketAddr>>, shelves: Shelves) {
+pub async fn follow_relay(
+    mut relay: watch::Receiver<Option<SocketAddr>>,
+    shelves: Shelves,
+    metrics: Arc<EdgeMetrics>,
+) {
     let connections = Connections::new();
     loop {
         let address = *relay.borrow_and_update();
@@ -180,7 +202,9 @@
             ask(&connections, address, &query),
         )
         .await;
-        match asked.unwrap_or(Err(RelayError::TimedOut)) {
+        let answer = asked.unwrap_or(Err(RelayError::TimedOut));
+        note_read(&metrics, "relay", answer.is_ok());
+        match answer {
             Ok(answer) => shelves.take_relayed(&query, answer, sent),
             Err(cause) => {
                 log::info!(event = "relay-silent", relay:% = address, cause:%; "");
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -33,6 +33,7 @@
     sync::oneshot,
     time::{
         Instant,
+        sleep,
         timeout_at, //
     },
 };
@@ -51,7 +52,9 @@
         UpstreamHead, //
     },
     dispatcher::Dispatcher,
+    lines::LineBudget,
     message::{
+        Crashed,
         IsFresh,
         Job,
         Placed,
@@ -61,6 +64,7 @@
         Verdict,
         Why, //
     },
+    metrics::EdgeMetrics,
     model::{
         Configuration,
         Regions,
@@ -80,6 +84,7 @@
         full, //
     },
     connection::{
+        self,
         ConnectionLease,
         Connections,
         SendError, //
@@ -89,6 +94,10 @@
         remove_hop_by_hop, //
     },
     post::post,
+    quarantine::{
+        BODY_PREFIX_BYTES,
+        Suspect, //
+    },
 };
 
 /// How long after the deadline an upstream's answer is still waited for; it may
@@ -102,6 +111,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
 /// The shortest time in which an upstream can answer at all.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(20);
+/// How long after a lost answer an upstream is looked at; a crash closes its port at once.
+const CRASH_PAUSE: Duration = Duration::from_millis(5);
 /// When a caller comes back whose request found no usable upstream.
 const BUSY_RETRY: Duration = Duration::from_millis(300);
 
@@ -117,6 +128,12 @@
     pub dialect: D,
     /// The longest patience that callers showed, by route.
     pub patience: Mutex<HashMap<Bytes, Duration>>,
+    /// Counters.
+    pub metrics: Arc<EdgeMetrics>,
+    /// Bounds the lines of answered requests.
+    pub answered_lines: LineBudget,
+    /// Bounds the lines of all other requests.
+    pub ended_lines: LineBudget,
 }
 
 /// A request whose head and body were read.
@@ -145,6 +162,7 @@
     /// Answers a caller's request.
     pub async fn serve(&self, req: Request<Incoming>) -> Response<ProxyBody> {
         let received = Instant::now();
+        let _serving = Serving::new(&self.metrics);
         let (mut parts, body) = req.into_parts();
         let head = self.dialect.take_caller_head(&mut parts);
         let id = head.id.clone().unwrap_or_default();
@@ -152,27 +170,36 @@
             Ok(mut call) => self.run(&mut call).await,
             Err(ending) => Err(ending),
         };
-        let held_ms = received.elapsed().as_millis() as u64;
+        let held = received.elapsed();
+        let held_ms = held.as_millis() as u64;
         match result {
             Ok(res) => {
-                log::info!(
-                    event = "request-answered",
-                    id:% = String::from_utf8_lossy(&id),
-                    status = res.status().as_u16(),
-                    held_ms;
-                    ""
-                );
+                let status = res.status().as_u16();
+                self.metrics.answered(status, held);
+                if self.answered_lines.allows("request-answered") {
+                    log::info!(
+                        event = "request-answered",
+                        id:% = String::from_utf8_lossy(&id),
+                        status,
+                        held_ms;
+                        ""
+                    );
+                }
                 res
             }
             Err(ending) => {
-                log::info!(
-                    event = "request-ended",
-                    id:% = String::from_utf8_lossy(&id),
-                    why = ending.as_str(),
-                    status = ending.status().as_u16(),
-                    held_ms;
-                    ""
-                );
+                let status = ending.status().as_u16();
+                self.metrics.ended(ending.as_str(), status);
+                if self.ended_lines.allows("request-ended") {
+                    log::info!(
+                        event = "request-ended",
+                        id:% = String::from_utf8_lossy(&id),
+                        why = ending.as_str(),
+                        status,
+                        held_ms;
+                        ""
+                    );
+                }
                 ending.response(&self.dialect)
             }
         }
@@ -204,6 +231,7 @@
         let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
         let body = read_body(body, cfg.limits.body_bytes, deadline).await?;
         job.bytes = body.len() as u64;
+        job.suspect = suspect(&job, &parts, &body);
         Ok(Call {
             parts,
             id,
@@ -307,6 +335,7 @@
                     ""
                 );
                 placed.ended(TryEnd::Lost);
+                self.look_for_crash(&placed, call.job.suspect);
                 return Tried::Lost;
             }
             Err(_) => {
@@ -336,6 +365,17 @@
             .await
     }
 
+    /// Finds out whether an upstream that lost a request has ended with it.
+    fn look_for_crash(&self, placed: &Placed, suspect: Suspect) {
+        let (dispatcher, upstream) = (self.dispatcher.clone(), placed.address);
+        tokio::spawn(async move {
+            sleep(CRASH_PAUSE).await;
+            if connection::is_refused(upstream).await {
+                post(&dispatcher, Crashed { upstream, suspect });
+            }
+        });
+    }
+
     /// Reads an answer and hands it on.
     async fn receive(
         &self,
@@ -375,6 +415,22 @@
     }
 }
 
+/// Counts a request as being served until it is dropped.
+struct Serving<'a>(&'a EdgeMetrics);
+
+impl<'a> Serving<'a> {
+    fn new(metrics: &'a EdgeMetrics) -> Self {
+        metrics.in_flight.inc();
+        Self(metrics)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.dec();
+    }
+}
+
 fn route<'a>(
     cfg: &'a Configuration,
     parts: &request::Parts,
@@ -425,6 +481,7 @@
         object,
         regions,
         received,
+        suspect: Suspect(0),
         lost: Duration::ZERO,
         aim: route.aim,
         deadline,
@@ -433,6 +490,19 @@
     })
 }
 
+/// Returns what identifies a request that is sent again.
+fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
+    let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
+    let prefix = &body[..body.len().min(BODY_PREFIX_BYTES)];
+    Suspect::of(
+        job.organisation.as_ref(),
+        parts.method.as_str(),
+        target,
+        Some(body.len() as u64),
+        prefix,
+    )
+}
+
 /// Returns the regions that both lists allow, where there are any; an empty list allows all.
 fn common_regions(route: &Regions, organisation: &Regions) -> Option<Regions> {
     if route.is_empty() || organisation.is_empty() {
--- a/src/edge/freshness.rs
+++ b/src/edge/freshness.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Changes how long a withdrawn key may still be used.
+    pub fn set_bound(&mut self, bound: Duration) {
+        self.bound = bound;
+    }
+
     /// Returns how old the proof is.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|at| now.saturating_duration_since(at))
--- /dev/null
+++ b/src/edge/lines.rs
@@ -0,0 +1,52 @@
+//! A bound on the lines that requests write.
+
+use std::{
+    sync::Mutex,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+
+/// Lines of one kind that are written in a second.
+const LINES_PER_SECOND: u32 = 50;
+/// The span over which lines are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+struct Span {
+    since: Option<Instant>,
+    written: u32,
+    dropped: u64,
+}
+
+/// Lets the first lines of each second pass, and counts the others.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    span: Mutex<Span>,
+}
+
+impl LineBudget {
+    /// Returns whether a line may be written now. The first line of a new span
+    /// tells how many were dropped in the one before.
+    pub fn allows(&self, kind: &'static str) -> bool {
+        let Ok(mut span) = self.span.lock() else {
+            return false;
+        };
+        let now = Instant::now();
+        let is_new = span.since.is_none_or(|since| now >= since + SPAN);
+        if is_new {
+            let dropped = std::mem::take(&mut span.dropped);
+            if dropped > 0 {
+                log::info!(event = "lines-dropped", kind, dropped; "");
+            }
+            span.since = Some(now);
+            span.written = 0;
+        }
+        if span.written >= LINES_PER_SECOND {
+            span.dropped += 1;
+            return false;
+        }
+        span.written += 1;
+        true
+    }
+}
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -27,6 +28,7 @@
         Regions, //
     },
     peers::Datagram,
+    settings::Settings,
     topic::{
         Changes,
         Topic, //
@@ -38,6 +40,7 @@
 };
 use crate::{
     post::post,
+    quarantine::Suspect,
     util::id::{
         OrganisationName,
         ServiceName,
@@ -90,6 +93,8 @@
     pub regions: Regions,
     /// When its head had been read.
     pub received: Instant,
+    /// What identifies it when it is sent again.
+    pub suspect: Suspect,
     /// Time that the caller lost with earlier attempts.
     pub lost: Duration,
     /// The time within which an answer earns its full worth.
@@ -133,6 +138,8 @@
     RetryBudget,
     /// It was sent to as many upstreams as its route allows.
     Tries,
+    /// Requests like it have crashed upstreams.
+    Quarantine,
 }
 
 impl Why {
@@ -144,6 +151,7 @@
             Self::NoUpstream => "no-upstream",
             Self::RetryBudget => "retry-budget",
             Self::Tries => "tries",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -233,6 +241,22 @@
     pub load: Option<LoadReport>,
 }
 
+/// An upstream ended while it worked on a request.
+#[derive(Debug)]
+pub struct Crashed {
+    /// Where it listened.
+    pub upstream: SocketAddr,
+    /// The request.
+    pub suspect: Suspect,
+}
+
+/// The settings have changed.
+#[derive(Debug)]
+pub struct Reload {
+    /// The new settings.
+    pub settings: Arc<Settings>,
+}
+
 /// The token of a request that did not run goes back.
 #[derive(Debug)]
 pub struct Refund {
--- /dev/null
+++ b/src/edge/metrics.rs
@@ -0,0 +1,198 @@
+//! The counters and histograms of an entry host on the platform.
+
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{
+            Histogram,
+            exponential_buckets, //
+        },
+    },
+    registry::Registry,
+};
+
+/// The upper bound of the first latency bucket, in seconds.
+const LATENCY_START_SECONDS: f64 = 0.005;
+/// Latency buckets; each is twice as wide as the one before.
+const LATENCY_BUCKETS: u16 = 12;
+
+/// How a request ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct EndLabels {
+    /// `answered`, or why no upstream's answer came.
+    pub end: &'static str,
+    /// The status that the caller got.
+    pub status: u16,
+}
+
+/// Where a request was sent.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PlaceLabels {
+    /// `zone`, `region` or `other-region`.
+    pub place: &'static str,
+    /// Whether the upstream knew the object.
+    pub object: &'static str,
+}
+
+/// A read of the store or of the relay.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ReadLabels {
+    /// `store` or `relay`.
+    pub from: &'static str,
+    /// `ok` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// How a try at an upstream ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct TryLabels {
+    /// The way it ended.
+    pub end: &'static str,
+}
+
+/// All metrics of one entry host.
+#[derive(Debug)]
+pub struct EdgeMetrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: Family<EndLabels, Counter>,
+    /// Seconds from a request's head to its answer's head, for answered requests.
+    pub latency: Histogram,
+    /// Seconds that requests waited for an upstream.
+    pub waiting: Histogram,
+    /// Requests by where they were sent.
+    pub placed: Family<PlaceLabels, Counter>,
+    /// Tries by how they ended.
+    pub tries: Family<TryLabels, Counter>,
+    /// Reads of what the platform publishes.
+    pub reads: Family<ReadLabels, Counter>,
+    /// Requests that are being served.
+    pub in_flight: Gauge,
+    /// The number of the configuration in force.
+    pub configuration: Gauge,
+    /// Milliseconds since the read that the trust in keys rests on.
+    pub key_age: Gauge,
+    /// Upstreams that are known.
+    pub upstreams: Gauge,
+    /// Other hosts that were heard lately.
+    pub hosts: Gauge,
+}
+
+impl EdgeMetrics {
+    /// Returns the metrics, all at zero.
+    pub fn new() -> Self {
+        let latency = || exponential_buckets(LATENCY_START_SECONDS, 2.0, LATENCY_BUCKETS);
+        let mut m = Self {
+            registry: Registry::with_prefix("cardamomroad"),
+            requests: Family::default(),
+            latency: Histogram::new(latency()),
+            waiting: Histogram::new(latency()),
+            placed: Family::default(),
+            tries: Family::default(),
+            reads: Family::default(),
+            in_flight: Gauge::default(),
+            configuration: Gauge::default(),
+            key_age: Gauge::default(),
+            upstreams: Gauge::default(),
+            hosts: Gauge::default(),
+        };
+        m.register();
+        m
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
+        r.register(
+            "latency_seconds",
+            "Time from a request's head to its answer's head",
+            self.latency.clone(),
+        );
+        r.register(
+            "waiting_seconds",
+            "Time that requests waited for an upstream",
+            self.waiting.clone(),
+        );
+        r.register(
+            "placed",
+            "Requests by where they were sent",
+            self.placed.clone(),
+        );
+        r.register("tries", "Tries by how they ended", self.tries.clone());
+        r.register(
+            "reads",
+            "Reads of what the platform publishes",
+            self.reads.clone(),
+        );
+        r.register(
+            "in_flight",
+            "Requests that are being served",
+            self.in_flight.clone(),
+        );
+        r.register(
+            "configuration_version",
+            "Number of the configuration in force",
+            self.configuration.clone(),
+        );
+        r.register(
+            "key_age_milliseconds",
+            "Age of the read that the trust in keys rests on",
+            self.key_age.clone(),
+        );
+        r.register(
+            "upstreams",
+            "Upstreams that are known",
+            self.upstreams.clone(),
+        );
+        r.register(
+            "hosts",
+            "Other hosts that were heard lately",
+            self.hosts.clone(),
+        );
+    }
+
+    /// Counts a request that an upstream answered.
+    pub fn answered(&self, status: u16, held: Duration) {
+        self.latency.observe(held.as_secs_f64());
+        self.ended("answered", status);
+    }
+
+    /// Counts a request by how it ended.
+    pub fn ended(&self, end: &'static str, status: u16) {
+        self.requests
+            .get_or_create(&EndLabels { end, status })
+            .inc();
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when formatting fails.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -20,13 +20,16 @@
     model::HostRegistration,
     upstreams::UpstreamKey, //
 };
-use crate::util::id::{
-    HostName,
-    Incarnation,
-    OrganisationName,
-    RegionName,
-    ServiceName,
-    ZoneName, //
+use crate::{
+    quarantine::SuspectEntry,
+    util::id::{
+        HostName,
+        Incarnation,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        ZoneName, //
+    },
 };
 
 /// The time between two messages to a host of the same region, in a small fleet.
@@ -74,6 +77,8 @@
     pub wants: Vec<(OrganisationName, u64)>,
     /// Tokens that it hands to the receiver, in thousandths of a request.
     pub grants: Vec<(OrganisationName, u64)>,
+    /// Requests that crashed upstreams.
+    pub suspects: Vec<SuspectEntry>,
 }
 
 /// What happened at an upstream.
@@ -305,6 +310,11 @@
         self.peers.values().filter(live)
     }
 
+    /// Returns how many hosts were heard lately.
+    pub fn live_count(&self) -> usize {
+        self.live().count()
+    }
+
     /// Returns the addresses and zones of hosts that take requests.
     pub fn ready(&self) -> impl Iterator<Item = (&ZoneName, SocketAddr)> {
         let ready = self.live().filter(|p| p.state == HostState::Ready);
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -61,13 +61,16 @@
         serve_follower, //
     },
     forward::Gateway,
+    lines::LineBudget,
     message::{
         Heard,
         IsReady,
         Leave,
         Lookup,
+        Reload,
         Tick, //
     },
+    metrics::EdgeMetrics,
     peers::Datagram,
     relay::Shelves,
     settings::Settings,
@@ -89,6 +92,10 @@
     util::id::Incarnation,
 };
 
+/// The path of the metrics, at the address for other hosts.
+const METRICS_PATH: &str = "/metrics";
+/// The time between two looks at the settings.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// The time between two ticks of the dispatcher.
 const TICK: Duration = Duration::from_millis(50);
 /// Messages to other hosts that wait to be sent.
@@ -122,16 +129,23 @@
     Process(#[from] io::Error),
 }
 
-/// Runs an entry host until it is told to stop.
+/// Runs an entry host until it is told to stop. `load` reads the settings again,
+/// and returns none where they cannot be used.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound or the process cannot be set up.
-pub async fn run<S: Source, D: Dialect>(
+pub async fn run<S, D, L>(
     settings: Settings,
     source: S,
     dialect: D,
-) -> Result<(), ServeError> {
+    load: L,
+) -> Result<(), ServeError>
+where
+    S: Source,
+    D: Dialect,
+    L: Fn() -> Option<Settings> + Send + 'static,
+{
     let settings = Arc::new(settings);
     let source = Arc::new(source);
     let callers = bind("callers", settings.callers).await?;
@@ -146,6 +160,7 @@
         })?;
     let relaying = bind("followers", settings.peers).await?;
     let configuration = Arc::new(ArcSwapOption::empty());
+    let metrics = Arc::new(EdgeMetrics::new());
     let (relay, relay_rx) = watch::channel(None);
     let (outgoing, outgoing_rx) = mpsc::channel(OUTGOING_MAX);
     let incarnation = incarnation();
@@ -155,6 +170,7 @@
         configuration.clone(),
         outgoing,
         relay,
+        metrics.clone(),
         rand::random(),
     );
     let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
@@ -164,19 +180,27 @@
         connections: Connections::new(),
         dialect,
         patience: Mutex::default(),
+        metrics: metrics.clone(),
+        answered_lines: LineBudget::default(),
+        ended_lines: LineBudget::default(),
     });
     let shelves = Shelves::new(dispatcher.clone());
     for topic in Topic::ALL {
-        tokio::spawn(follow_store(source.clone(), topic, shelves.clone()));
+        tokio::spawn(follow_store(
+            source.clone(),
+            topic,
+            shelves.clone(),
+            metrics.clone(),
+        ));
     }
-    tokio::spawn(follow_relay(relay_rx, shelves.clone()));
+    tokio::spawn(follow_relay(relay_rx, shelves.clone(), metrics.clone()));
     tokio::spawn(register(source, settings.clone()));
     spawn_peer_tasks(&dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
     let (_kept, open) = watch::channel(false);
     tokio::spawn(listener::serve(relaying, open.clone(), move |req, _| {
-        serve_follower(shelves.clone(), req)
+        serve_peer(shelves.clone(), metrics.clone(), req)
     }));
     for listener in [readiness, lookups] {
         let gw = gw.clone();
@@ -199,6 +223,7 @@
         incarnation:%;
         ""
     );
+    tokio::spawn(reload(settings.clone(), dispatcher.clone(), load));
     wait_for_stop().await?;
     log::info!(event = "stopping", host:% = settings.host; "");
     if dispatcher.send(Leave).await.is_err() {
@@ -280,6 +305,26 @@
     }
 }
 
+/// Answers followers, and whoever asks for the metrics.
+async fn serve_peer(
+    shelves: Shelves,
+    metrics: Arc<EdgeMetrics>,
+    req: Request<Incoming>,
+) -> Response<ProxyBody> {
+    if req.uri().path() != METRICS_PATH {
+        return serve_follower(shelves, req).await;
+    }
+    let mut res = Response::new(empty());
+    match metrics.encode() {
+        Ok(text) => *res.body_mut() = full(text),
+        Err(e) => {
+            log::error!(event = "metrics-unwritable", cause:% = e; "");
+            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
+    }
+    res
+}
+
 /// Answers look-ups and questions about readiness.
 async fn serve_platform<D: Dialect>(
     gw: Arc<Gateway<D>>,
@@ -331,15 +376,52 @@
     new_incarnation(u64::try_from(ms).unwrap_or(u64::MAX), rand::random())
 }
 
-async fn wait_for_stop() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
+/// Takes over settings that change while the host runs, at SIGHUP or without it.
+/// Its name, zone and addresses stay what they were at the start.
+async fn reload<L: Fn() -> Option<Settings>>(
+    mut settings: Arc<Settings>,
+    dispatcher: Address<Dispatcher>,
+    load: L,
+) {
+    let mut hup = match signal(SignalKind::hangup()) {
+        Ok(hup) => hup,
+        Err(e) => {
+            log::error!(event = "no-signal-handler", cause:% = e; "");
+            return;
+        }
+    };
     loop {
         tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = int.recv() => return Ok(()),
             _ = hup.recv() => log::info!(event = "reload-requested"; ""),
+            () = sleep(SETTINGS_INTERVAL) => {}
+        }
+        let Some(loaded) = load() else {
+            continue;
+        };
+        let loaded = Settings {
+            bounds: loaded.bounds,
+            ..Settings::clone(&settings)
+        };
+        if loaded == *settings {
+            continue;
+        }
+        log::info!(event = "settings-reloaded"; "");
+        settings = Arc::new(loaded);
+        let msg = Reload {
+            settings: settings.clone(),
+        };
+        if dispatcher.send(msg).await.is_err() {
+            return;
         }
     }
 }
+
+async fn wait_for_stop() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -77,6 +77,21 @@
     Abandoned,
 }
 
+impl TryEnd {
+    /// Returns the word for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 /// One upstream and what this host knows of it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
--- a/src/util.rs
+++ b/src/util.rs
@@ -2,4 +2,5 @@
 
 pub mod duration_text;
 pub mod id;
+pub mod log_writer;
 pub mod units;
