--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -126,6 +126,8 @@
 
 /// The part of its aim that a request waits in any case, one in this many.
 const WAIT_PART: u32 = 8;
+/// The part of its aim that a request waits for a token, one in this many.
+const TOKEN_WAIT_PART: u32 = 4;
 /// Time that an answer takes beside the work itself.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// The shortest time after which a refused caller comes back.
@@ -523,7 +525,7 @@
             waiting.paid = true;
             return Some(waiting);
         };
-        let patience = waiting.job.received + waiting.job.aim / WAIT_PART;
+        let patience = waiting.job.received + waiting.job.aim / TOKEN_WAIT_PART;
         match self.quotas.debit(now, organisation) {
             Debit::Paid => waiting.paid = true,
             Debit::Short if now < patience => {}
@@ -700,7 +702,7 @@
         for (organisation, wanted) in &msg.wants {
             let granted = match self.leaving {
                 true => 0,
-                false => self.quotas.lend(now, organisation, *wanted),
+                false => self.quotas.lend(now, organisation, *wanted, &msg.host),
             };
             if granted > 0 {
                 grants.push((organisation.clone(), granted));
@@ -737,7 +739,7 @@
             *waiting.entry(organisation.clone()).or_default() += 1;
         }
         for want in self.quotas.asks(now, &waiting) {
-            for lenders in [&want.near, &want.far] {
+            for lenders in &want.lenders {
                 let lender = lenders.iter().find(|h| self.peers.is_live(h));
                 if let Some(address) = lender.and_then(|h| self.peers.address(h)) {
                     let entry = asks.entry(address).or_default();
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -68,7 +68,7 @@
 const RELAY_PAUSE: Duration = Duration::from_millis(500);
 /// How much older than a watch's own wait what a relay knows may be, before its
 /// followers read for themselves.
-const RELAY_SLACK: Duration = Duration::from_millis(350);
+const RELAY_SLACK: Duration = Duration::from_millis(700);
 
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
@@ -81,8 +81,8 @@
 
 fn pace(topic: Topic) -> Pace {
     let (wait_ms, gap_ms) = match topic {
-        Topic::Configuration => (1000, 100),
-        Topic::Upstreams => (1000, 400),
+        Topic::Configuration => (800, 100),
+        Topic::Upstreams => (800, 400),
         Topic::Evacuations => (2000, 200),
         Topic::Hosts => (8_000, 500),
     };
@@ -155,9 +155,9 @@
 
 /// Returns until when a topic needs no reading, since a relay told it lately.
 fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace) -> Option<Instant> {
-    let (asked, by_relay) = shelves.asked(topic)?;
+    let asked = shelves.relayed(topic)?;
     let left = (pace.wait + RELAY_SLACK).checked_sub(asked.age())?;
-    (by_relay && !left.is_zero()).then(|| Instant::now() + left)
+    (!left.is_zero()).then(|| Instant::now() + left)
 }
 
 /// A failure to ask the relay.
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{
     xxh3_64,
@@ -49,6 +50,8 @@
 const VAIN_MAX: u32 = 3;
 /// The time after which asks that brought nothing are forgotten.
 const VAIN_FOR: Duration = Duration::from_millis(500);
+/// Tokens of one ask that count as demand at most.
+const NOTED_MAX: u64 = 32;
 /// The least share of a home, in requests a second.
 const SHARE_MIN: f64 = 4.0;
 
@@ -59,8 +62,10 @@
     own: Bucket,
     borrowed: u64,
     borrowed_until: Instant,
-    /// Requests a second, the refused ones among them.
+    /// Requests a second of the own callers, the refused ones among them.
     demand: DrainMeter,
+    /// Tokens a second that other hosts ask for.
+    asked_for: DrainMeter,
     asked: Option<Instant>,
     /// Asks in a row that brought nothing.
     vain: u32,
@@ -77,6 +82,21 @@
     far: Vec<HostName>,
 }
 
+impl Lenders {
+    /// Returns whom to ask: a home asks other homes; others ask the homes of
+    /// their zone, and those of other zones once these had nothing.
+    fn to_ask(&self, is_home: bool, vain: u32) -> SmallVec<[Vec<HostName>; 2]> {
+        let mut groups = SmallVec::new();
+        if !self.near.is_empty() {
+            groups.push(self.near.clone());
+        }
+        if is_home || self.near.is_empty() || vain > 1 {
+            groups.push(self.far.clone());
+        }
+        groups
+    }
+}
+
 /// The hosts that share the rates.
 #[derive(Clone, Debug, Default)]
 pub struct Sharers {
@@ -149,10 +169,9 @@
     pub organisation: OrganisationName,
     /// Thousandths of a request.
     pub amount: u64,
-    /// The homes of the own zone that may lend, the one whose turn it is first.
-    pub near: Vec<HostName>,
-    /// The homes of other zones that may lend, the one whose turn it is first.
-    pub far: Vec<HostName>,
+    /// Groups of hosts that may lend, the one whose turn it is first. The first
+    /// live host of each group is asked.
+    pub lenders: SmallVec<[Vec<HostName>; 2]>,
 }
 
 impl Quotas {
@@ -192,6 +211,7 @@
                     borrowed: 0,
                     borrowed_until: now,
                     demand: DrainMeter::new(now),
+                    asked_for: DrainMeter::new(now),
                     asked: None,
                     vain: 0,
                     lenders,
@@ -259,7 +279,8 @@
             let kept = tokens.kept(now);
             let is_home = !tokens.own.quota().is_zero();
             let wanted = match is_home {
-                true => kept.max(MILLI),
+                // A home keeps what its zone needs.
+                true => (kept + tokens.kept_for_others(now)).max(MILLI),
                 // Tokens that many hosts keep for callers that come rarely would be lost to all.
                 false if kept < MILLI => 0,
                 false => kept,
@@ -289,23 +310,44 @@
             asks.push(Want {
                 organisation: name.clone(),
                 amount: missing.max(MILLI),
-                near: tokens.lenders.near.clone(),
-                far: tokens.lenders.far.clone(),
+                lenders: tokens.lenders.to_ask(is_home, tokens.vain),
             });
         }
         asks
     }
 
-    /// Takes tokens out for another host; returns how many.
-    pub fn lend(&mut self, now: Instant, organisation: &OrganisationName, wanted: u64) -> u64 {
+    /// Takes tokens out for another host; returns how many. What hosts of the
+    /// own zone without a share ask for counts as demand that a home borrows for.
+    pub fn lend(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationName,
+        wanted: u64,
+        borrower: &HostName,
+    ) -> u64 {
         let Some(tokens) = self.tokens.get_mut(organisation) else {
             return 0;
         };
+        tokens.lapse(now);
+        let zone = self.sharers.zone.as_ref();
+        let zone = zone.and_then(|zone| self.sharers.zones.get(zone));
+        // Homes that borrowed for one another would chase the same tokens.
+        let is_near = zone.is_some_and(|hosts| hosts.contains(borrower))
+            && !tokens.lenders.near.contains(borrower);
         let kept = tokens.kept(now);
-        let granted = tokens.own.level(now).saturating_sub(kept).min(wanted);
-        match tokens.own.debit(now, granted) {
-            true => granted,
-            false => 0,
+        let mut granted = 0;
+        if is_near {
+            for _ in 0..(wanted / MILLI).min(NOTED_MAX) {
+                tokens.asked_for.finished(now);
+            }
+            granted = tokens.borrowed.min(wanted);
+            tokens.borrowed -= granted;
+        }
+        let own = tokens.own.level(now).saturating_sub(kept);
+        let own = own.min(wanted - granted);
+        match tokens.own.debit(now, own) {
+            true => granted + own,
+            false => granted,
         }
     }
 
@@ -327,6 +369,12 @@
         }
     }
 
+    /// Returns the tokens that other hosts are about to ask for.
+    fn kept_for_others(&self, now: Instant) -> u64 {
+        let requests = self.asked_for.rate_at(now) * KEPT_SPAN.as_secs_f64();
+        (requests * MILLI as f64) as u64
+    }
+
     /// Returns the tokens that the host's own callers are about to need.
     fn kept(&self, now: Instant) -> u64 {
         let requests = self.demand.rate_at(now) * KEPT_SPAN.as_secs_f64();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -93,8 +93,8 @@
     /// Changes up to this revision are not in the log.
     log_from: Revision,
     asked: Option<Asked>,
-    /// Whether the last read was another host's.
-    by_relay: bool,
+    /// When the last read was sent that another host handed on.
+    relayed: Option<Asked>,
 }
 
 impl Shelf {
@@ -128,17 +128,17 @@
             }
         }
         self.revision = Some(changes.revision);
-        self.asked = Some(asked);
+        if self.asked.is_none_or(|known| known.at < asked.at) {
+            self.asked = Some(asked);
+        }
         true
     }
 
-    /// Returns what is new after a revision; none where this host knows less.
+    /// Returns what is new after a revision; none where this host knows nothing.
     fn since(&self, after: Option<Revision>) -> Option<News> {
-        let revision = self.revision?;
+        // A follower that has read for itself may be ahead, and this host will catch up.
+        let revision = self.revision?.max(after.unwrap_or_default());
         let log_reaches = after.is_some_and(|after| after >= self.log_from);
-        if after.is_some_and(|after| after > revision) {
-            return None;
-        }
         if log_reaches {
             let later = self.log.iter().filter(|(r, _)| Some(*r) > after);
             return Some(News::Since(Changes {
@@ -217,32 +217,17 @@
         Topic::ALL.map(|topic| shelves[topic.index()].revision)
     }
 
-    /// Returns when the read was sent that a topic rests on, and whether another
-    /// host handed it on.
-    pub fn asked(&self, topic: Topic) -> Option<(Asked, bool)> {
-        let shelves = self.lock();
-        let shelf = &shelves[topic.index()];
-        Some((shelf.asked?, shelf.by_relay))
+    /// Returns when the last read of a topic was sent that another host handed on.
+    pub fn relayed(&self, topic: Topic) -> Option<Asked> {
+        self.lock()[topic.index()].relayed
     }
 
-    /// Takes in what a read of the store brought that was based on revision `base`.
+    /// Takes in what a read brought that was based on revision `base`.
     pub fn take(&self, topic: Topic, base: Option<Revision>, news: News, asked: Asked) {
-        self.take_from(topic, base, news, asked, false);
-    }
-
-    fn take_from(
-        &self,
-        topic: Topic,
-        base: Option<Revision>,
-        news: News,
-        asked: Asked,
-        by_relay: bool,
-    ) {
         let mut shelves = self.lock();
         if !shelves[topic.index()].take(base, &news, asked) {
             return;
         }
-        shelves[topic.index()].by_relay = by_relay;
         let is_change = match &news {
             News::Whole(_) => true,
             News::Since(changes) => !changes.changes.is_empty(),
@@ -271,7 +256,8 @@
                 continue;
             };
             let base = query.after[relayed.topic.index()];
-            self.take_from(relayed.topic, base, relayed.news, asked, true);
+            self.lock()[relayed.topic.index()].relayed = Some(asked);
+            self.take(relayed.topic, base, relayed.news, asked);
         }
     }
 
--- a/tests/edge_quota.rs
+++ b/tests/edge_quota.rs
@@ -92,7 +92,7 @@
         for i in 0..HOSTS {
             let unpaid = HashMap::from([(organisation(), waiting[i])]);
             for want in hosts[i].asks(now, &unpaid) {
-                for lenders in [&want.near, &want.far] {
+                for lenders in &want.lenders {
                     let Some(lender) = lenders.first() else {
                         continue;
                     };
@@ -100,7 +100,8 @@
                         continue;
                     }
                     let lender = (0..HOSTS).find(|n| host(*n) == *lender).expect("a host");
-                    let granted = hosts[lender].lend(now, &want.organisation, want.amount);
+                    let granted =
+                        hosts[lender].lend(now, &want.organisation, want.amount, &host(i));
                     if rng.random::<f64>() >= loss {
                         hosts[i].deposit(now, &want.organisation, granted);
                     }
