--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -66,8 +66,8 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The pause after a question that the relay did not answer.
 const RELAY_PAUSE: Duration = Duration::from_millis(500);
-/// How much older than a watch's own wait what a relay knows may be, before its
-/// followers read for themselves.
+/// How much older than two waits of a watch what a relay knows may be, before its
+/// followers read for themselves: one question to the relay, and the ways.
 const RELAY_SLACK: Duration = Duration::from_millis(700);
 
 /// How a topic is followed.
@@ -81,9 +81,9 @@
 
 fn pace(topic: Topic) -> Pace {
     let (wait_ms, gap_ms) = match topic {
-        Topic::Configuration => (800, 100),
-        Topic::Upstreams => (800, 400),
-        Topic::Evacuations => (2000, 200),
+        Topic::Configuration => (600, 100),
+        Topic::Upstreams => (500, 400),
+        Topic::Evacuations => (1500, 200),
         Topic::Hosts => (8_000, 500),
     };
     Pace {
@@ -156,7 +156,9 @@
 /// Returns until when a topic needs no reading, since a relay told it lately.
 fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace) -> Option<Instant> {
     let asked = shelves.relayed(topic)?;
-    let left = (pace.wait + RELAY_SLACK).checked_sub(asked.age())?;
+    // The relay's read may be as old as two waits: the one that ended with it, and
+    // the one that is going on.
+    let left = (pace.wait * 2 + RELAY_SLACK).checked_sub(asked.age())?;
     (!left.is_zero()).then(|| Instant::now() + left)
 }
 
