--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -820,8 +820,8 @@
             event,
         };
         let zone = u.entry.zone.clone();
-        let (regions, home) = (&self.settings.regions, &self.settings.region);
-        for address in self.peers.prompt(regions, &zone, home) {
+        let (regions, own) = (&self.settings.regions, &self.settings.zone);
+        for address in self.peers.prompt(regions, &zone, own) {
             self.post_datagram(address, Datagram::Running(msg.clone()));
         }
     }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -38,7 +38,7 @@
 /// the same region; bytes between regions are dear.
 pub const FAR_INTERVALS: u32 = 3;
 /// Hosts that hear at once of each request that starts or ends.
-const PROMPT_MAX: usize = 10;
+const PROMPT_MAX: usize = 24;
 /// The fleet size up to which [`INTERVAL`] holds; larger fleets speak less often.
 const SMALL_FLEET: usize = 16;
 /// Messages of a host of another region that are missed before it counts as gone.
@@ -371,20 +371,20 @@
     }
 
     /// Returns the addresses of the hosts that hear at once of a request at an
-    /// upstream: those of its zone first, then those of its region and of `home`.
+    /// upstream: those that use it most are those of its zone and of the sender's,
+    /// then come those of both regions.
     pub fn prompt(
         &self,
         regions: &BTreeMap<ZoneName, RegionName>,
         zone: &ZoneName,
-        home: &RegionName,
+        own: &ZoneName,
     ) -> Vec<SocketAddr> {
-        let region = regions.get(zone);
+        let (region, home) = (regions.get(zone), regions.get(own));
         let distance = |p: &Peer| {
             let its = regions.get(&p.entry.zone);
             match () {
-                () if p.entry.zone == *zone => Some(0),
-                () if its == region => Some(1),
-                () if its == Some(home) => Some(2),
+                () if p.entry.zone == *zone || p.entry.zone == *own => Some(0),
+                () if its == region || its == home => Some(1),
                 () => None,
             }
         };
