--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -74,6 +74,12 @@
         self.at.elapsed() + asleep
     }
 
+    /// Returns the time that really passed from an earlier instant until this one.
+    fn since(&self, earlier: &Self) -> Duration {
+        let asleep = self.suspended.saturating_sub(earlier.suspended);
+        self.at.saturating_duration_since(earlier.at) + asleep
+    }
+
     /// Returns the instant that lies so much earlier, where the clock reaches back that far.
     fn earlier(self, age: Duration) -> Option<Self> {
         Some(Self {
@@ -179,7 +185,7 @@
 pub struct RelayNews {
     /// The topic.
     pub topic: Topic,
-    /// The age of the read that it rests on, in milliseconds.
+    /// The age that the read which it rests on had when the question came, in milliseconds.
     pub age_ms: u64,
     /// What is new.
     pub news: News,
@@ -263,10 +269,11 @@
 
     /// Answers a follower, at once where there is something new.
     pub async fn answer(&self, query: &RelayQuery) -> RelayAnswer {
+        let came = Asked::now();
         let mut changed = self.changed.subscribe();
         let end = Instant::now() + Duration::from_millis(query.wait_ms);
         loop {
-            let (answer, is_new) = self.answer_now(query);
+            let (answer, is_new) = self.answer_now(query, came);
             if is_new || Instant::now() >= end {
                 return answer;
             }
@@ -277,7 +284,7 @@
         }
     }
 
-    fn answer_now(&self, query: &RelayQuery) -> (RelayAnswer, bool) {
+    fn answer_now(&self, query: &RelayQuery, came: Asked) -> (RelayAnswer, bool) {
         let shelves = self.lock();
         let mut answer = RelayAnswer::default();
         let mut is_new = false;
@@ -294,7 +301,7 @@
             };
             answer.topics.push(RelayNews {
                 topic,
-                age_ms: u64::try_from(asked.age().as_millis()).unwrap_or(u64::MAX),
+                age_ms: u64::try_from(came.since(&asked).as_millis()).unwrap_or(u64::MAX),
                 news,
             });
         }
