--- a/tests/edge_quota.rs
+++ b/tests/edge_quota.rs
@@ -81,7 +81,7 @@
     let (mut ran, mut refused) = (Vec::new(), 0);
     for ms in 0..20_000 {
         let now = t0 + Duration::from_millis(ms);
-        let mut waiting = vec![0; HOSTS];
+        let mut waiting = [0; HOSTS];
         for host in arrive(ms, &mut rng) {
             hosts[host].arrived(now, &organisation());
             match hosts[host].debit(now, &organisation()) {
