Turns for every rank under overload, memory bound for bodies, the actor split by job

Waiting requests were ordered by rank alone, so that urgent ones took every slot for as long as the overload lasted. Every third turn now belongs to one rank after the other. Beside it: bodies take at most a quarter of the memory, settings that nothing used are gone, and the dispatcher's file is split.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -27,4 +27,5 @@
 pub mod spill;
 pub mod topic;
 pub mod upstreams;
+pub mod waiting;
 pub mod warmth;
--- /dev/null
+++ b/src/edge/dispatcher/beliefs.rs
@@ -0,0 +1,178 @@
+//! What the host believes of what the platform publishes.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
+};
+
+use tokio::time::Instant;
+
+use super::{
+    Dispatcher,
+    Outage, //
+};
+use crate::{
+    edge::{
+        message::{
+            News,
+            Observed, //
+        },
+        model::Configuration,
+        topic::{
+            Change,
+            Record,
+            Topic, //
+        },
+    },
+    util::id::{
+        HostName,
+        ServiceName,
+        UpstreamId,
+        ZoneName, //
+    },
+};
+
+impl Dispatcher {
+    pub(super) fn observe(&mut self, now: Instant, msg: Observed) {
+        let (whole, changes) = match msg.news {
+            News::Outage => {
+                self.note_outage(msg.topic);
+                return;
+            }
+            News::Whole(changes) => (true, changes.changes),
+            News::Since(changes) => (false, changes.changes),
+        };
+        if msg.topic == Topic::Upstreams && self.outage.on {
+            self.outage = Outage {
+                on: false,
+                ended: Some(now),
+            };
+            log::info!(event = "dependency-regained", dependency = "store"; "");
+        }
+        if whole {
+            self.forget_missing(now, msg.topic, &changes);
+        }
+        for change in changes {
+            self.apply(now, msg.topic, change);
+        }
+        if msg.topic == Topic::Configuration {
+            self.freshness.confirm(msg.asked_at, msg.suspended);
+        }
+        if msg.topic == Topic::Hosts {
+            self.hosts_known = true;
+            self.quotas.set_sharers(now, self.sharers());
+        }
+        self.drain_queue(now);
+    }
+
+    pub(super) fn note_outage(&mut self, topic: Topic) {
+        if topic == Topic::Upstreams && !self.outage.on {
+            self.outage.on = true;
+            log::warn!(event = "dependency-lost", dependency = "store"; "");
+        }
+    }
+
+    /// Removes what a whole list does not name any more.
+    pub(super) fn forget_missing(&mut self, now: Instant, topic: Topic, changes: &[Change]) {
+        let named: BTreeSet<&str> = changes.iter().map(|c| c.name.as_str()).collect();
+        let gone: Vec<String> = match topic {
+            Topic::Configuration => Vec::new(),
+            Topic::Upstreams => names_of(self.upstreams.ids()),
+            Topic::Evacuations => names_of(self.evacuated.iter()),
+            Topic::Hosts => names_of(self.peers.names()),
+        };
+        for name in gone {
+            if !named.contains(name.as_str()) {
+                self.apply(now, topic, Change { name, record: None });
+            }
+        }
+    }
+
+    pub(super) fn apply(&mut self, now: Instant, topic: Topic, change: Change) {
+        match change.record {
+            Some(Record::Configuration(cfg)) => self.adopt(now, cfg),
+            Some(Record::Upstream(entry)) => {
+                self.vanished.remove(&entry.id);
+                let cfg = self.configuration.load_full();
+                let service = cfg.as_ref().and_then(|c| c.services.get(&entry.service));
+                self.upstreams.register(now, *entry, service);
+            }
+            Some(Record::Evacuation(zone)) => {
+                if self.evacuated.insert(zone.clone()) {
+                    log::info!(event = "evacuation-started", zone:%; "");
+                }
+            }
+            Some(Record::Host(entry)) => {
+                if entry.name != self.settings.host {
+                    self.peers.register(*entry);
+                }
+            }
+            None => self.remove(now, topic, &change.name),
+        }
+    }
+
+    pub(super) fn remove(&mut self, now: Instant, topic: Topic, name: &str) {
+        match topic {
+            Topic::Configuration => {}
+            Topic::Upstreams => {
+                let Ok(id) = name.parse::<UpstreamId>() else {
+                    return;
+                };
+                match self.outage.ended {
+                    Some(ended) if now < ended + self.settings.bounds.reregistration => {
+                        self.vanished
+                            .entry(id)
+                            .or_insert(ended + self.settings.bounds.reregistration);
+                    }
+                    _ => {
+                        self.upstreams.remove(&id);
+                    }
+                }
+            }
+            Topic::Evacuations => self.end_evacuation(now, name),
+            Topic::Hosts => {
+                if let Ok(host) = name.parse::<HostName>() {
+                    self.peers.remove(&host);
+                }
+            }
+        }
+    }
+
+    pub(super) fn end_evacuation(&mut self, now: Instant, name: &str) {
+        let Ok(zone) = name.parse::<ZoneName>() else {
+            return;
+        };
+        if !self.evacuated.remove(&zone) {
+            return;
+        }
+        log::info!(event = "evacuation-ended", zone:%; "");
+        // Its upstreams may have become cold without having said so yet.
+        let cfg = self.configuration.load_full();
+        let cold_time = |service: &ServiceName| {
+            let service = cfg.as_ref().and_then(|c| c.services.get(service));
+            service.map_or(Duration::ZERO, |s| s.cold_time)
+        };
+        self.upstreams.chill(&zone, cold_time, now);
+    }
+
+    pub(super) fn adopt(&mut self, now: Instant, cfg: Arc<Configuration>) {
+        let current = self.configuration.load_full();
+        if current.as_ref().is_some_and(|c| c.version >= cfg.version) {
+            return;
+        }
+        log::info!(
+            event = "configuration-adopted",
+            version:% = cfg.version,
+            organisations = cfg.organisations.len();
+            ""
+        );
+        let rates = cfg.organisations.iter().map(|o| (&o.name, o.rate));
+        self.quotas.configure(now, rates);
+        self.configuration.store(Some(cfg));
+    }
+}
+
+fn names_of<T: ToString>(items: impl IntoIterator<Item = T>) -> Vec<String> {
+    items.into_iter().map(|i| i.to_string()).collect()
+}
--- /dev/null
+++ b/src/edge/dispatcher/hosts.rs
@@ -0,0 +1,231 @@
+//! What the host tells others and learns from them; look-ups.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::SocketAddr, //
+};
+
+use tokio::time::Instant;
+
+use super::{
+    Dispatcher,
+    registration, //
+};
+use crate::{
+    edge::{
+        peers::{
+            Datagram,
+            FAR_INTERVALS,
+            PeerMessage,
+            RunEvent,
+            RunningMessage, //
+        },
+        quota::Sharers,
+        upstreams::UpstreamKey, //
+    },
+    util::id::{
+        OrganisationName,
+        ServiceName,
+        ZoneName, //
+    },
+};
+
+/// Suspect requests that one message tells of.
+const SUSPECTS_TOLD: usize = 8;
+
+impl Dispatcher {
+    pub(super) fn hear(&mut self, now: Instant, msg: Datagram) {
+        match msg {
+            Datagram::State(msg) => self.hear_state(now, msg),
+            Datagram::Running(msg) => {
+                let change = self.peers.hear_running(now, &msg);
+                self.upstreams.hear(now, change, &msg);
+                if change < 0 {
+                    self.drain_queue(now);
+                }
+            }
+        }
+    }
+
+    pub(super) fn hear_state(&mut self, now: Instant, msg: PeerMessage) {
+        if !self.peers.hear(now, &msg) {
+            return;
+        }
+        for (organisation, granted) in &msg.grants {
+            self.quotas.deposit(now, organisation, *granted);
+        }
+        self.quarantine.merge(now, &msg.suspects);
+        self.lend(now, &msg);
+        self.upstreams.set_others(&self.peers.running());
+        self.drain_queue(now);
+    }
+
+    /// Grants what another host asks for, as far as it can be spared.
+    pub(super) fn lend(&mut self, now: Instant, msg: &PeerMessage) {
+        let mut grants = Vec::new();
+        for (organisation, wanted) in &msg.wants {
+            let granted = match self.leaving {
+                true => 0,
+                false => self.quotas.lend(now, organisation, *wanted, &msg.host),
+            };
+            if granted > 0 {
+                grants.push((organisation.clone(), granted));
+            }
+        }
+        if grants.is_empty() {
+            return;
+        }
+        if let Some(address) = self.peers.address(&msg.host) {
+            let mut reply = self.message(now);
+            reply.grants = grants;
+            self.post_message(address, reply);
+        }
+    }
+
+    /// Returns the hosts that share the organisations' rates.
+    pub(super) fn sharers(&self) -> Sharers {
+        let mut zones = self.peers.by_zone();
+        let own = zones.entry(self.settings.zone.clone()).or_default();
+        own.push(self.settings.host.clone());
+        Sharers {
+            host: Some(self.settings.host.clone()),
+            zone: Some(self.settings.zone.clone()),
+            zones,
+        }
+    }
+
+    /// Asks homes of this zone, or of others, for the tokens that are about to be missing.
+    pub(super) fn ask_for_tokens(&mut self, now: Instant) {
+        let mut asks: BTreeMap<SocketAddr, Vec<(OrganisationName, u64)>> = BTreeMap::new();
+        let mut waiting: HashMap<OrganisationName, u64> = HashMap::new();
+        let unpaid = self.queue.iter().filter(|w| !w.paid);
+        for organisation in unpaid.filter_map(|w| w.job.organisation.as_ref()) {
+            *waiting.entry(organisation.clone()).or_default() += 1;
+        }
+        for want in self.quotas.asks(now, &waiting) {
+            for lenders in &want.lenders {
+                let lender = lenders.iter().find(|h| self.peers.is_live(h));
+                if let Some(address) = lender.and_then(|h| self.peers.address(h)) {
+                    let entry = asks.entry(address).or_default();
+                    entry.push((want.organisation.clone(), want.amount));
+                }
+            }
+        }
+        for (address, wants) in asks {
+            let mut msg = self.message(now);
+            msg.wants = wants;
+            self.post_message(address, msg);
+        }
+    }
+
+    pub(super) fn message(&mut self, now: Instant) -> PeerMessage {
+        self.sequence += 1;
+        let offered = self.demand.iter();
+        PeerMessage {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            state: self.state(now),
+            running: self.upstreams.running(),
+            offered: offered
+                .map(|(s, d)| (s.clone(), d.offered.rate_at(now) as f32))
+                .collect(),
+            wants: Vec::new(),
+            grants: Vec::new(),
+            suspects: self.quarantine.entries(now, SUSPECTS_TOLD),
+        }
+    }
+
+    pub(super) fn post_message(&self, address: SocketAddr, msg: PeerMessage) {
+        self.post_datagram(address, Datagram::State(msg));
+    }
+
+    pub(super) fn post_datagram(&self, address: SocketAddr, msg: Datagram) {
+        if let Err(e) = self.outgoing.try_send((address, msg)) {
+            log::debug!(event = "message-dropped", to:% = address, cause:% = e; "");
+        }
+    }
+
+    /// Tells all other hosts what runs here.
+    pub(super) fn speak(&mut self, now: Instant) {
+        if self
+            .spoke
+            .is_some_and(|at| now < at + self.peers.interval())
+        {
+            return;
+        }
+        self.spoke = Some(now);
+        let msg = self.message(now);
+        let (regions, home) = (&self.settings.regions, &self.settings.region);
+        for address in self.peers.addresses(regions, home, true) {
+            self.post_message(address, msg.clone());
+        }
+        self.rounds += 1;
+        if !self.leaving && !self.rounds.is_multiple_of(FAR_INTERVALS) {
+            return;
+        }
+        for address in self.peers.addresses(regions, home, false) {
+            self.post_message(address, msg.clone());
+        }
+    }
+
+    /// Tells the hosts that use an upstream how many requests of this one run there.
+    pub(super) fn announce(&mut self, service: &ServiceName, key: UpstreamKey, event: RunEvent) {
+        let Some(u) = self.upstreams.get_mut(service, key) else {
+            return;
+        };
+        self.sequence += 1;
+        let msg = RunningMessage {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            upstream: key,
+            running: u.running,
+            event,
+        };
+        let zone = u.entry.zone.clone();
+        let (regions, own) = (&self.settings.regions, &self.settings.zone);
+        for address in self.peers.prompt(regions, &zone, own) {
+            self.post_datagram(address, Datagram::Running(msg.clone()));
+        }
+    }
+
+    /// Chooses the host that reads the store for this zone.
+    pub(super) fn choose_relay(&mut self, now: Instant) {
+        let own = registration(&self.settings);
+        let relay = self.peers.relay(&own, self.is_ready(now));
+        self.relay.send_if_modified(|known| {
+            if *known == relay {
+                return false;
+            }
+            let address = relay.map_or_else(|| "self".to_owned(), |a| a.to_string());
+            log::info!(event = "relay-chosen", address:%; "");
+            *known = relay;
+            true
+        });
+    }
+
+    /// Returns the hosts that a caller should use: those of its zone, else those
+    /// of its region, else all.
+    pub(super) fn lookup(&self, now: Instant, zone: Option<&ZoneName>) -> Vec<SocketAddr> {
+        let mut hosts: Vec<(&ZoneName, SocketAddr)> = self.peers.ready().collect();
+        if self.is_ready(now) || (hosts.is_empty() && !self.leaving) {
+            hosts.push((&self.settings.zone, self.settings.callers));
+        }
+        let zone = zone.unwrap_or(&self.settings.zone);
+        let region = self.settings.region_of(zone);
+        let near = |h: &&(&ZoneName, SocketAddr)| h.0 == zone;
+        let in_region = |h: &&(&ZoneName, SocketAddr)| self.settings.region_of(h.0) == region;
+        let mut chosen: Vec<_> = hosts.iter().filter(near).collect();
+        if chosen.is_empty() {
+            chosen = hosts.iter().filter(in_region).collect();
+        }
+        if chosen.is_empty() {
+            chosen = hosts.iter().collect();
+        }
+        chosen.into_iter().map(|h| h.1).collect()
+    }
+}
--- /dev/null
+++ b/src/edge/dispatcher/requests.rs
@@ -0,0 +1,342 @@
+//! Requests: their tokens, their regions, their upstreams, and who waits.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+use super::{
+    Demand,
+    Dispatcher,
+    Waiting, //
+};
+use crate::{
+    edge::{
+        message::{
+            Ended,
+            Job,
+            Placed,
+            Refused,
+            Submit,
+            Verdict,
+            Why, //
+        },
+        metrics::PlaceLabels,
+        peers::RunEvent,
+        placement::{
+            self,
+            Places,
+            Wish, //
+        },
+        quota::Debit,
+        settings::SHIFT_WINDOW,
+        spill::SlowShares,
+        upstreams::{
+            TryEnd,
+            UpstreamKey, //
+        },
+        waiting, //
+    },
+    retry::{
+        Budget,
+        DrainMeter, //
+    },
+    util::id::{
+        RegionName,
+        ServiceName,
+        UpstreamId, //
+    },
+};
+
+/// The part of its aim that a request waits in any case, one in this many.
+const WAIT_PART: u32 = 8;
+/// The part of its aim that a request waits for a token, one in this many.
+const TOKEN_WAIT_PART: u32 = 4;
+/// Time that an answer takes beside the work itself.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// The shortest time after which a refused caller comes back.
+const RETURN_MIN: Duration = Duration::from_millis(250);
+/// The further time over which returning callers are spread.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+/// When a caller comes back whose request crashes upstreams.
+const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
+/// The part of [`crate::edge::settings::Bounds::shift`] that the shares use; the rest is for chance.
+const SHIFT_PART: f64 = 0.6;
+/// The part of the retry bounds that the hosts use; the rest is for chance.
+const RETRY_PART: f64 = 0.5;
+
+impl Dispatcher {
+    pub(super) fn demand_mut(&mut self, service: &ServiceName, now: Instant) -> &mut Demand {
+        let settings = &self.settings;
+        let hosts = (self.peers.len() + 1) as f64;
+        self.demand.entry(service.clone()).or_insert_with(|| {
+            let bounds = &settings.bounds;
+            let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
+            let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
+            Demand {
+                offered: DrainMeter::new(now),
+                shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
+                budget: Budget::with_limits(ratio as u64, most as u64),
+            }
+        })
+    }
+
+    pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
+        let Submit { job, reply } = msg;
+        let mut paid = true;
+        if self.quarantine.is_refused(now, job.suspect) {
+            self.refund_later_try(now, &job);
+            answer(reply, self.quarantined());
+            return;
+        }
+        if job.tried.is_empty() {
+            if let Some(organisation) = &job.organisation {
+                self.quotas.arrived(now, organisation);
+                paid = self.quotas.debit(now, organisation) == Debit::Paid;
+            }
+            let demand = self.demand_mut(&job.service, now);
+            demand.offered.finished(now);
+            demand.budget.earn();
+        } else if !self.demand_mut(&job.service, now).budget.take() {
+            self.refund(now, &job);
+            answer(reply, self.refused(Why::RetryBudget));
+            return;
+        }
+        let region = self.region_of(now, &job);
+        let until = self.wait_until(&job);
+        let waiting = Waiting {
+            job,
+            region,
+            until,
+            paid,
+            reply,
+        };
+        if let Some(waiting) = self.try_place(now, waiting) {
+            self.queue.push(waiting);
+        }
+        self.ask_for_tokens(now);
+    }
+
+    /// Returns until when a request waits for an upstream: as long as it can
+    /// still be answered in time, and a little in any case.
+    pub(super) fn wait_until(&self, job: &Job) -> Instant {
+        let pool = self.upstreams.pool(&job.service);
+        let work = pool.map_or(0.0, |p| p.work_of(job.route).expect(Some(0)));
+        let work = Duration::from_secs_f64(work) + ANSWER_MARGIN;
+        let in_time = job.aim.saturating_sub(job.lost + work);
+        let wait = in_time.max(job.aim / WAIT_PART);
+        (job.received + wait).min(job.deadline)
+    }
+
+    /// Returns the region in which a request runs.
+    pub(super) fn region_of(&mut self, now: Instant, job: &Job) -> RegionName {
+        let home = self.settings.region.clone();
+        // The same object spills from all hosts of a region to the same one.
+        let point = (job.object >> 11) as f64 / (1u64 << 53) as f64;
+        let region = self
+            .demand_mut(&job.service, now)
+            .shares
+            .region_at(&home, point);
+        if job.regions.is_empty() || job.regions.contains(&region) {
+            return region;
+        }
+        match job.regions.contains(&home) {
+            true => home,
+            false => job.regions[0].clone(),
+        }
+    }
+
+    /// Places a request, refuses it, or returns it where it has to wait.
+    pub(super) fn try_place(&mut self, now: Instant, mut waiting: Waiting) -> Option<Waiting> {
+        if waiting.reply.is_closed() {
+            if waiting.paid {
+                self.refund(now, &waiting.job);
+            }
+            return None;
+        }
+        if !waiting.paid {
+            waiting = self.pay(now, waiting)?;
+            if !waiting.paid {
+                return Some(waiting);
+            }
+        }
+        let late = waiting.until <= now;
+        let picked = self.pick(now, &waiting.job, &waiting.region, late);
+        if let Some(placed) = picked {
+            // A caller that went away drops the place, which gives it back.
+            answer(waiting.reply, Verdict::Send(placed));
+            return None;
+        }
+        if !late {
+            return Some(waiting);
+        }
+        self.refund(now, &waiting.job);
+        let verdict = self.refused(Why::Busy);
+        answer(waiting.reply, verdict);
+        None
+    }
+
+    /// Takes a waiting request's token, or refuses it where none is to be had.
+    pub(super) fn pay(&mut self, now: Instant, mut waiting: Waiting) -> Option<Waiting> {
+        let Some(organisation) = &waiting.job.organisation else {
+            waiting.paid = true;
+            return Some(waiting);
+        };
+        let patience = waiting.job.received + waiting.job.aim / TOKEN_WAIT_PART;
+        match self.quotas.debit(now, organisation) {
+            Debit::Paid => waiting.paid = true,
+            Debit::Short if now < patience => {}
+            Debit::Short | Debit::Spent => {
+                if self.rate_lines.allows("rate-used-up") {
+                    log::info!(
+                        event = "rate-used-up",
+                        id:% = waiting.job.id,
+                        organisation:%,
+                        share:% = self.quotas.describe(organisation);
+                        ""
+                    );
+                }
+                let verdict = self.refused(Why::Rate);
+                answer(waiting.reply, verdict);
+                return None;
+            }
+        }
+        Some(waiting)
+    }
+
+    pub(super) fn pick(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        region: &RegionName,
+        late: bool,
+    ) -> Option<Placed> {
+        let places = Places {
+            zone: &self.settings.zone,
+            regions: &self.settings.regions,
+            evacuated: &self.evacuated,
+        };
+        let wish = Wish {
+            object: job.object,
+            route: job.route,
+            bytes: job.bytes,
+            region,
+            tried: &job.tried,
+            late,
+        };
+        let pool = self.upstreams.pool(&job.service)?;
+        let key = placement::pick(pool, places, &wish, now)?;
+        let cfg = self.configuration.load_full();
+        let service = cfg.as_ref().and_then(|c| c.services.get(&job.service));
+        let hosts = self.peers.registered_in(&self.settings.zone) + 1;
+        let cold = service.map(|s| (s.cold_rate, hosts));
+        let object = job.object;
+        let place = self.upstreams.started(now, &job.service, key, object, cold);
+        self.announce(&job.service, key, RunEvent::Started { object });
+        let me = self.me.clone();
+        let u = self.upstreams.get_mut(&job.service, key)?;
+        let (address, id) = (u.entry.address, u.entry.id.clone());
+        self.note_placed(now, job, &id, key, place);
+        let ended = Ended {
+            service: job.service.clone(),
+            key,
+            route: job.route,
+            place,
+            end: TryEnd::Abandoned,
+            held: Duration::ZERO,
+            load: None,
+        };
+        Some(Placed::new(address, id, ended, me))
+    }
+
+    /// Logs and counts where a request goes, and from what that was decided.
+    pub(super) fn note_placed(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        id: &UpstreamId,
+        key: UpstreamKey,
+        place: Option<usize>,
+    ) {
+        let Some(u) = self.upstreams.get_mut(&job.service, key) else {
+            return;
+        };
+        let (zone, load, slots) = (u.entry.zone.clone(), u.load(now), u.entry.slots);
+        let waited = now.saturating_duration_since(job.received);
+        self.metrics.waiting.observe(waited.as_secs_f64());
+        let labels = PlaceLabels {
+            place: match () {
+                () if zone == self.settings.zone => "zone",
+                () if self.settings.region_of(&zone) == Some(&self.settings.region) => "region",
+                () => "other-region",
+            },
+            object: if place.is_some() { "known" } else { "strange" },
+        };
+        self.metrics.placed.get_or_create(&labels).inc();
+        if self.placed_lines.allows("placed") {
+            log::info!(
+                event = "placed",
+                id:% = job.id,
+                upstream:% = id,
+                zone:%,
+                load,
+                slots,
+                object_place:? = place,
+                lost_ms = job.lost.as_millis() as u64,
+                waited_ms = waited.as_millis() as u64;
+                ""
+            );
+        }
+    }
+
+    pub(super) fn refund(&mut self, now: Instant, job: &Job) {
+        if let (Some(organisation), false) = (&job.organisation, job.may_have_run) {
+            self.quotas.refund(now, organisation);
+        }
+    }
+
+    pub(super) fn refused(&mut self, why: Why) -> Verdict {
+        let spread = RETURN_SPREAD.mul_f64(self.rng.random::<f64>());
+        Verdict::Refused(Refused {
+            why,
+            after: RETURN_MIN + spread,
+        })
+    }
+
+    /// Gives the token of a request back that was tried before and is not sent again.
+    pub(super) fn refund_later_try(&mut self, now: Instant, job: &Job) {
+        if !job.tried.is_empty() {
+            self.refund(now, job);
+        }
+    }
+
+    pub(super) fn quarantined(&self) -> Verdict {
+        Verdict::Refused(Refused {
+            why: Why::Quarantine,
+            after: QUARANTINE_RETURN,
+        })
+    }
+
+    /// Gives waiting requests another chance.
+    pub(super) fn drain_queue(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        self.turn = self.turn.wrapping_add(1);
+        waiting::order(self.turn, &mut queue, |w| (w.job.priority, w.job.received));
+        for waiting in queue {
+            if let Some(waiting) = self.try_place(now, waiting) {
+                self.queue.push(waiting);
+            }
+        }
+    }
+}
+
+/// Sends a verdict; a caller that is gone needs none.
+fn answer(reply: oneshot::Sender<Verdict>, verdict: Verdict) {
+    drop(reply.send(verdict));
+}
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -3,8 +3,11 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
-        Mutex, //
+        Arc, Mutex,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
     },
     time::Duration, //
 };
@@ -98,6 +101,7 @@
         BODY_PREFIX_BYTES,
         Suspect, //
     },
+    util::id::ServiceName,
 };
 
 /// How long after the deadline an upstream's answer is still waited for; it may
@@ -109,6 +113,8 @@
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(5);
 /// How much earlier than the upstream a connection is given up.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
+/// Bytes that a body of unknown length is taken to have.
+const BODY_UNDECLARED: u64 = 256 * 1024;
 /// The shortest time in which an upstream can answer at all.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(20);
 /// How long after a lost answer an upstream is looked at; a crash closes its port at once.
@@ -130,6 +136,10 @@
     pub patience: Mutex<HashMap<Bytes, Duration>>,
     /// Counters.
     pub metrics: Arc<EdgeMetrics>,
+    /// Bytes of bodies that are kept now.
+    pub kept_bytes: Arc<AtomicU64>,
+    /// Bytes of bodies that may be kept at once.
+    pub kept_bytes_max: u64,
     /// Bounds the lines of answered requests.
     pub answered_lines: LineBudget,
     /// Bounds the lines of all other requests.
@@ -141,6 +151,7 @@
     parts: request::Parts,
     id: Bytes,
     body: Bytes,
+    _kept: KeptBytes,
     idempotent: bool,
     tries: usize,
     job: Job,
@@ -229,19 +240,47 @@
             .ok_or(Ending::NotRun(Why::NoUpstream, BUSY_RETRY))?;
         job.lost = self.time_lost(&routed.route.prefix, patience);
         let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
-        let body = read_body(body, cfg.limits.body_bytes, deadline).await?;
+        let (body, kept) = self.read_body(body, cfg.body_bytes_max, deadline).await?;
         job.bytes = body.len() as u64;
         job.suspect = suspect(&job, &parts, &body);
         Ok(Call {
             parts,
             id,
             body,
+            _kept: kept,
             idempotent,
             tries,
             job,
         })
     }
 
+    /// Reads a body that is to be sent, as far as there is memory to keep it.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        most: u64,
+        deadline: Instant,
+    ) -> Result<(Bytes, KeptBytes), Ending> {
+        let declared = body.size_hint().exact();
+        if declared.is_some_and(|n| n > most) {
+            return Err(Ending::TooLong);
+        }
+        let kept = KeptBytes::new(&self.kept_bytes, declared.unwrap_or(BODY_UNDECLARED));
+        if self.kept_bytes.load(Ordering::Relaxed) > self.kept_bytes_max {
+            return Err(Ending::NotRun(Why::Memory, BUSY_RETRY));
+        }
+        if body.is_end_stream() {
+            return Ok((Bytes::new(), kept));
+        }
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        match timeout_at(deadline, Limited::new(body, most).collect()).await {
+            Ok(Ok(whole)) => Ok((whole.to_bytes(), kept)),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Ending::TooLong),
+            Ok(Err(_)) => Err(Ending::BadHead),
+            Err(_) => Err(Ending::NotRun(Why::Busy, BUSY_RETRY)),
+        }
+    }
+
     /// Returns the time that a caller has lost already: what its patience falls
     /// short of the longest one seen on its route.
     fn time_lost(&self, route: &Bytes, patience: Duration) -> Duration {
@@ -415,6 +454,28 @@
     }
 }
 
+/// Counts bytes of a body as kept until it is dropped.
+struct KeptBytes {
+    all: Arc<AtomicU64>,
+    own: u64,
+}
+
+impl KeptBytes {
+    fn new(all: &Arc<AtomicU64>, own: u64) -> Self {
+        all.fetch_add(own, Ordering::Relaxed);
+        Self {
+            all: all.clone(),
+            own,
+        }
+    }
+}
+
+impl Drop for KeptBytes {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.own, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request as being served until it is dropped.
 struct Serving<'a>(&'a EdgeMetrics);
 
@@ -514,7 +575,7 @@
 }
 
 /// Picks one of a route's services by its weight, evenly over request ids.
-fn choose_service(route: &Route, id: &Bytes) -> crate::util::id::ServiceName {
+fn choose_service(route: &Route, id: &Bytes) -> ServiceName {
     let whole: u64 = route.services.iter().map(|(_, w)| u64::from(*w)).sum();
     let mut place = xxh3_64(id) % whole.max(1);
     for (service, weight) in &route.services {
@@ -526,19 +587,6 @@
     route.services[0].0.clone()
 }
 
-async fn read_body(body: Incoming, most: u64, deadline: Instant) -> Result<Bytes, Ending> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    match timeout_at(deadline, Limited::new(body, most).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Ending::TooLong),
-        Ok(Err(_)) => Err(Ending::BadHead),
-        Err(_) => Err(Ending::NotRun(Why::Busy, BUSY_RETRY)),
-    }
-}
-
 fn outgoing(call: &Call) -> Request<ProxyBody> {
     let mut req = head::outgoing(&call.parts, full(call.body.clone()));
     remove_hop_by_hop(req.headers_mut());
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -140,6 +140,8 @@
     Tries,
     /// Requests like it have crashed upstreams.
     Quarantine,
+    /// There is no memory left to keep its body.
+    Memory,
 }
 
 impl Why {
@@ -152,6 +154,7 @@
             Self::RetryBudget => "retry-budget",
             Self::Tries => "tries",
             Self::Quarantine => "quarantine",
+            Self::Memory => "memory",
         }
     }
 }
--- a/src/edge/model.rs
+++ b/src/edge/model.rs
@@ -102,17 +102,6 @@
     pub cold_rate: f64,
 }
 
-/// What a caller may send, and how long it may stay idle.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CallerLimits {
-    /// Bytes of a head.
-    pub head_bytes: usize,
-    /// Bytes of a body.
-    pub body_bytes: u64,
-    /// How long a connection may stay idle.
-    pub idle: Duration,
-}
-
 /// A whole configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -126,8 +115,8 @@
     pub organisations: Vec<Organisation>,
     /// The organisation of each key, by its place in `organisations`.
     pub keys: HashMap<KeyDigest, usize>,
-    /// What callers are held to.
-    pub limits: CallerLimits,
+    /// Bytes that a caller's body may have.
+    pub body_bytes_max: u64,
 }
 
 /// Whether an upstream takes new work.
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -92,6 +92,8 @@
     util::id::Incarnation,
 };
 
+/// The part of the memory that bodies may take, one in this many.
+const BODIES_PART: u64 = 4;
 /// The path of the metrics, at the address for other hosts.
 const METRICS_PATH: &str = "/metrics";
 /// The time between two looks at the settings.
@@ -181,6 +183,8 @@
         dialect,
         patience: Mutex::default(),
         metrics: metrics.clone(),
+        kept_bytes: Arc::default(),
+        kept_bytes_max: settings.memory_bytes / BODIES_PART,
         answered_lines: LineBudget::default(),
         ended_lines: LineBudget::default(),
     });
