--- a/standins/tests/proof_once.rs
+++ b/standins/tests/proof_once.rs
@@ -209,6 +209,7 @@
     let options = options(&fleet, "killer", LARGE, "dispatch");
     let caller = Caller::new(options.with_repeats(Repeats::Never));
     let mut crashed = 0;
+    let mut counted = Vec::new();
     for round in 0..5 {
         for host in 0..fleet.hosts().len() {
             let address = fleet.hosts()[host].callers();
@@ -224,12 +225,11 @@
             upstream.process.wait().await.unwrap();
             upstream.restart().await.unwrap();
         }
+        counted.push(crashed);
     }
-    let seen: usize = proof::all_entries(&fleet)
-        .iter()
-        .filter(|e| e.ending == Some(cardamomroad_standins::upstream::Ending::Crashed))
-        .count();
-    assert_eq!(seen, crashed);
+    let mut seen = proof::all_entries(&fleet);
+    seen.retain(|e| e.ending == Some(cardamomroad_standins::upstream::Ending::Crashed));
+    assert_eq!(seen.len(), crashed, "crashes by round {counted:?}: {seen:#?}");
     assert!(
         (1..=CRASHES_MAX).contains(&crashed),
         "{crashed} upstreams were crashed"
