--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -70,6 +70,7 @@
     peers::{
         Datagram,
         HostState,
+        Offered,
         Peers,
         RunEvent, //
     },
@@ -99,11 +100,40 @@
 /// The state of one service.
 #[derive(Debug)]
 struct Demand {
-    offered: DrainMeter,
+    /// Requests of the own callers that may run in any region.
+    free: DrainMeter,
+    /// Those that may run in one region alone.
+    bound: BTreeMap<RegionName, DrainMeter>,
     shares: SlowShares,
     budget: Budget,
 }
 
+impl Demand {
+    /// Counts a request whose token was taken.
+    fn count(&mut self, now: Instant, job: &Job, region: &RegionName) {
+        if job.regions.is_empty() {
+            self.free.finished(now);
+            return;
+        }
+        let meter = self.bound.entry(region.clone());
+        let meter = meter.or_insert_with(|| DrainMeter::new(now));
+        meter.finished(now);
+    }
+
+    /// Returns what the own callers send to the service.
+    fn offered(&self, now: Instant, service: &ServiceName) -> Vec<Offered> {
+        let free = (None, &self.free);
+        let bound = self.bound.iter().map(|(r, m)| (Some(r.clone()), m));
+        let all = std::iter::once(free).chain(bound);
+        all.map(|(bound_to, meter)| Offered {
+            service: service.clone(),
+            bound_to,
+            rate: meter.rate_at(now) as f32,
+        })
+        .collect()
+    }
+}
+
 /// A request that waits for an upstream.
 #[derive(Debug)]
 struct Waiting {
@@ -141,7 +171,7 @@
     quarantine: Quarantine,
     metrics: Arc<EdgeMetrics>,
     placed_lines: LineBudget,
-    rate_lines: LineBudget,
+    refused_lines: LineBudget,
     sequence: u64,
     rounds: u32,
     /// Times that waiting requests had another chance.
@@ -190,7 +220,7 @@
             quarantine: Quarantine::new(&settings.host, incarnation),
             metrics,
             placed_lines: LineBudget::default(),
-            rate_lines: LineBudget::default(),
+            refused_lines: LineBudget::default(),
             sequence: 0,
             rounds: 0,
             turn: 0,
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -123,16 +123,14 @@
 
     pub(super) fn message(&mut self, now: Instant) -> PeerMessage {
         self.sequence += 1;
-        let offered = self.demand.iter();
+        let offered = self.demand.iter().flat_map(|(s, d)| d.offered(now, s));
         PeerMessage {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
             state: self.state(now),
             running: self.upstreams.running(),
-            offered: offered
-                .map(|(s, d)| (s.clone(), d.offered.rate_at(now) as f32))
-                .collect(),
+            offered: offered.collect(),
             wants: Vec::new(),
             grants: Vec::new(),
             suspects: self.quarantine.entries(now, SUSPECTS_TOLD),
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -48,19 +48,23 @@
         service: &ServiceName,
     ) -> BTreeMap<RegionName, RegionLoad> {
         let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
-        let own = self.demand_mut(service, now).offered.rate_at(now);
-        let offered = self.peers.offered(service, &self.settings.regions);
+        let own = self.demand_mut(service, now).offered(now, service);
+        let home = self.settings.region.clone();
         let Some(pool) = self.upstreams.pool(service) else {
             return loads;
         };
         for region in self.settings.regions.values() {
             loads.entry(region.clone()).or_default().demand += OFFERED_PRIOR * pool.work();
         }
-        for (region, rate) in offered {
-            loads.entry(region).or_default().demand += rate * pool.work();
+        let own = own.iter().map(|o| (&home, o));
+        let others = self.peers.offered(service, &self.settings.regions);
+        for (home, offered) in own.chain(others) {
+            let slots = f64::from(offered.rate) * pool.work();
+            match &offered.bound_to {
+                Some(region) => loads.entry(region.clone()).or_default().bound += slots,
+                None => loads.entry(home.clone()).or_default().demand += slots,
+            }
         }
-        let home = loads.entry(self.settings.region.clone()).or_default();
-        home.demand += own * pool.work();
         for u in &pool.upstreams {
             let Some(region) = self.settings.region_of(&u.entry.zone) else {
                 continue;
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -1,6 +1,9 @@
 //! Requests: their tokens, their regions, their upstreams, and who waits.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use rand::RngExt;
 use tokio::{
@@ -36,6 +39,7 @@
         spill::SlowShares,
         upstreams::{
             TryEnd,
+            Upstream,
             UpstreamKey, //
         },
         waiting, //
@@ -77,7 +81,8 @@
             let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
             let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
             Demand {
-                offered: DrainMeter::new(now),
+                free: DrainMeter::new(now),
+                bound: BTreeMap::new(),
                 shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
                 budget: Budget::with_limits(ratio as u64, most as u64),
             }
@@ -97,15 +102,16 @@
                 self.quotas.arrived(now, organisation);
                 paid = self.quotas.debit(now, organisation) == Debit::Paid;
             }
-            let demand = self.demand_mut(&job.service, now);
-            demand.offered.finished(now);
-            demand.budget.earn();
+            self.demand_mut(&job.service, now).budget.earn();
         } else if !self.demand_mut(&job.service, now).budget.take() {
             self.refund(now, &job);
-            answer(reply, self.refused(Why::RetryBudget));
+            answer(reply, self.refused(now, &job, Why::RetryBudget));
             return;
         }
         let region = self.region_of(now, &job);
+        if paid && job.tried.is_empty() {
+            self.demand_mut(&job.service, now).count(now, &job, &region);
+        }
         let until = self.wait_until(&job);
         let waiting = Waiting {
             job,
@@ -162,6 +168,8 @@
             if !waiting.paid {
                 return Some(waiting);
             }
+            let Waiting { job, region, .. } = &waiting;
+            self.demand_mut(&job.service, now).count(now, job, region);
         }
         let late = waiting.until <= now;
         let picked = self.pick(now, &waiting.job, &waiting.region, late);
@@ -174,7 +182,7 @@
             return Some(waiting);
         }
         self.refund(now, &waiting.job);
-        let verdict = self.refused(Why::Busy);
+        let verdict = self.refused(now, &waiting.job, Why::Busy);
         answer(waiting.reply, verdict);
         None
     }
@@ -190,16 +198,7 @@
             Debit::Paid => waiting.paid = true,
             Debit::Short if now < patience => {}
             Debit::Short | Debit::Spent => {
-                if self.rate_lines.allows("rate-used-up") {
-                    log::info!(
-                        event = "rate-used-up",
-                        id:% = waiting.job.id,
-                        organisation:%,
-                        share:% = self.quotas.describe(organisation);
-                        ""
-                    );
-                }
-                let verdict = self.refused(Why::Rate);
+                let verdict = self.refused(now, &waiting.job, Why::Rate);
                 answer(waiting.reply, verdict);
                 return None;
             }
@@ -280,6 +279,8 @@
             log::info!(
                 event = "placed",
                 id:% = job.id,
+                service:% = job.service,
+                organisation:% = job.organisation_text(),
                 upstream:% = id,
                 zone:%,
                 load,
@@ -298,7 +299,8 @@
         }
     }
 
-    pub(super) fn refused(&mut self, why: Why) -> Verdict {
+    pub(super) fn refused(&mut self, now: Instant, job: &Job, why: Why) -> Verdict {
+        self.note_refused(now, job, why);
         let spread = RETURN_SPREAD.mul_f64(self.rng.random::<f64>());
         Verdict::Refused(Refused {
             why,
@@ -306,6 +308,42 @@
         })
     }
 
+    /// Logs a refusal with what decided it.
+    fn note_refused(&self, now: Instant, job: &Job, why: Why) {
+        if !self.refused_lines.allows("refused") {
+            return;
+        }
+        let pool = self.upstreams.pool(&job.service);
+        let in_regions = |u: &&Upstream| {
+            let region = self.settings.region_of(&u.entry.zone);
+            job.regions.is_empty() || region.is_some_and(|r| job.regions.contains(r))
+        };
+        let usable = pool.iter().flat_map(|p| &p.upstreams).filter(in_regions);
+        let (slots, free) = usable.fold((0, 0), |(slots, free), u| {
+            (slots + u.entry.slots, free + u.free(now))
+        });
+        let organisation = job.organisation.as_ref();
+        let share = match why {
+            Why::Rate => organisation.map(|o| self.quotas.describe(o)),
+            _ => None,
+        };
+        log::info!(
+            event = "refused",
+            id:% = job.id,
+            why = why.as_str(),
+            service:% = job.service,
+            organisation:% = job.organisation_text(),
+            rank:? = job.priority,
+            regions:? = job.regions,
+            slots,
+            free,
+            share:% = share.unwrap_or_default(),
+            lost_ms = job.lost.as_millis() as u64,
+            waited_ms = now.saturating_duration_since(job.received).as_millis() as u64;
+            ""
+        );
+    }
+
     /// Gives the token of a request back that was tried before and is not sent again.
     pub(super) fn refund_later_try(&mut self, now: Instant, job: &Job) {
         if !job.tried.is_empty() {
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -107,6 +107,13 @@
     pub may_have_run: bool,
 }
 
+impl Job {
+    /// Returns the organisation for logs; `-` where there is none.
+    pub fn organisation_text(&self) -> &str {
+        self.organisation.as_ref().map_or("-", |o| o.as_str())
+    }
+}
+
 /// Asks for an upstream.
 #[derive(Debug)]
 pub struct Submit {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -58,6 +58,17 @@
 /// Messages of a process that must be missing before one with a smaller number replaces it.
 const MISSED_BY_OLD_PROCESS: u32 = 4;
 
+/// Requests a second of a host's callers for one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Offered {
+    /// The service.
+    pub service: ServiceName,
+    /// The region in which alone they may run; `None` where they may run in any.
+    pub bound_to: Option<RegionName>,
+    /// Requests a second.
+    pub rate: f32,
+}
+
 /// One message from host to host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
@@ -71,8 +82,8 @@
     pub state: HostState,
     /// Requests of the sender that run, by upstream.
     pub running: Vec<(UpstreamKey, u32)>,
-    /// Requests a second that its callers send, by service.
-    pub offered: Vec<(ServiceName, f32)>,
+    /// What its callers send.
+    pub offered: Vec<Offered>,
     /// Tokens that it asks of the receiver, in thousandths of a request.
     pub wants: Vec<(OrganisationName, u64)>,
     /// Tokens that it hands to the receiver, in thousandths of a request.
@@ -133,7 +144,7 @@
     heard: Option<Instant>,
     state: HostState,
     running: Vec<(UpstreamKey, u32)>,
-    offered: Vec<(ServiceName, f32)>,
+    offered: Vec<Offered>,
 }
 
 impl Peer {
@@ -286,22 +297,18 @@
         sum
     }
 
-    /// Returns the requests a second that the callers of other hosts send to a
-    /// service, by the hosts' region.
-    pub fn offered(
-        &self,
-        service: &ServiceName,
-        regions: &BTreeMap<ZoneName, RegionName>,
-    ) -> BTreeMap<RegionName, f64> {
-        let mut sum = BTreeMap::new();
-        for peer in self.peers.values() {
-            let Some(region) = regions.get(&peer.entry.zone) else {
-                continue;
-            };
-            let rate = peer.offered.iter().find(|(s, _)| s == service);
-            *sum.entry(region.clone()).or_default() += rate.map_or(0.0, |(_, r)| f64::from(*r));
-        }
-        sum
+    /// Returns what the callers of other hosts send to a service, with the region
+    /// of each host.
+    pub fn offered<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        regions: &'a BTreeMap<ZoneName, RegionName>,
+    ) -> impl Iterator<Item = (&'a RegionName, &'a Offered)> {
+        let homes = self.peers.values();
+        let homes = homes.filter_map(|p| Some((regions.get(&p.entry.zone)?, p)));
+        homes
+            .flat_map(|(home, p)| p.offered.iter().map(move |o| (home, o)))
+            .filter(move |(_, o)| o.service == *service)
     }
 
     /// Returns the hosts that were heard lately and do not leave.
--- a/src/edge/spill.rs
+++ b/src/edge/spill.rs
@@ -2,8 +2,9 @@
 //!
 //! Demand is spread over the regions so that all are loaded alike: a region
 //! serves its own callers up to its part of the whole, and sends the rest to
-//! regions in proportion to what they have left. The parts move slowly, so that
-//! a region's work never jumps.
+//! regions in proportion to what they have left. Requests that may run in one
+//! region alone come first there, and all others share the room that these leave.
+//! The parts move slowly, so that a region's work never jumps.
 
 use std::{
     collections::BTreeMap,
@@ -14,7 +15,7 @@
 
 use crate::util::id::RegionName;
 
-/// The part of its slots up to which a region keeps its own callers while there is room elsewhere.
+/// The part of its room up to which a region keeps its own callers while there is room elsewhere.
 const KEEP_AT_HOME: f64 = 0.85;
 
 /// What one region has and what its callers ask, for one service.
@@ -22,26 +23,35 @@
 pub struct RegionLoad {
     /// Slots that can be used.
     pub slots: f64,
-    /// Slots that its callers' requests would hold.
+    /// Slots that its callers' requests would hold, if they may run in any region.
     pub demand: f64,
+    /// Slots that the requests would hold that may run in this region alone.
+    pub bound: f64,
+}
+
+impl RegionLoad {
+    /// Returns the slots that bound requests leave.
+    fn room(&self) -> f64 {
+        (self.slots - self.bound).max(0.0)
+    }
 }
 
 /// The part of a region's requests that runs in each region; the parts add up to 1.
 pub type Shares = BTreeMap<RegionName, f64>;
 
-/// Returns the shares of the requests from `home`.
+/// Returns the shares of the requests from `home` that may run in any region.
 pub fn shares(home: &RegionName, loads: &BTreeMap<RegionName, RegionLoad>) -> Shares {
-    let slots: f64 = loads.values().map(|l| l.slots).sum();
+    let room: f64 = loads.values().map(RegionLoad::room).sum();
     let demand: f64 = loads.values().map(|l| l.demand).sum();
     let mut shares = Shares::new();
     let own = loads.get(home).copied().unwrap_or_default();
-    if slots <= 0.0 || demand <= 0.0 || own.demand <= 0.0 {
+    if room <= 0.0 || demand <= 0.0 || own.demand <= 0.0 {
         shares.insert(home.clone(), 1.0);
         return shares;
     }
-    let fill = (demand / slots).max(KEEP_AT_HOME);
-    let spare = |l: &RegionLoad| (l.slots * fill - l.demand).max(0.0);
-    let over = (own.demand - own.slots * fill).max(0.0);
+    let fill = (demand / room).max(KEEP_AT_HOME);
+    let spare = |l: &RegionLoad| (l.room() * fill - l.demand).max(0.0);
+    let over = (own.demand - own.room() * fill).max(0.0);
     let all_spare: f64 = loads.values().map(spare).sum();
     let mut kept = 1.0;
     for (region, load) in loads {
--- a/standins/tests/proof_once.rs
+++ b/standins/tests/proof_once.rs
@@ -229,7 +229,11 @@
     }
     let mut seen = proof::all_entries(&fleet);
     seen.retain(|e| e.ending == Some(cardamomroad_standins::upstream::Ending::Crashed));
-    assert_eq!(seen.len(), crashed, "crashes by round {counted:?}: {seen:#?}");
+    assert_eq!(
+        seen.len(),
+        crashed,
+        "crashes by round {counted:?}: {seen:#?}"
+    );
     assert!(
         (1..=CRASHES_MAX).contains(&crashed),
         "{crashed} upstreams were crashed"
--- a/tests/edge_spill.rs
+++ b/tests/edge_spill.rs
@@ -1,4 +1,5 @@
-//! The pattern: one region has a sixth of the slots that its callers ask for.
+//! The patterns: one region has a sixth of the slots that its callers ask for; and
+//! an organisation that may run in one small region alone asks for all of its slots.
 
 use std::{
     collections::BTreeMap,
@@ -25,10 +26,22 @@
 }
 
 fn loads(of: &[(&str, f64, f64)]) -> BTreeMap<RegionName, RegionLoad> {
-    let load = |&(name, slots, demand)| (region(name), RegionLoad { slots, demand });
+    let load = |&(name, slots, demand)| {
+        let bound = 0.0;
+        let load = RegionLoad {
+            slots,
+            demand,
+            bound,
+        };
+        (region(name), load)
+    };
     of.iter().map(load).collect()
 }
 
+fn bind(loads: &mut BTreeMap<RegionName, RegionLoad>, name: &str, bound: f64) {
+    loads.get_mut(&region(name)).expect("region").bound = bound;
+}
+
 /// Returns the demand that meets each region's slots, in parts of them.
 fn fills(loads: &BTreeMap<RegionName, RegionLoad>) -> Vec<f64> {
     let mut met: BTreeMap<&RegionName, f64> = BTreeMap::new();
@@ -55,6 +68,33 @@
     }
 }
 
+#[test]
+fn work_that_may_run_elsewhere_leaves_a_region_to_what_may_not() {
+    let mut loads = loads(&[
+        ("north", 48.0, 20.0),
+        ("middle", 24.0, 20.0),
+        ("south", 48.0, 20.0),
+    ]);
+    bind(&mut loads, "middle", 100.0);
+    let middle = shares(&region("middle"), &loads);
+    let kept = middle.get(&region("middle")).copied().unwrap_or(0.0);
+    assert!(kept < 0.01, "{middle:?}");
+    for home in ["north", "south"] {
+        let shares = shares(&region(home), &loads);
+        assert!(!shares.contains_key(&region("middle")), "{shares:?}");
+    }
+}
+
+#[test]
+fn room_that_bound_work_leaves_is_used() {
+    let mut loads = loads(&[("north", 40.0, 30.0), ("middle", 24.0, 30.0)]);
+    bind(&mut loads, "middle", 12.0);
+    let middle = shares(&region("middle"), &loads);
+    // Rooms of 40 and 12 slots for 60 requests: the middle keeps 12/52 of them.
+    let kept = middle[&region("middle")] * 30.0;
+    assert!((kept - 60.0 * 12.0 / 52.0).abs() < 0.01, "{middle:?}");
+}
+
 #[test]
 fn with_room_to_spare_a_region_serves_its_own_callers() {
     let loads = loads(&[("north", 48.0, 20.0), ("south", 48.0, 30.0)]);
@@ -75,11 +115,12 @@
 fn shares_add_up_to_one_whatever_the_loads() {
     for seed in 0..200_u32 {
         let number = |i: u32| f64::from((seed * 7919 + i * 104_729) % 100);
-        let loads = loads(&[
+        let mut loads = loads(&[
             ("a", number(1), number(2)),
             ("b", number(3), number(4)),
             ("c", number(5), number(6)),
         ]);
+        bind(&mut loads, "b", number(7));
         for home in loads.keys() {
             let shares = shares(home, &loads);
             let sum: f64 = shares.values().sum();
