Take shares over until the first request, and expect a full load before it is measured

Cause: the first target bound the shares, and it came when the first upstream had registered, 6.6 s before traffic: nam's hosts held bac 1.0 and then moved by the allowed 0.045 a second, so that at the start bac met 0.67 of nam's requests (load 0.90) and trung 0.04 (load 0.49). The meter's 5 s also showed a full load only after some seconds. Moves of shares are logged now, with loads and target.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -104,6 +104,8 @@
     free: DrainMeter,
     /// Those that may run in one region alone.
     bound: BTreeMap<RegionName, DrainMeter>,
+    /// When requests for the service were first seen, here or at another host.
+    seen: Option<Instant>,
     shares: SlowShares,
     budget: Budget,
 }
@@ -120,6 +122,11 @@
         meter.finished(now);
     }
 
+    /// Returns whether the own callers sent a request that may run in any region.
+    fn has_sent(&self, now: Instant) -> bool {
+        self.free.rate_at(now) > 0.0
+    }
+
     /// Returns what the own callers send to the service.
     fn offered(&self, now: Instant, service: &ServiceName) -> Vec<Offered> {
         let free = (None, &self.free);
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -11,6 +11,7 @@
 use crate::{
     edge::{
         model::Standing,
+        peers::Offered,
         spill::{
             self,
             RegionLoad, //
@@ -24,8 +25,8 @@
 
 /// The time between two looks at the shares of the regions.
 const SHARES_INTERVAL: Duration = Duration::from_millis(250);
-/// Requests a second that a zone's callers are taken to send before any were seen.
-const OFFERED_PRIOR: f64 = 1.0;
+/// A change of a share from which on it is logged.
+const SHARE_LOGGED: f64 = 0.05;
 
 impl Dispatcher {
     /// Moves the shares of the regions towards the present loads.
@@ -38,7 +39,20 @@
         for service in services {
             let loads = self.loads(now, &service);
             let target = spill::shares(&self.settings.region, &loads);
-            self.demand_mut(&service, now).shares.follow(now, &target);
+            let demand = self.demand_mut(&service, now);
+            let has_sent = demand.has_sent(now);
+            let shares = &mut demand.shares;
+            shares.follow(now, &target, has_sent);
+            if shares.moved_by(SHARE_LOGGED) {
+                log::info!(
+                    event = "share-moved",
+                    service:%,
+                    shares:? = shares.shares(),
+                    target:?,
+                    loads:?;
+                    ""
+                );
+            }
         }
     }
 
@@ -48,17 +62,20 @@
         service: &ServiceName,
     ) -> BTreeMap<RegionName, RegionLoad> {
         let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
-        let own = self.demand_mut(service, now).offered(now, service);
         let home = self.settings.region.clone();
+        let demand = self.demand_mut(service, now);
+        let own = demand.offered(now, service);
+        let mut seen = demand.seen;
+        let own = own.iter().map(|o| (&home, o));
+        let others = self.peers.offered(service, &self.settings.regions);
+        let offered: Vec<(&RegionName, &Offered)> = own.chain(others).collect();
+        if seen.is_none() && offered.iter().any(|(_, o)| o.rate > 0.0) {
+            seen = Some(now);
+        }
         let Some(pool) = self.upstreams.pool(service) else {
             return loads;
         };
-        for region in self.settings.regions.values() {
-            loads.entry(region.clone()).or_default().demand += OFFERED_PRIOR * pool.work();
-        }
-        let own = own.iter().map(|o| (&home, o));
-        let others = self.peers.offered(service, &self.settings.regions);
-        for (home, offered) in own.chain(others) {
+        for (home, offered) in offered {
             let slots = f64::from(offered.rate) * pool.work();
             match &offered.bound_to {
                 Some(region) => loads.entry(region.clone()).or_default().bound += slots,
@@ -74,6 +91,14 @@
                 loads.entry(region.clone()).or_default().slots += f64::from(u.entry.slots);
             }
         }
+        let slots = loads.values().map(|l| l.slots).sum();
+        let zones = self.settings.regions.len();
+        let after = seen.map(|at| now.saturating_duration_since(at));
+        let unseen = spill::unseen_demand(slots, zones, after);
+        for region in self.settings.regions.values() {
+            loads.entry(region.clone()).or_default().demand += unseen;
+        }
+        self.demand_mut(service, now).seen = seen;
         loads
     }
 }
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -83,6 +83,7 @@
             Demand {
                 free: DrainMeter::new(now),
                 bound: BTreeMap::new(),
+                seen: None,
                 shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
                 budget: Budget::with_limits(ratio as u64, most as u64),
             }
--- a/src/edge/spill.rs
+++ b/src/edge/spill.rs
@@ -13,7 +13,10 @@
 
 use tokio::time::Instant;
 
-use crate::util::id::RegionName;
+use crate::{
+    retry::DrainMeter,
+    util::id::RegionName, //
+};
 
 /// The part of its room up to which a region keeps its own callers while there is room elsewhere.
 const KEEP_AT_HOME: f64 = 0.85;
@@ -39,6 +42,16 @@
 /// The part of a region's requests that runs in each region; the parts add up to 1.
 pub type Shares = BTreeMap<RegionName, f64>;
 
+/// Returns the slots that the requests of one zone's callers are taken to hold, beside
+/// those that were measured, `after` the first request was seen.
+///
+/// What callers will send is unknown at the start. Shares that fit the slots are
+/// nearly right under load, where wrong ones cost most, and cost a crossing without.
+pub fn unseen_demand(slots: f64, zones: usize, after: Option<Duration>) -> f64 {
+    let unseen = after.map_or(1.0, DrainMeter::unseen_part);
+    slots / zones.max(1) as f64 * unseen
+}
+
 /// Returns the shares of the requests from `home` that may run in any region.
 pub fn shares(home: &RegionName, loads: &BTreeMap<RegionName, RegionLoad>) -> Shares {
     let room: f64 = loads.values().map(RegionLoad::room).sum();
@@ -72,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub struct SlowShares {
     shares: Shares,
+    /// The shares when they were last told.
+    told: Shares,
     at: Option<Instant>,
     per_second: f64,
 }
@@ -83,14 +98,17 @@
     pub fn new(home: &RegionName, moved: f64, window: Duration) -> Self {
         Self {
             shares: Shares::from([(home.clone(), 1.0)]),
+            told: Shares::new(),
             at: None,
             per_second: moved / window.as_secs_f64().max(f64::EPSILON),
         }
     }
 
-    /// Moves towards a target. The first target is taken over at once.
-    pub fn follow(&mut self, now: Instant, target: &Shares) {
-        let Some(at) = self.at.replace(now) else {
+    /// Moves towards a target. Where no request was sent yet, nothing has to move,
+    /// and the target is taken over at once.
+    pub fn follow(&mut self, now: Instant, target: &Shares, has_sent: bool) {
+        let at = self.at.replace(now).filter(|_| has_sent);
+        let Some(at) = at else {
             self.shares = target.clone();
             return;
         };
@@ -119,6 +137,17 @@
         self.shares = next;
     }
 
+    /// Returns whether a share differs by `least` from when this was last true.
+    pub fn moved_by(&mut self, least: f64) -> bool {
+        let part = |shares: &Shares, r| shares.get(r).copied().unwrap_or(0.0);
+        let mut regions = self.shares.keys().chain(self.told.keys());
+        let moved = regions.any(|r| (part(&self.shares, r) - part(&self.told, r)).abs() >= least);
+        if moved {
+            self.told.clone_from(&self.shares);
+        }
+        moved
+    }
+
     /// Returns the shares in force.
     pub fn shares(&self) -> &Shares {
         &self.shares
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -176,6 +176,11 @@
         self.rate * (-idle / METER_SECONDS).exp()
     }
 
+    /// Returns the part of a steady rate that a meter does not show yet, `after` its first request.
+    pub fn unseen_part(after: Duration) -> f64 {
+        (-after.as_secs_f64() / METER_SECONDS).exp()
+    }
+
     /// Returns when a caller should come back, if `ahead` requests are before it.
     pub fn retry_after(&self, now: Instant, ahead: u32) -> Duration {
         let rate = self.rate_at(now);
--- a/tests/edge_spill.rs
+++ b/tests/edge_spill.rs
@@ -11,8 +11,10 @@
         RegionLoad,
         Shares,
         SlowShares,
-        shares, //
+        shares,
+        unseen_demand, //
     },
+    retry::DrainMeter,
     util::id::RegionName,
 };
 use tokio::time::Instant;
@@ -136,12 +138,16 @@
     let t0 = Instant::now();
     let home = region("south");
     let mut slow = SlowShares::new(&home, MOVED_MAX, WINDOW);
-    slow.follow(t0, &Shares::from([(home.clone(), 1.0)]));
+    slow.follow(t0, &Shares::from([(home.clone(), 1.0)]), true);
     let away = Shares::from([(region("north"), 1.0)]);
     let mut before = 1.0;
     for window in 1..=20_u32 {
         for step in 0..8 {
-            slow.follow(t0 + WINDOW * (window - 1) + WINDOW / 8 * (step + 1), &away);
+            slow.follow(
+                t0 + WINDOW * (window - 1) + WINDOW / 8 * (step + 1),
+                &away,
+                true,
+            );
         }
         let now = slow.shares().get(&home).copied().unwrap_or(0.0);
         assert!(
@@ -153,12 +159,48 @@
     assert!(before < 1e-9, "{before} is still at home");
 }
 
+/// The first upstream to register stands in another region; all others follow
+/// before the first request does.
+#[test]
+fn what_was_known_before_the_first_request_binds_nothing() {
+    let t0 = Instant::now();
+    let home = region("south");
+    let mut slow = SlowShares::new(&home, MOVED_MAX, WINDOW);
+    slow.follow(t0, &Shares::from([(region("north"), 1.0)]), false);
+    let target = Shares::from([(home.clone(), 0.5), (region("north"), 0.5)]);
+    slow.follow(t0 + WINDOW / 8, &target, false);
+    assert_eq!(*slow.shares(), target);
+    slow.follow(t0 + WINDOW, &Shares::from([(home, 1.0)]), true);
+    assert!(
+        slow.shares()[&region("south")] <= 0.5 + MOVED_MAX,
+        "{slow:?}"
+    );
+}
+
+/// Callers of three zones send a steady load from one moment on.
+#[test]
+fn demand_is_met_from_the_first_second_on() {
+    let (slots, zones) = (112.0, 3);
+    let interval = Duration::from_millis(25);
+    // The requests of each zone hold its part of the slots.
+    let work = slots / zones as f64 * interval.as_secs_f64();
+    let t0 = Instant::now();
+    let mut meter = DrainMeter::new(t0);
+    for step in 0..800 {
+        let now = t0 + interval * step;
+        meter.finished(now);
+        let unseen = unseen_demand(slots, zones, Some(now - t0));
+        let fill = (meter.rate_at(now) * work + unseen) * zones as f64 / slots;
+        assert!((0.95..=1.05).contains(&fill), "{fill} in step {step}");
+    }
+}
+
 #[test]
 fn points_follow_the_shares() {
     let home = region("south");
     let mut slow = SlowShares::new(&home, MOVED_MAX, WINDOW);
     let target = Shares::from([(home.clone(), 0.25), (region("north"), 0.75)]);
-    slow.follow(Instant::now(), &target);
+    slow.follow(Instant::now(), &target, false);
     let points = (0..1000).map(|i| f64::from(i) / 1000.0);
     let stay = points.filter(|p| slow.region_at(&home, *p) == home).count();
     assert_eq!(stay, 250);
