--- a/src/cli.rs
+++ b/src/cli.rs
@@ -145,7 +145,8 @@
     /// Tells what a host decided, from which measurement, how old it was and by
     /// which generation.
     ///
-    /// Example: cardamomroad explain --host 127.0.0.1:8003 --refusals
+    /// Examples: cardamomroad explain --host 127.0.0.1:8003 --refusals
+    /// and cardamomroad explain --logs logs/ b18e4396a5db0d80
     Explain(ExplainArguments),
     /// Prints the completion script of a shell.
     ///
@@ -289,25 +290,43 @@
 /// The arguments of `explain`.
 #[derive(Clone, Debug, Args)]
 pub struct ExplainArguments {
-    /// An entry host's operators' address.
-    #[arg(long, value_name = "IP:PORT")]
-    pub host: SocketAddr,
+    /// Who knows.
+    #[command(flatten)]
+    pub source: Source,
     /// The question.
     #[command(flatten)]
     pub question: Question,
 }
 
+/// Who is asked; one of them.
+#[derive(Clone, Debug, Args)]
+#[group(required = true, multiple = false)]
+pub struct Source {
+    /// An entry host's operators' address.
+    #[arg(long, value_name = "IP:PORT")]
+    pub host: Option<SocketAddr>,
+    /// A folder with the hosts' logs, one file a host, named as the host.
+    #[arg(long, value_name = "DIR")]
+    pub logs: Option<PathBuf>,
+}
+
 /// What to explain; one of them.
 #[derive(Clone, Debug, Args)]
 #[group(required = true, multiple = false)]
 pub struct Question {
-    /// Where a request went, and why.
-    #[arg(long, value_name = "ID")]
+    /// Where a request went, and why; of a host.
+    #[arg(long, value_name = "ID", requires = "host")]
     pub request: Option<RequestId>,
-    /// The latest refusals, and how many there were for each reason.
-    #[arg(long)]
+    /// The latest refusals, and how many there were for each reason; of a host.
+    #[arg(long, requires = "host")]
     pub refusals: bool,
-    /// The latest steps of the planner.
-    #[arg(long)]
+    /// The latest steps of the planner; of a host.
+    #[arg(long, requires = "host")]
     pub plan: bool,
+    /// A request's id: its lines and what its host believed then; of logs.
+    #[arg(value_name = "ID", requires = "logs")]
+    pub id: Option<String>,
+    /// All that changed in what the hosts believe; of logs.
+    #[arg(long, requires = "logs")]
+    pub beliefs: bool,
 }
--- a/src/command.rs
+++ b/src/command.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod drain;
 mod key;
+mod logs;
 mod print;
 mod state;
 
@@ -13,6 +14,7 @@
         Write, //
     },
     net::SocketAddr,
+    path::PathBuf,
 };
 
 use clap::CommandFactory;
@@ -22,6 +24,7 @@
     cli::{
         Arguments,
         Command,
+        ExplainArguments,
         Output, //
     },
     command::print::Printer,
@@ -57,6 +60,9 @@
     /// No store is named.
     #[error("no store is named; give --store IP:PORT or set CARDAMOMROAD_STORE")]
     NoStore,
+    /// Neither a host nor logs are named.
+    #[error("neither a host nor logs are named; give --host IP:PORT or --logs DIR")]
+    NoSource,
     /// Nothing was published yet.
     #[error("nothing is published in the store at {0}; publish a set with `cardamomroad apply`")]
     Nothing(SocketAddr),
@@ -85,6 +91,22 @@
         /// What went wrong.
         cause: String,
     },
+    /// The logs cannot be read.
+    #[error("the logs in {} cannot be read ({cause}); name a folder with a file for each host", folder.display())]
+    Logs {
+        /// The folder.
+        folder: PathBuf,
+        /// What went wrong.
+        cause: io::Error,
+    },
+    /// No log has the request.
+    #[error("no log in {} has a line with id={id}; collect the logs of all hosts, and see lines-dropped", folder.display())]
+    NoLines {
+        /// The request.
+        id: String,
+        /// The folder.
+        folder: PathBuf,
+    },
     /// A set cannot be written as TOML.
     #[error("the set cannot be written as TOML ({0}); use --output json")]
     Toml(#[from] toml::ser::Error),
@@ -100,7 +122,7 @@
     /// Returns the exit code of the program.
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::NoStore => 2,
+            Self::NoStore | Self::NoSource => 2,
             Self::Publish(
                 PublishError::Conflict { .. } | PublishError::Store(StoreError::Conflict { .. }),
             ) => 3,
@@ -179,7 +201,13 @@
         Command::Drain(command) => drain::run(&mut cx, command).await,
         Command::Key(command) => key::run(&mut cx, command).await,
         Command::Status(args) => state::status(&mut cx, &args).await,
-        Command::Explain(args) => state::explain(&mut cx, &args).await,
+        Command::Explain(ExplainArguments { source, question }) => {
+            match (source.host, source.logs) {
+                (Some(host), _) => state::explain(&mut cx, host, &question).await,
+                (None, Some(folder)) => logs::explain(&mut cx, &folder, &question),
+                (None, None) => Err(CommandError::NoSource),
+            }
+        }
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             let mut script = Vec::new();
--- a/src/command/state.rs
+++ b/src/command/state.rs
@@ -11,7 +11,6 @@
 
 use crate::{
     cli::{
-        ExplainArguments,
         Output,
         Question,
         StatusArguments, //
@@ -145,10 +144,11 @@
 /// Prints the account of a host's decisions.
 pub(super) async fn explain(
     cx: &mut Context<'_>,
-    args: &ExplainArguments,
+    host: SocketAddr,
+    question: &Question,
 ) -> Result<(), CommandError> {
-    let answer = ask(args.host, &target(&args.question)).await?;
-    let records = Record::from_json_lines(&answer).map_err(|e| failed(args.host, &e))?;
+    let answer = ask(host, &target(question)).await?;
+    let records = Record::from_json_lines(&answer).map_err(|e| failed(host, &e))?;
     cx.printer.list(&records)?;
     if cx.output == Output::Json {
         return Ok(());
@@ -158,7 +158,7 @@
             .printer
             .raw(b"nothing is recorded; the host keeps only the latest decisions\n");
     }
-    if args.question.refusals {
+    if question.refusals {
         return cx.printer.raw(count(&records).as_bytes());
     }
     Ok(())
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -2,6 +2,7 @@
 //! old it was, and by which generation.
 
 pub mod journal;
+pub mod story;
 
 use std::{
     fmt,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -534,3 +534,54 @@
     }
     assert!(!text.contains("short secret"));
 }
+
+/// Two hosts' logs; the clock of the second one is an hour ahead.
+const NEAR_LOG: &str = "\
+[06:42:44Z INFO  m]  event=configuration-adopted version=7
+[06:42:45Z INFO  m]  event=upstream-suspended upstream=i-1 failures=2 for_ms=500
+[06:42:45Z INFO  m]  event=upstream-suspended upstream=i-9 failures=2 for_ms=500
+[06:42:46Z INFO  m]  event=configuration-adopted version=8
+[06:42:47Z INFO  m]  event=placed id=b18e service=s upstream=i-1 zone=bac-a load=2 slots=3
+[06:42:47Z INFO  m]  event=placed id=b18e4 service=s upstream=i-9 zone=bac-a load=2 slots=3
+[06:42:48Z INFO  m]  event=dependency-lost topic=upstreams
+[06:42:48Z INFO  m]  event=answer-lost id=b18e upstream=i-1 cause=connection closed
+[06:42:48Z INFO  m]  event=request-ended id=b18e why=lost status=502 held_ms=544
+[06:42:49Z INFO  m]  event=dependency-regained topic=upstreams
+";
+const FAR_LOG: &str = "[07:42:44Z INFO  m]  event=configuration-adopted version=6\n";
+
+#[test]
+fn logs_tell_the_story_of_a_request() {
+    let bench = Bench::new("story");
+    let logs = bench.folder.join("logs");
+    fs::create_dir_all(&logs).unwrap();
+    fs::write(logs.join("bac-a-1.log"), NEAR_LOG).unwrap();
+    fs::write(logs.join("nam-a-1.log"), FAR_LOG).unwrap();
+    let logs = logs.display().to_string();
+
+    let story = bench.run(&["explain", "--logs", &logs, "b18e"]).done();
+    let heads = story.lines().map(|l| l.split(" [").next().unwrap().trim());
+    let heads: Vec<&str> = heads.collect();
+    let wanted = [
+        "bac-a-1:2 before",
+        "bac-a-1:4 before",
+        "bac-a-1:5 request",
+        "bac-a-1:7 meanwhile",
+        "bac-a-1:8 request",
+        "bac-a-1:9 request",
+    ];
+    // What was adopted before version 8, other upstreams and other requests are no part of it.
+    assert_eq!(heads, wanted, "{story}");
+
+    let changes = bench.run(&["explain", "--logs", &logs, "--beliefs"]).done();
+    assert_eq!(changes.lines().count(), 7, "{changes}");
+    assert!(changes.contains("nam-a-1:1 change"), "{changes}");
+
+    let missing = bench.run(&["explain", "--logs", &logs, "ffff"]).failed(1);
+    assert!(missing.contains("id=ffff"), "{missing}");
+    bench
+        .run(&["explain", "--logs", "absent", "b18e"])
+        .failed(1);
+    bench.run(&["explain", "--logs", &logs]).failed(2);
+    bench.run(&["explain", "b18e"]).failed(2);
+}
