--- a/src/edge.rs
+++ b/src/edge.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod cold;
 pub mod dialect;
+pub mod directory;
 pub mod dispatcher;
 pub mod follow;
 pub mod forward;
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -16,6 +16,11 @@
 };
 use crate::{
     edge::{
+        directory::{
+            self,
+            Candidate, //
+        },
+        model::HostRegistration,
         peers::{
             Datagram,
             FAR_INTERVALS,
@@ -206,24 +211,28 @@
         });
     }
 
-    /// Returns the hosts that a caller should use: those of its zone, else those
-    /// of its region, else all.
-    pub(super) fn lookup(&self, now: Instant, zone: Option<&ZoneName>) -> Vec<SocketAddr> {
-        let mut hosts: Vec<(&ZoneName, SocketAddr)> = self.peers.ready().collect();
+    /// Returns the hosts that a caller should use: of those of its zone, else of
+    /// those of its region, else of all, as many of each size as fit its part.
+    pub(super) fn lookup(&mut self, now: Instant, zone: Option<&ZoneName>) -> Vec<SocketAddr> {
+        let own = registration(&self.settings);
+        let mut hosts: Vec<&HostRegistration> = self.peers.ready().collect();
         if self.is_ready(now) || (hosts.is_empty() && !self.leaving) {
-            hosts.push((&self.settings.zone, self.settings.callers));
+            hosts.push(&own);
         }
         let zone = zone.unwrap_or(&self.settings.zone);
         let region = self.settings.region_of(zone);
-        let near = |h: &&(&ZoneName, SocketAddr)| h.0 == zone;
-        let in_region = |h: &&(&ZoneName, SocketAddr)| self.settings.region_of(h.0) == region;
-        let mut chosen: Vec<_> = hosts.iter().filter(near).collect();
-        if chosen.is_empty() {
-            chosen = hosts.iter().filter(in_region).collect();
-        }
-        if chosen.is_empty() {
-            chosen = hosts.iter().collect();
-        }
-        chosen.into_iter().map(|h| h.1).collect()
+        let is_near = |h: &HostRegistration| h.zone == *zone;
+        let in_region = |h: &HostRegistration| self.settings.region_of(&h.zone) == region;
+        if hosts.iter().any(|h| is_near(h)) {
+            hosts.retain(|h| is_near(h));
+        } else if hosts.iter().any(|h| in_region(h)) {
+            hosts.retain(|h| in_region(h));
+        }
+        let candidate = |h: &HostRegistration| Candidate {
+            address: h.callers,
+            millicores: h.millicores,
+        };
+        let candidates: Vec<Candidate> = hosts.into_iter().map(candidate).collect();
+        directory::draw(&candidates, &mut self.rng)
     }
 }
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -10,6 +10,7 @@
 use super::Dispatcher;
 use crate::{
     edge::{
+        lines::listed,
         model::Standing,
         peers::Offered,
         spill::{
@@ -47,9 +48,9 @@
                 log::info!(
                     event = "share-moved",
                     service:%,
-                    shares:? = shares.shares(),
-                    target:?,
-                    loads:?;
+                    shares:% = listed(shares.shares().iter().map(|(r, s)| format!("{r}:{s:.2}"))),
+                    target:% = listed(target.iter().map(|(r, s)| format!("{r}:{s:.2}"))),
+                    loads:% = listed(loads.iter().map(|(r, l)| format!("{r}:{l}")));
                     ""
                 );
             }
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     edge::{
+        lines::listed,
         message::{
             Ended,
             Job,
@@ -334,8 +335,8 @@
             why = why.as_str(),
             service:% = job.service,
             organisation:% = job.organisation_text(),
-            rank:? = job.priority,
-            regions:? = job.regions,
+            rank = job.priority.0,
+            regions:% = listed(&job.regions),
             slots,
             free,
             share:% = share.unwrap_or_default(),
--- a/src/edge/lines.rs
+++ b/src/edge/lines.rs
@@ -1,6 +1,7 @@
 //! A bound on the lines that requests write.
 
 use std::{
+    fmt::Display,
     sync::Mutex,
     time::Duration, //
 };
@@ -19,6 +20,12 @@
     dropped: u64,
 }
 
+/// Returns values for one field of a line, with commas between them.
+pub fn listed(values: impl IntoIterator<Item: Display>) -> String {
+    let texts: Vec<String> = values.into_iter().map(|v| v.to_string()).collect();
+    texts.join(",")
+}
+
 /// Lets the first lines of each second pass, and counts the others.
 #[derive(Debug, Default)]
 pub struct LineBudget {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -322,23 +322,25 @@
         self.live().count()
     }
 
-    /// Returns the addresses and zones of hosts that take requests.
-    pub fn ready(&self) -> impl Iterator<Item = (&ZoneName, SocketAddr)> {
+    /// Returns the hosts that take requests.
+    pub fn ready(&self) -> impl Iterator<Item = &HostRegistration> {
         let ready = self.live().filter(|p| p.state == HostState::Ready);
-        ready.map(|p| (&p.entry.zone, p.entry.callers))
+        ready.map(|p| &p.entry)
     }
 
-    /// Returns the host that reads the store for the others of a zone: the
-    /// largest one that is ready, the own one among them; none where it is the own one.
+    /// Returns the host that reads the store for the others of a zone: the largest
+    /// one that is ready, else the largest one; none where it is the own one.
+    ///
+    /// Before there is a configuration no host is ready, and one reader is enough then too.
     pub fn relay(&self, own: &HostRegistration, is_ready: bool) -> Option<SocketAddr> {
-        let rank = |h: &HostRegistration| (h.millicores, xxh3_64(h.name.as_str().as_bytes()));
-        let ready = self.live().filter(|p| p.state == HostState::Ready);
-        let near = ready.filter(|p| p.entry.zone == own.zone).map(|p| &p.entry);
-        let best = near.max_by_key(|h| rank(h))?;
-        match is_ready && rank(own) > rank(best) {
-            true => None,
-            false => Some(best.peers),
-        }
+        let rank = |is_ready: bool, h: &HostRegistration| {
+            let chance = xxh3_64(h.name.as_str().as_bytes());
+            (is_ready, h.millicores, chance)
+        };
+        let near = self.live().filter(|p| p.entry.zone == own.zone);
+        let ranked = near.map(|p| (rank(p.state == HostState::Ready, &p.entry), &p.entry));
+        let (best, entry) = ranked.max_by_key(|(rank, _)| *rank)?;
+        (rank(is_ready, own) <= best).then_some(entry.peers)
     }
 
     /// Returns the registered hosts by zone.
--- a/src/edge/spill.rs
+++ b/src/edge/spill.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     time::Duration, //
 };
 
@@ -32,6 +33,17 @@
     pub bound: f64,
 }
 
+impl fmt::Display for RegionLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            slots,
+            demand,
+            bound,
+        } = self;
+        write!(f, "{slots}/{demand:.1}/{bound:.1}")
+    }
+}
+
 impl RegionLoad {
     /// Returns the slots that bound requests leave.
     fn room(&self) -> f64 {
--- /dev/null
+++ b/tests/edge_peers.rs
@@ -0,0 +1,84 @@
+//! Who reads the store for a zone.
+
+use std::net::SocketAddr;
+
+use cardamomroad::{
+    edge::{
+        model::HostRegistration,
+        peers::{
+            HostState,
+            PeerMessage,
+            Peers, //
+        },
+    },
+    util::id::Incarnation,
+};
+use tokio::time::Instant;
+
+fn host(n: u8, millicores: u32) -> HostRegistration {
+    HostRegistration {
+        name: format!("bac-a-{n}").parse().expect("host"),
+        zone: "bac-a".parse().expect("zone"),
+        callers: SocketAddr::from(([10, 0, 0, n], 80)),
+        peers: SocketAddr::from(([10, 0, 0, n], 81)),
+        millicores,
+    }
+}
+
+fn message(of: &HostRegistration, state: HostState, sequence: u64) -> PeerMessage {
+    PeerMessage {
+        host: of.name.clone(),
+        incarnation: Incarnation(1),
+        sequence,
+        state,
+        running: Vec::new(),
+        offered: Vec::new(),
+        wants: Vec::new(),
+        grants: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Hosts that all know one another, and the state of each.
+fn relays(hosts: &[(HostRegistration, HostState)]) -> Vec<Option<SocketAddr>> {
+    let now = Instant::now();
+    let relay_of = |(own, state): &(HostRegistration, HostState)| {
+        let mut peers = Peers::default();
+        for (other, state) in hosts.iter().filter(|(h, _)| h.name != own.name) {
+            peers.register(other.clone());
+            assert!(peers.hear(now, &message(other, *state, 1)));
+        }
+        peers.relay(own, *state == HostState::Ready)
+    };
+    hosts.iter().map(relay_of).collect()
+}
+
+#[test]
+fn a_zone_without_a_configuration_has_one_reader() {
+    let hosts = [(1, 100), (2, 500), (3, 500), (4, 100)];
+    let hosts = hosts.map(|(n, size)| (host(n, size), HostState::Stale));
+    let relays = relays(&hosts);
+    assert_eq!(
+        relays.iter().filter(|r| r.is_none()).count(),
+        1,
+        "{relays:?}"
+    );
+    let reader = relays
+        .iter()
+        .position(Option::is_none)
+        .expect("counted above");
+    assert_eq!(hosts[reader].0.millicores, 500);
+    assert!(relays.iter().flatten().all(|r| *r == hosts[reader].0.peers));
+}
+
+#[test]
+fn a_ready_host_reads_for_larger_ones_that_are_not() {
+    let hosts = [
+        (host(1, 500), HostState::Stale),
+        (host(2, 100), HostState::Ready),
+        (host(3, 500), HostState::Leaving),
+    ];
+    let relays = relays(&hosts);
+    let reader = Some(hosts[1].0.peers);
+    assert_eq!(relays, [reader, None, reader]);
+}
