Find upstreams by key, and look only at waiting requests that a freed slot can serve

Changes of others' requests are added up and recounted once a round; a message to several hosts is encoded once.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -152,8 +152,8 @@
     reply: oneshot::Sender<Verdict>,
 }
 
-/// A message to another host, and where it goes.
-pub type Outgoing = (SocketAddr, Datagram);
+/// A message to other hosts, and where it goes.
+pub type Outgoing = (Vec<SocketAddr>, Datagram);
 
 /// The actor.
 pub struct Dispatcher {
@@ -278,7 +278,7 @@
         self.ask_for_tokens(now);
         self.choose_relay(now);
         self.share(now);
-        self.drain_queue(now);
+        self.drain_queue(now, None);
     }
 
     fn set_gauges(&self, now: Instant) {
@@ -355,7 +355,7 @@
         if msg.end == TryEnd::Misdirected {
             log::info!(event = "upstream-replaced", key = msg.key; "");
         }
-        self.drain_queue(now);
+        self.drain_queue(now, Some(msg.key));
     }
 }
 
--- a/src/edge/dispatcher/beliefs.rs
+++ b/src/edge/dispatcher/beliefs.rs
@@ -63,7 +63,7 @@
             self.hosts_known = true;
             self.quotas.set_sharers(now, self.sharers());
         }
-        self.drain_queue(now);
+        self.drain_queue(now, None);
     }
 
     pub(super) fn note_outage(&mut self, topic: Topic) {
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -49,23 +49,25 @@
                 let change = self.peers.hear_running(now, &msg);
                 self.upstreams.hear(now, change, &msg);
                 if change < 0 {
-                    self.drain_queue(now);
+                    self.drain_queue(now, Some(msg.upstream));
                 }
             }
         }
     }
 
     pub(super) fn hear_state(&mut self, now: Instant, msg: PeerMessage) {
-        if !self.peers.hear(now, &msg) {
+        let Some(changes) = self.peers.hear(now, &msg) else {
             return;
-        }
+        };
         for (organisation, granted) in &msg.grants {
             self.quotas.deposit(now, organisation, *granted);
         }
         self.quarantine.merge(now, &msg.suspects);
         self.lend(now, &msg);
-        self.upstreams.set_others(&self.peers.running());
-        self.drain_queue(now);
+        self.upstreams.change_others(&changes);
+        if !msg.grants.is_empty() {
+            self.drain_queue(now, None);
+        }
     }
 
     /// Grants what another host asks for, as far as it can be spared.
@@ -143,12 +145,12 @@
     }
 
     pub(super) fn post_message(&self, address: SocketAddr, msg: PeerMessage) {
-        self.post_datagram(address, Datagram::State(msg));
+        self.post_datagram(vec![address], Datagram::State(msg));
     }
 
-    pub(super) fn post_datagram(&self, address: SocketAddr, msg: Datagram) {
-        if let Err(e) = self.outgoing.try_send((address, msg)) {
-            log::debug!(event = "message-dropped", to:% = address, cause:% = e; "");
+    pub(super) fn post_datagram(&self, to: Vec<SocketAddr>, msg: Datagram) {
+        if let Err(e) = self.outgoing.try_send((to, msg)) {
+            log::debug!(event = "message-dropped", cause:% = e; "");
         }
     }
 
@@ -161,18 +163,16 @@
             return;
         }
         self.spoke = Some(now);
+        // Changes are added up as they come; an upstream that joined meanwhile missed some.
+        self.upstreams.set_others(&self.peers.running());
         let msg = self.message(now);
         let (regions, home) = (&self.settings.regions, &self.settings.region);
-        for address in self.peers.addresses(regions, home, true) {
-            self.post_message(address, msg.clone());
-        }
+        let mut to = self.peers.addresses(regions, home, true);
         self.rounds += 1;
-        if !self.leaving && !self.rounds.is_multiple_of(FAR_INTERVALS) {
-            return;
-        }
-        for address in self.peers.addresses(regions, home, false) {
-            self.post_message(address, msg.clone());
+        if self.leaving || self.rounds.is_multiple_of(FAR_INTERVALS) {
+            to.extend(self.peers.addresses(regions, home, false));
         }
+        self.post_datagram(to, Datagram::State(msg));
     }
 
     /// Tells the hosts that use an upstream how many requests of this one run there.
@@ -191,9 +191,8 @@
         };
         let zone = u.entry.zone.clone();
         let (regions, own) = (&self.settings.regions, &self.settings.zone);
-        for address in self.peers.prompt(regions, &zone, own) {
-            self.post_datagram(address, Datagram::Running(msg.clone()));
-        }
+        let to = self.peers.prompt(regions, &zone, own);
+        self.post_datagram(to, Datagram::Running(msg));
     }
 
     /// Chooses the host that reads the store for this zone.
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -360,12 +360,22 @@
         })
     }
 
-    /// Gives waiting requests another chance.
-    pub(super) fn drain_queue(&mut self, now: Instant) {
+    /// Gives waiting requests another chance: those that may go to an upstream
+    /// with a freed slot, where it is named, and those that wait no longer.
+    pub(super) fn drain_queue(&mut self, now: Instant, freed: Option<UpstreamKey>) {
         if self.queue.is_empty() {
             return;
         }
         let mut queue = std::mem::take(&mut self.queue);
+        if let Some(key) = freed {
+            let u = self.upstreams.find(key);
+            let region = u.and_then(|u| self.settings.region_of(&u.entry.zone));
+            let fits = |w: &Waiting| {
+                let serves = u.is_some_and(|u| u.entry.service == w.job.service);
+                w.until <= now || (serves && region == Some(&w.region))
+            };
+            (queue, self.queue) = queue.into_iter().partition(fits);
+        }
         self.turn = self.turn.wrapping_add(1);
         waiting::order(self.turn, &mut queue, |w| (w.job.priority, w.job.received));
         for waiting in queue {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -163,6 +163,19 @@
     }
 }
 
+/// Returns by how much each upstream's requests changed.
+fn changes(before: &[(UpstreamKey, u32)], after: &[(UpstreamKey, u32)]) -> Vec<(UpstreamKey, i64)> {
+    let mut changes: HashMap<UpstreamKey, i64> = HashMap::with_capacity(after.len());
+    for &(key, running) in after {
+        *changes.entry(key).or_default() += i64::from(running);
+    }
+    for &(key, running) in before {
+        *changes.entry(key).or_default() -= i64::from(running);
+    }
+    changes.retain(|_, change| *change != 0);
+    changes.into_iter().collect()
+}
+
 /// The other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -220,14 +233,13 @@
         self.interval() * FAR_INTERVALS * MISSED_MAX
     }
 
-    /// Takes in a message; returns whether it is newer than what is known.
-    pub fn hear(&mut self, now: Instant, msg: &PeerMessage) -> bool {
+    /// Takes in a message; returns by how much the requests at the upstreams
+    /// changed, or none where it is not newer than what is known.
+    pub fn hear(&mut self, now: Instant, msg: &PeerMessage) -> Option<Vec<(UpstreamKey, i64)>> {
         let silence = self.interval() * MISSED_BY_OLD_PROCESS;
-        let Some(peer) = self.peers.get_mut(&msg.host) else {
-            return false;
-        };
+        let peer = self.peers.get_mut(&msg.host)?;
         if !peer.is_newer(now, msg.incarnation, msg.sequence, silence) {
-            return false;
+            return None;
         }
         if peer.heard.is_none() || peer.state != msg.state {
             log::info!(event = "host-state", host:% = msg.host, state:? = msg.state; "");
@@ -236,9 +248,9 @@
         peer.sequence = msg.sequence;
         peer.heard = Some(now);
         peer.state = msg.state;
-        peer.running.clone_from(&msg.running);
         peer.offered.clone_from(&msg.offered);
-        true
+        let before = std::mem::replace(&mut peer.running, msg.running.clone());
+        Some(changes(&before, &msg.running))
     }
 
     /// Takes in a change at one upstream; returns by how much the requests there changed.
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -71,9 +71,11 @@
 }
 
 impl Places<'_> {
-    /// Returns whether an upstream may get work in a region.
-    pub fn allow(&self, u: &Upstream, region: &RegionName) -> bool {
-        self.regions.get(&u.entry.zone) == Some(region) && !self.evacuated.contains(&u.entry.zone)
+    /// Returns the zones of a region that get work.
+    fn zones_of(&self, region: &RegionName) -> SmallVec<[&ZoneName; 4]> {
+        let all = self.regions.iter().filter(|(_, r)| *r == region);
+        let zones = all.map(|(zone, _)| zone);
+        zones.filter(|z| !self.evacuated.contains(*z)).collect()
     }
 
     /// Returns whether the other hosts tell this one what the upstreams of a region handle.
@@ -140,8 +142,10 @@
     wish: &Wish<'_>,
     now: Instant,
 ) -> SmallVec<[&'a Upstream; 32]> {
+    // Zones are few and upstreams are many.
+    let zones = places.zones_of(wish.region);
     let usable = pool.upstreams.iter().filter(|u| {
-        places.allow(u, wish.region) && u.is_usable(now) && !wish.tried.contains(&u.key)
+        zones.contains(&&u.entry.zone) && u.is_usable(now) && !wish.tried.contains(&u.key)
     });
     let mut usable: SmallVec<[&Upstream; 32]> = usable.collect();
     usable.sort_by_cached_key(|u| std::cmp::Reverse(u.rank(wish.object)));
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -278,7 +278,7 @@
 }
 
 async fn send_messages(socket: Arc<UdpSocket>, mut outgoing: mpsc::Receiver<Outgoing>) {
-    while let Some((address, msg)) = outgoing.recv().await {
+    while let Some((to, msg)) = outgoing.recv().await {
         let bytes = match rmp_serde::to_vec(&msg) {
             Ok(bytes) => bytes,
             Err(e) => {
@@ -286,8 +286,10 @@
                 continue;
             }
         };
-        if let Err(e) = socket.send_to(&bytes, address).await {
-            log::debug!(event = "message-unsent", to:% = address, cause:% = e; "");
+        for address in to {
+            if let Err(e) = socket.send_to(&bytes, address).await {
+                log::debug!(event = "message-unsent", to:% = address, cause:% = e; "");
+            }
         }
     }
 }
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -10,8 +10,8 @@
 
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{
-    Xxh3,
-    xxh3_64, //
+    xxh3_64,
+    xxh3_64_with_seed, //
 };
 
 use super::{
@@ -170,9 +170,12 @@
 
     /// Returns its rank for an object; the highest rank is the object's home.
     pub fn rank(&self, object: u64) -> u64 {
-        let mut h = Xxh3::with_seed(object);
-        h.update(&self.key.to_le_bytes());
-        h.digest()
+        xxh3_64_with_seed(&self.key.to_le_bytes(), object)
+    }
+
+    fn change_others(&mut self, change: i64) {
+        let others = i64::from(self.others) + change;
+        self.others = u32::try_from(others.max(0)).unwrap_or(u32::MAX);
     }
 
     fn report(&mut self, now: Instant, load: LoadReport) {
@@ -224,6 +227,8 @@
 pub struct Pool {
     /// Its upstreams, in the order in which they were learned.
     pub upstreams: Vec<Upstream>,
+    /// The place of each key among them.
+    index: HashMap<UpstreamKey, usize>,
     /// The mean time that a request holds a slot, in seconds.
     work: Option<f64>,
     /// The work of each route's requests.
@@ -237,6 +242,22 @@
         self.work.unwrap_or(1.0)
     }
 
+    fn push(&mut self, u: Upstream) {
+        self.index.insert(u.key, self.upstreams.len());
+        self.upstreams.push(u);
+    }
+
+    fn remove(&mut self, place: usize) -> Upstream {
+        let u = self.upstreams.remove(place);
+        let keys = self.upstreams.iter().map(|u| u.key).enumerate();
+        self.index = keys.map(|(place, key)| (key, place)).collect();
+        u
+    }
+
+    fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(*self.index.get(&key)?)
+    }
+
     /// Returns the work of a route's requests.
     pub fn work_of(&self, route: u64) -> WorkByPlace {
         self.by_route.get(&route).cloned().unwrap_or_default()
@@ -286,7 +307,7 @@
                 cold_ms = u.entry.cold_for.as_millis() as u64;
                 ""
             );
-            self.pool_mut(&u.entry.service.clone()).upstreams.push(u);
+            self.pool_mut(&u.entry.service.clone()).push(u);
             return;
         };
         if u.entry.born != entry.born {
@@ -309,13 +330,13 @@
             false => u.cold_until.max(cold_until),
         };
         u.entry = entry;
-        self.pool_mut(&u.entry.service.clone()).upstreams.push(u);
+        self.pool_mut(&u.entry.service.clone()).push(u);
     }
 
     fn take(&mut self, id: &UpstreamId) -> Option<Upstream> {
         for pool in self.pools.values_mut() {
             if let Some(place) = pool.upstreams.iter().position(|u| u.entry.id == *id) {
-                return Some(pool.upstreams.remove(place));
+                return Some(pool.remove(place));
             }
         }
         None
@@ -353,8 +374,17 @@
 
     /// Finds an upstream by its key.
     pub fn get_mut(&mut self, service: &ServiceName, key: UpstreamKey) -> Option<&mut Upstream> {
-        let pool = self.pools.get_mut(service)?;
-        pool.upstreams.iter_mut().find(|u| u.key == key)
+        self.pools.get_mut(service)?.get_mut(key)
+    }
+
+    /// Finds an upstream of any service by its key.
+    pub fn find(&self, key: UpstreamKey) -> Option<&Upstream> {
+        let place = |p: &Pool| p.index.get(&key).copied();
+        self.pools.values().find_map(|p| p.upstreams.get(place(p)?))
+    }
+
+    fn find_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.pools.values_mut().find_map(|p| p.get_mut(key))
     }
 
     /// Notes that a request was sent; returns the place that its object had there.
@@ -385,7 +415,8 @@
         is_near: impl Fn(&ZoneName) -> bool,
     ) -> Option<f32> {
         let pool = self.pools.get_mut(&ended.service)?;
-        let u = pool.upstreams.iter_mut().find(|u| u.key == ended.key)?;
+        let place = *pool.index.get(&ended.key)?;
+        let u = pool.upstreams.get_mut(place)?;
         let mut sample = None;
         // The way to another region would count as work.
         if ended.end == TryEnd::Whole && is_near(&u.entry.zone) {
@@ -416,15 +447,22 @@
         }
     }
 
+    /// Changes what other hosts run at some upstreams.
+    pub fn change_others(&mut self, changes: &[(UpstreamKey, i64)]) {
+        for &(key, change) in changes {
+            if let Some(u) = self.find_mut(key) {
+                u.change_others(change);
+            }
+        }
+    }
+
     /// Takes in what another host told of one upstream: by how much its running
     /// requests changed, what it started, and how an answer came.
     pub fn hear(&mut self, now: Instant, change: i64, msg: &RunningMessage) {
-        let mut all = self.pools.values_mut().flat_map(|p| &mut p.upstreams);
-        let Some(u) = all.find(|u| u.key == msg.upstream) else {
+        let Some(u) = self.find_mut(msg.upstream) else {
             return;
         };
-        let others = i64::from(u.others) + change;
-        u.others = u32::try_from(others.max(0)).unwrap_or(u32::MAX);
+        u.change_others(change);
         match msg.event {
             RunEvent::Started { object } => u.recent.touch(object),
             RunEvent::Answered { slowness } => u.slowness.note(now, f64::from(slowness)),
--- a/src/edge/warmth.rs
+++ b/src/edge/warmth.rs
@@ -5,15 +5,12 @@
 //! the recent objects of each upstream are kept in order, and the time of each
 //! request is noted by the place that its object had in that order.
 
-use std::{
-    collections::VecDeque,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
 /// Objects of an upstream that are kept in order.
-const RECENT_MAX: usize = 128;
+pub const RECENT_MAX: usize = 128;
 /// The first place of each class of places; the last class is that of unknown objects.
 const CLASS_STARTS: [usize; 5] = [0, 8, 16, 32, 64];
 /// Classes of places, that of unknown objects included.
@@ -29,7 +26,7 @@
 
 /// The objects that an upstream handled, the latest one first.
 #[derive(Clone, Debug, Default)]
-pub struct Recent(VecDeque<u64>);
+pub struct Recent(Vec<u64>);
 
 impl Recent {
     /// Returns an object's place, from 0 for the latest one.
@@ -49,11 +46,13 @@
 
     /// Notes that an object is handled.
     pub fn touch(&mut self, object: u64) {
-        if let Some(place) = self.place(object) {
-            self.0.remove(place);
-        }
-        self.0.push_front(object);
-        self.0.truncate(RECENT_MAX);
+        let known = self.place(object);
+        let last = known.unwrap_or_else(|| {
+            self.0.truncate(RECENT_MAX - 1);
+            self.0.push(object);
+            self.0.len() - 1
+        });
+        self.0[..=last].rotate_right(1);
     }
 
     /// Forgets all, since the upstream has started again.
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -1,4 +1,4 @@
-//! Who reads the store for a zone.
+//! Who reads the store for a zone, and what hosts tell one another.
 
 use std::net::SocketAddr;
 
@@ -46,7 +46,7 @@
         let mut peers = Peers::default();
         for (other, state) in hosts.iter().filter(|(h, _)| h.name != own.name) {
             peers.register(other.clone());
-            assert!(peers.hear(now, &message(other, *state, 1)));
+            assert!(peers.hear(now, &message(other, *state, 1)).is_some());
         }
         peers.relay(own, *state == HostState::Ready)
     };
@@ -82,3 +82,24 @@
     let reader = Some(hosts[1].0.peers);
     assert_eq!(relays, [reader, None, reader]);
 }
+
+#[test]
+fn a_message_tells_by_how_much_the_work_at_upstreams_changed() {
+    let now = Instant::now();
+    let other = host(1, 100);
+    let mut peers = Peers::default();
+    peers.register(other.clone());
+    let tell = |peers: &mut Peers, sequence, running: &[(u32, u32)]| {
+        let mut msg = message(&other, HostState::Ready, sequence);
+        msg.running = running.to_vec();
+        let mut changes = peers.hear(now, &msg)?;
+        changes.sort_unstable();
+        Some(changes)
+    };
+    let first = tell(&mut peers, 1, &[(7, 2), (8, 1)]);
+    assert_eq!(first, Some(vec![(7, 2), (8, 1)]));
+    let second = tell(&mut peers, 2, &[(8, 3), (9, 1)]);
+    assert_eq!(second, Some(vec![(7, -2), (8, 2), (9, 1)]));
+    assert_eq!(tell(&mut peers, 2, &[]), None);
+    assert_eq!(peers.running().get(&8), Some(&3));
+}
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -31,6 +31,10 @@
             Upstreams,
             key_of, //
         },
+        warmth::{
+            RECENT_MAX,
+            Recent, //
+        },
     },
     util::id::{
         Incarnation,
@@ -361,3 +365,21 @@
         );
     }
 }
+
+/// The places of objects, against a plain list.
+#[test]
+fn recent_objects_are_kept_in_the_order_of_their_last_use() {
+    let mut recent = Recent::default();
+    let mut plain: Vec<u64> = Vec::new();
+    for n in 0..2000_u64 {
+        let object = n * n % 173;
+        recent.touch(object);
+        plain.retain(|&o| o != object);
+        plain.insert(0, object);
+        plain.truncate(RECENT_MAX);
+        for (place, object) in plain.iter().enumerate() {
+            assert_eq!(recent.place(*object), Some(place), "after {n}");
+        }
+        assert_eq!(recent.len(), plain.len());
+    }
+}
