Call one piece where two stood, and split files with two jobs

Found by reading the whole change once more; decisions are as they were. - process.rs binds addresses, numbers the process and waits for the stop signal for both daemons; edge::serve had written these beside entry.

Formatter, linter, docs, and the tests of the library and of platform pass. Left: control::exchange bounds the answer's bytes and agent::get has a timeout for each half, so that both stay.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -14,6 +14,8 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::{
     Request,
     Response,
@@ -22,6 +24,10 @@
         self,
         SendRequest, //
     },
+    header::{
+        HOST,
+        HeaderValue, //
+    },
 };
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
@@ -68,6 +74,17 @@
     },
 }
 
+/// A failure to get a whole answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No answer came.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The answer broke off.
+    #[error("the answer broke off: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
 type Sender = SendRequest<ProxyBody>;
 
 /// An idle connection, and until when it may be used.
@@ -166,6 +183,26 @@
         self.exchange(address, sender, req).await
     }
 
+    /// Sends a request that names no host yet and reads its answer to the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no answer comes, or none that is whole.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        mut req: Request<ProxyBody>,
+    ) -> Result<Response<Bytes>, CallError> {
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            req.headers_mut().insert(HOST, host);
+        }
+        let exchange = self.send(address, req).await?;
+        let (parts, body) = exchange.res.into_parts();
+        let bytes = body.collect().await?.to_bytes();
+        exchange.lease.give_back();
+        Ok(Response::from_parts(parts, bytes))
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().ok()?;
         let senders = idle.get_mut(&address)?;
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod cold;
+pub mod datagram;
 pub mod dialect;
 pub mod directory;
 pub mod dispatcher;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -1,13 +1,13 @@
 //! The actor that owns what a host believes, and decides where requests go.
 
 mod beliefs;
+mod demand;
 mod hosts;
 mod regions;
 mod requests;
 
 use std::{
     collections::{
-        BTreeMap,
         BTreeSet,
         HashMap, //
     },
@@ -37,7 +37,13 @@
     Mailbox, //
 };
 
+use self::demand::Demand;
 use super::{
+    datagram::{
+        HostState,
+        Outgoing,
+        RunEvent, //
+    },
     freshness::{
         Freshness,
         suspended, //
@@ -67,16 +73,9 @@
         Configuration,
         HostRegistration, //
     },
-    peers::{
-        Datagram,
-        HostState,
-        Offered,
-        Peers,
-        RunEvent, //
-    },
+    peers::Peers,
     quota::Quotas,
     settings::Settings,
-    spill::SlowShares,
     upstreams::{
         TryEnd,
         Upstreams, //
@@ -84,10 +83,6 @@
 };
 use crate::{
     quarantine::Quarantine,
-    retry::{
-        Budget,
-        DrainMeter, //
-    },
     util::id::{
         Incarnation,
         RegionName,
@@ -97,50 +92,6 @@
     },
 };
 
-/// The state of one service.
-#[derive(Debug)]
-struct Demand {
-    /// Requests of the own callers that may run in any region.
-    free: DrainMeter,
-    /// Those that may run in one region alone.
-    bound: BTreeMap<RegionName, DrainMeter>,
-    /// When requests for the service were first seen, here or at another host.
-    seen: Option<Instant>,
-    shares: SlowShares,
-    budget: Budget,
-}
-
-impl Demand {
-    /// Counts a request whose token was taken.
-    fn count(&mut self, now: Instant, job: &Job, region: &RegionName) {
-        if job.regions.is_empty() {
-            self.free.finished(now);
-            return;
-        }
-        let meter = self.bound.entry(region.clone());
-        let meter = meter.or_insert_with(|| DrainMeter::new(now));
-        meter.finished(now);
-    }
-
-    /// Returns whether the own callers sent a request that may run in any region.
-    fn has_sent(&self, now: Instant) -> bool {
-        self.free.rate_at(now) > 0.0
-    }
-
-    /// Returns what the own callers send to the service.
-    fn offered(&self, now: Instant, service: &ServiceName) -> Vec<Offered> {
-        let free = (None, &self.free);
-        let bound = self.bound.iter().map(|(r, m)| (Some(r.clone()), m));
-        let all = std::iter::once(free).chain(bound);
-        all.map(|(bound_to, meter)| Offered {
-            service: service.clone(),
-            bound_to,
-            rate: meter.rate_at(now) as f32,
-        })
-        .collect()
-    }
-}
-
 /// A request that waits for an upstream.
 #[derive(Debug)]
 struct Waiting {
@@ -152,9 +103,6 @@
     reply: oneshot::Sender<Verdict>,
 }
 
-/// A message to other hosts, and where it goes.
-pub type Outgoing = (Vec<SocketAddr>, Datagram);
-
 /// The actor.
 pub struct Dispatcher {
     settings: Arc<Settings>,
@@ -172,7 +120,8 @@
     outage: Outage,
     /// Upstreams whose registration vanished during an outage, and when they count as gone.
     vanished: HashMap<UpstreamId, Instant>,
-    seen: BTreeMap<&'static str, bool>,
+    /// Whether requests with keys could run when that was last logged.
+    told_fresh: Option<bool>,
     outgoing: mpsc::Sender<Outgoing>,
     relay: watch::Sender<Option<SocketAddr>>,
     quarantine: Quarantine,
@@ -221,7 +170,7 @@
             queue: Vec::new(),
             outage: Outage::default(),
             vanished: HashMap::new(),
-            seen: BTreeMap::new(),
+            told_fresh: None,
             outgoing,
             relay,
             quarantine: Quarantine::new(&settings.host, incarnation),
@@ -300,7 +249,7 @@
     }
 
     fn note_freshness(&mut self, was: bool, is: bool) {
-        let known = self.seen.insert("fresh", is).unwrap_or(was);
+        let known = self.told_fresh.replace(is).unwrap_or(was);
         if known != is {
             log::info!(event = "key-freshness", holds = is; "");
         }
--- /dev/null
+++ b/src/edge/dispatcher/demand.rs
@@ -0,0 +1,91 @@
+//! What callers ask of each service.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::Dispatcher;
+use crate::{
+    edge::{
+        datagram::Offered,
+        message::Job,
+        settings::SHIFT_WINDOW,
+        spill::SlowShares, //
+    },
+    retry::{
+        Budget,
+        DrainMeter, //
+    },
+    util::id::{
+        RegionName,
+        ServiceName, //
+    },
+};
+
+/// The part of [`crate::edge::settings::Bounds::shift`] that the shares use; the rest is for chance.
+const SHIFT_PART: f64 = 0.6;
+/// The part of the retry bounds that the hosts use; the rest is for chance.
+const RETRY_PART: f64 = 0.5;
+
+/// The state of one service.
+#[derive(Debug)]
+pub(super) struct Demand {
+    /// Requests of the own callers that may run in any region.
+    pub(super) free: DrainMeter,
+    /// Those that may run in one region alone.
+    pub(super) bound: BTreeMap<RegionName, DrainMeter>,
+    /// When requests for the service were first seen, here or at another host.
+    pub(super) seen: Option<Instant>,
+    pub(super) shares: SlowShares,
+    pub(super) budget: Budget,
+}
+
+impl Demand {
+    /// Counts a request whose token was taken.
+    pub(super) fn count(&mut self, now: Instant, job: &Job, region: &RegionName) {
+        if job.regions.is_empty() {
+            self.free.finished(now);
+            return;
+        }
+        let meter = self.bound.entry(region.clone());
+        let meter = meter.or_insert_with(|| DrainMeter::new(now));
+        meter.finished(now);
+    }
+
+    /// Returns whether the own callers sent a request that may run in any region.
+    pub(super) fn has_sent(&self, now: Instant) -> bool {
+        self.free.rate_at(now) > 0.0
+    }
+
+    /// Returns what the own callers send to the service.
+    pub(super) fn offered(&self, now: Instant, service: &ServiceName) -> Vec<Offered> {
+        let free = (None, &self.free);
+        let bound = self.bound.iter().map(|(r, m)| (Some(r.clone()), m));
+        let all = std::iter::once(free).chain(bound);
+        all.map(|(bound_to, meter)| Offered {
+            service: service.clone(),
+            bound_to,
+            rate: meter.rate_at(now) as f32,
+        })
+        .collect()
+    }
+}
+
+impl Dispatcher {
+    pub(super) fn demand_mut(&mut self, service: &ServiceName, now: Instant) -> &mut Demand {
+        let settings = &self.settings;
+        let hosts = (self.peers.len() + 1) as f64;
+        self.demand.entry(service.clone()).or_insert_with(|| {
+            let bounds = &settings.bounds;
+            let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
+            let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
+            Demand {
+                free: DrainMeter::new(now),
+                bound: BTreeMap::new(),
+                seen: None,
+                shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
+                budget: Budget::with_limits(ratio as u64, most as u64),
+            }
+        })
+    }
+}
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -16,18 +16,18 @@
 };
 use crate::{
     edge::{
-        directory::{
-            self,
-            Candidate, //
-        },
-        model::HostRegistration,
-        peers::{
+        datagram::{
             Datagram,
-            FAR_INTERVALS,
             PeerMessage,
             RunEvent,
             RunningMessage, //
         },
+        directory::{
+            self,
+            Candidate, //
+        },
+        model::HostRegistration,
+        peers::FAR_INTERVALS,
         quota::Sharers,
         upstreams::UpstreamKey, //
     },
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -10,9 +10,9 @@
 use super::Dispatcher;
 use crate::{
     edge::{
+        datagram::Offered,
         lines::listed,
         model::Standing,
-        peers::Offered,
         spill::{
             self,
             RegionLoad, //
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -1,9 +1,6 @@
 //! Requests: their tokens, their regions, their upstreams, and who waits.
 
-use std::{
-    collections::BTreeMap,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use rand::RngExt;
 use tokio::{
@@ -12,12 +9,12 @@
 };
 
 use super::{
-    Demand,
     Dispatcher,
     Waiting, //
 };
 use crate::{
     edge::{
+        datagram::RunEvent,
         lines::listed,
         message::{
             Ended,
@@ -29,15 +26,12 @@
             Why, //
         },
         metrics::PlaceLabels,
-        peers::RunEvent,
         placement::{
             self,
             Places,
             Wish, //
         },
         quota::Debit,
-        settings::SHIFT_WINDOW,
-        spill::SlowShares,
         upstreams::{
             TryEnd,
             Upstream,
@@ -45,10 +39,6 @@
         },
         waiting, //
     },
-    retry::{
-        Budget,
-        DrainMeter, //
-    },
     util::id::{
         RegionName,
         ServiceName,
@@ -68,29 +58,8 @@
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// When a caller comes back whose request crashes upstreams.
 const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
-/// The part of [`crate::edge::settings::Bounds::shift`] that the shares use; the rest is for chance.
-const SHIFT_PART: f64 = 0.6;
-/// The part of the retry bounds that the hosts use; the rest is for chance.
-const RETRY_PART: f64 = 0.5;
 
 impl Dispatcher {
-    pub(super) fn demand_mut(&mut self, service: &ServiceName, now: Instant) -> &mut Demand {
-        let settings = &self.settings;
-        let hosts = (self.peers.len() + 1) as f64;
-        self.demand.entry(service.clone()).or_insert_with(|| {
-            let bounds = &settings.bounds;
-            let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
-            let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
-            Demand {
-                free: DrainMeter::new(now),
-                bound: BTreeMap::new(),
-                seen: None,
-                shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
-                budget: Budget::with_limits(ratio as u64, most as u64),
-            }
-        })
-    }
-
     pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
         let mut paid = true;
@@ -230,10 +199,7 @@
         };
         let pool = self.upstreams.pool(&job.service)?;
         let key = placement::pick(pool, places, &wish, now)?;
-        let cfg = self.configuration.load_full();
-        let service = cfg.as_ref().and_then(|c| c.services.get(&job.service));
-        let hosts = self.peers.registered_in(&self.settings.zone) + 1;
-        let cold = service.map(|s| (s.cold_rate, hosts));
+        let cold = self.cold_share(now, &job.service, key);
         let object = job.object;
         let place = self.upstreams.started(now, &job.service, key, object, cold);
         self.announce(&job.service, key, RunEvent::Started { object });
@@ -253,6 +219,20 @@
         Some(Placed::new(address, id, ended, me))
     }
 
+    /// Returns the rate that a cold upstream bears, and how many hosts share it;
+    /// none where it is not cold or its rate is not known.
+    fn cold_share(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        key: UpstreamKey,
+    ) -> Option<(f64, usize)> {
+        self.upstreams.find(key).filter(|u| u.is_cold(now))?;
+        let cfg = self.configuration.load();
+        let rate = cfg.as_ref()?.services.get(service)?.cold_rate;
+        Some((rate, self.peers.registered_in(&self.settings.zone) + 1))
+    }
+
     /// Logs and counts where a request goes, and from what that was decided.
     pub(super) fn note_placed(
         &mut self,
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -51,8 +51,8 @@
         full, //
     },
     connection::{
-        Connections,
-        SendError, //
+        CallError,
+        Connections, //
     },
 };
 
@@ -166,9 +166,7 @@
 #[derive(Debug, Error)]
 enum RelayError {
     #[error(transparent)]
-    Send(#[from] SendError),
-    #[error("the answer broke off: {0}")]
-    Broken(#[from] hyper::Error),
+    Call(#[from] CallError),
     #[error("no answer in time")]
     TimedOut,
     #[error("the relay refused with status {0}")]
@@ -223,18 +221,12 @@
 ) -> Result<RelayAnswer, RelayError> {
     let mut req = Request::new(full(Bytes::from(rmp_serde::to_vec(query)?)));
     *req.method_mut() = Method::POST;
-    let host = address.to_string().parse();
-    if let Ok(host) = host {
-        req.headers_mut().insert(hyper::header::HOST, host);
-    }
-    let exchange = connections.send(address, req).await?;
-    let status = exchange.res.status();
-    let bytes = exchange.res.into_body().collect().await?.to_bytes();
-    exchange.lease.give_back();
+    let res = connections.call(address, req).await?;
+    let status = res.status();
     if status != StatusCode::OK {
         return Err(RelayError::Refused(status));
     }
-    Ok(rmp_serde::from_slice(&bytes)?)
+    Ok(rmp_serde::from_slice(res.body())?)
 }
 
 /// Answers a follower.
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -1,26 +1,23 @@
 //! One request on its way through an entry host.
 
+mod answer_body;
+mod body;
+mod job;
+
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
+        Arc,
+        Mutex,
+        atomic::AtomicU64, //
     },
-    time::Duration, //
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response,
     body::{
         Body,
         Incoming, //
@@ -31,7 +28,6 @@
         response, //
     },
 };
-use smallvec::SmallVec;
 use tokio::{
     sync::oneshot,
     time::{
@@ -41,11 +37,22 @@
     },
 };
 use xtra::Address;
-use xxhash_rust::xxh3::{
-    xxh3_64,
-    xxh3_64_with_seed, //
-};
 
+use self::{
+    answer_body::{
+        WHOLE_ANSWER_MAX,
+        collect,
+        give_back,
+        is_usable,
+        passing, //
+    },
+    body::KeptBytes,
+    job::{
+        job,
+        route,
+        suspect, //
+    },
+};
 use super::{
     answer::Ending,
     dialect::{
@@ -68,21 +75,11 @@
         Why, //
     },
     metrics::EdgeMetrics,
-    model::{
-        Configuration,
-        Regions,
-        Route, //
-    },
-    routing::{
-        self,
-        NoRoute,
-        Routed, //
-    },
+    model::Configuration,
     upstreams::TryEnd,
 };
 use crate::{
     body::{
-        PassingBody,
         ProxyBody,
         full, //
     },
@@ -97,24 +94,12 @@
         remove_hop_by_hop, //
     },
     post::post,
-    quarantine::{
-        BODY_PREFIX_BYTES,
-        Suspect, //
-    },
-    util::id::ServiceName,
+    quarantine::Suspect,
 };
 
 /// How long after the deadline an upstream's answer is still waited for; it may
 /// be on its way when the deadline passes.
 const LATE_GRACE: Duration = Duration::from_millis(120);
-/// The longest answer that is read whole before it is handed on, in bytes.
-const WHOLE_ANSWER_MAX: usize = 256 * 1024;
-/// How long a connection to an upstream that names no time may stay idle.
-const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(5);
-/// How much earlier than the upstream a connection is given up.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
-/// Bytes that a body of unknown length is taken to have.
-const BODY_UNDECLARED: u64 = 256 * 1024;
 /// The shortest time in which an upstream can answer at all.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(20);
 /// How long after a lost answer an upstream is looked at; a crash closes its port at once.
@@ -219,7 +204,7 @@
     async fn prepare(
         &self,
         received: Instant,
-        parts: request::Parts,
+        mut parts: request::Parts,
         head: CallerHead,
         body: Incoming,
     ) -> Result<Call, Ending> {
@@ -243,6 +228,8 @@
         let (body, kept) = self.read_body(body, cfg.body_bytes_max, deadline).await?;
         job.bytes = body.len() as u64;
         job.suspect = suspect(&job, &parts, &body);
+        remove_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(header::EXPECT);
         Ok(Call {
             parts,
             id,
@@ -254,33 +241,6 @@
         })
     }
 
-    /// Reads a body that is to be sent, as far as there is memory to keep it.
-    async fn read_body(
-        &self,
-        body: Incoming,
-        most: u64,
-        deadline: Instant,
-    ) -> Result<(Bytes, KeptBytes), Ending> {
-        let declared = body.size_hint().exact();
-        if declared.is_some_and(|n| n > most) {
-            return Err(Ending::TooLong);
-        }
-        let kept = KeptBytes::new(&self.kept_bytes, declared.unwrap_or(BODY_UNDECLARED));
-        if self.kept_bytes.load(Ordering::Relaxed) > self.kept_bytes_max {
-            return Err(Ending::NotRun(Why::Memory, BUSY_RETRY));
-        }
-        if body.is_end_stream() {
-            return Ok((Bytes::new(), kept));
-        }
-        let most = usize::try_from(most).unwrap_or(usize::MAX);
-        match timeout_at(deadline, Limited::new(body, most).collect()).await {
-            Ok(Ok(whole)) => Ok((whole.to_bytes(), kept)),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Ending::TooLong),
-            Ok(Err(_)) => Err(Ending::BadHead),
-            Err(_) => Err(Ending::NotRun(Why::Busy, BUSY_RETRY)),
-        }
-    }
-
     /// Returns the time that a caller has lost already: what its patience falls
     /// short of the longest one seen on its route.
     fn time_lost(&self, route: &Bytes, patience: Duration) -> Duration {
@@ -349,7 +309,7 @@
         if left < TIME_LEFT_MIN {
             return Tried::NotRun;
         }
-        let mut req = outgoing(call);
+        let mut req = head::outgoing(&call.parts, full(call.body.clone()));
         let head = UpstreamHead {
             left,
             upstream: &placed.id,
@@ -454,28 +414,6 @@
     }
 }
 
-/// Counts bytes of a body as kept until it is dropped.
-struct KeptBytes {
-    all: Arc<AtomicU64>,
-    own: u64,
-}
-
-impl KeptBytes {
-    fn new(all: &Arc<AtomicU64>, own: u64) -> Self {
-        all.fetch_add(own, Ordering::Relaxed);
-        Self {
-            all: all.clone(),
-            own,
-        }
-    }
-}
-
-impl Drop for KeptBytes {
-    fn drop(&mut self) {
-        self.all.fetch_sub(self.own, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request as being served until it is dropped.
 struct Serving<'a>(&'a EdgeMetrics);
 
@@ -492,157 +430,6 @@
     }
 }
 
-fn route<'a>(
-    cfg: &'a Configuration,
-    parts: &request::Parts,
-    head: &CallerHead,
-) -> Result<Routed<'a>, Ending> {
-    let header = parts.headers.get(header::HOST);
-    let host = match (header, parts.uri.host()) {
-        (Some(value), _) => routing::host_name(value.as_bytes()),
-        (None, Some(host)) => host.as_bytes(),
-        (None, None) => return Err(Ending::BadHead),
-    };
-    let path = parts.uri.path().as_bytes();
-    routing::find(cfg, host, path, head.key.as_deref()).map_err(|e| match e {
-        NoRoute::Unknown => Ending::NoRoute,
-        NoRoute::Key => Ending::Key,
-    })
-}
-
-fn job(
-    routed: &Routed<'_>,
-    head: &CallerHead,
-    id: &Bytes,
-    received: Instant,
-    deadline: Instant,
-) -> Option<Job> {
-    let Routed {
-        route,
-        organisation,
-    } = routed;
-    let route_hash = xxh3_64(&route.prefix);
-    let object = match (&head.object, route.affinity) {
-        (Some(object), true) => xxh3_64_with_seed(object, route_hash),
-        _ => xxh3_64(id),
-    };
-    let own = organisation.and_then(|o| o.priority);
-    let unrestricted = Regions::new();
-    let regions = common_regions(
-        &route.regions,
-        organisation.map_or(&unrestricted, |o| &o.regions),
-    )?;
-    Some(Job {
-        id: String::from_utf8_lossy(id).into_owned(),
-        service: choose_service(route, id),
-        organisation: organisation.map(|o| o.name.clone()),
-        priority: own.unwrap_or(route.priority),
-        route: route_hash,
-        bytes: 0,
-        object,
-        regions,
-        received,
-        suspect: Suspect(0),
-        lost: Duration::ZERO,
-        aim: route.aim,
-        deadline,
-        tried: SmallVec::new(),
-        may_have_run: false,
-    })
-}
-
-/// Returns what identifies a request that is sent again.
-fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
-    let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
-    let prefix = &body[..body.len().min(BODY_PREFIX_BYTES)];
-    Suspect::of(
-        job.organisation.as_ref(),
-        parts.method.as_str(),
-        target,
-        Some(body.len() as u64),
-        prefix,
-    )
-}
-
-/// Returns the regions that both lists allow, where there are any; an empty list allows all.
-fn common_regions(route: &Regions, organisation: &Regions) -> Option<Regions> {
-    if route.is_empty() || organisation.is_empty() {
-        return Some(route.iter().chain(organisation).cloned().collect());
-    }
-    let both = route.iter().filter(|r| organisation.contains(r));
-    let both: Regions = both.cloned().collect();
-    (!both.is_empty()).then_some(both)
-}
-
-/// Picks one of a route's services by its weight, evenly over request ids.
-fn choose_service(route: &Route, id: &Bytes) -> ServiceName {
-    let whole: u64 = route.services.iter().map(|(_, w)| u64::from(*w)).sum();
-    let mut place = xxh3_64(id) % whole.max(1);
-    for (service, weight) in &route.services {
-        if place < u64::from(*weight) {
-            return service.clone();
-        }
-        place -= u64::from(*weight);
-    }
-    route.services[0].0.clone()
-}
-
-fn outgoing(call: &Call) -> Request<ProxyBody> {
-    let mut req = head::outgoing(&call.parts, full(call.body.clone()));
-    remove_hop_by_hop(req.headers_mut());
-    req.headers_mut().remove(header::EXPECT);
-    req
-}
-
-/// Reads a body to its end; `None` where it breaks off, is too long or takes too long.
-async fn collect(body: Incoming, until: Instant) -> Option<Bytes> {
-    let whole = timeout_at(until, Limited::new(body, WHOLE_ANSWER_MAX).collect()).await;
-    whole.ok()?.ok().map(|b| b.to_bytes())
-}
-
-/// Returns whether an answer may be handed on as it is.
-///
-/// A status that says "not run" without the upstream's word for it would promise too much.
-fn is_usable(parts: &response::Parts, head: &AnswerHead) -> bool {
-    let promises = matches!(
-        parts.status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    );
-    !promises && (head.marked || !parts.status.is_success())
-}
-
-fn give_back(lease: ConnectionLease, head: &AnswerHead) {
-    if head.closing {
-        return;
-    }
-    let idle = head.keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT);
-    lease.give_back_for(idle.saturating_sub(KEEP_ALIVE_MARGIN));
-}
-
-/// Returns the body of a long answer, which is handed on as it comes.
-fn passing(
-    body: Incoming,
-    mut placed: Placed,
-    lease: ConnectionLease,
-    head: AnswerHead,
-) -> ProxyBody {
-    let at_end = move |whole: bool| {
-        placed.ended(match whole {
-            true => TryEnd::Whole,
-            false => TryEnd::Lost,
-        });
-        if whole {
-            give_back(lease, &head);
-        }
-    };
-    PassingBody::new(body)
-        .with_at_end(Box::new(at_end))
-        .boxed_unsync()
-}
-
 /// Returns how a request ends that no upstream answered.
 fn unanswered(call: &Call, timed_out: bool, refused: Refused) -> Ending {
     match (call.job.may_have_run, timed_out) {
--- /dev/null
+++ b/src/edge/forward/job.rs
@@ -0,0 +1,135 @@
+//! What a request is: its route, its organisation, and what it asks for.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    header,
+    http::request, //
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
+
+use crate::{
+    edge::{
+        answer::Ending,
+        dialect::CallerHead,
+        message::Job,
+        model::{
+            Configuration,
+            Regions,
+            Route, //
+        },
+        routing::{
+            self,
+            NoRoute,
+            Routed, //
+        },
+    },
+    quarantine::{
+        BODY_PREFIX_BYTES,
+        Suspect, //
+    },
+    util::id::ServiceName,
+};
+
+/// Finds a request's route and organisation.
+pub(super) fn route<'a>(
+    cfg: &'a Configuration,
+    parts: &request::Parts,
+    head: &CallerHead,
+) -> Result<Routed<'a>, Ending> {
+    let header = parts.headers.get(header::HOST);
+    let host = match (header, parts.uri.host()) {
+        (Some(value), _) => routing::host_name(value.as_bytes()),
+        (None, Some(host)) => host.as_bytes(),
+        (None, None) => return Err(Ending::BadHead),
+    };
+    let path = parts.uri.path().as_bytes();
+    routing::find(cfg, host, path, head.key.as_deref()).map_err(|e| match e {
+        NoRoute::Unknown => Ending::NoRoute,
+        NoRoute::Key => Ending::Key,
+    })
+}
+
+/// Returns what a request asks of the dispatcher; none where no region may run it.
+pub(super) fn job(
+    routed: &Routed<'_>,
+    head: &CallerHead,
+    id: &Bytes,
+    received: Instant,
+    deadline: Instant,
+) -> Option<Job> {
+    let Routed {
+        route,
+        organisation,
+    } = routed;
+    let route_hash = xxh3_64(&route.prefix);
+    let object = match (&head.object, route.affinity) {
+        (Some(object), true) => xxh3_64_with_seed(object, route_hash),
+        _ => xxh3_64(id),
+    };
+    let own = organisation.and_then(|o| o.priority);
+    let unrestricted = Regions::new();
+    let regions = common_regions(
+        &route.regions,
+        organisation.map_or(&unrestricted, |o| &o.regions),
+    )?;
+    Some(Job {
+        id: String::from_utf8_lossy(id).into_owned(),
+        service: choose_service(route, id),
+        organisation: organisation.map(|o| o.name.clone()),
+        priority: own.unwrap_or(route.priority),
+        route: route_hash,
+        bytes: 0,
+        object,
+        regions,
+        received,
+        suspect: Suspect(0),
+        lost: Duration::ZERO,
+        aim: route.aim,
+        deadline,
+        tried: SmallVec::new(),
+        may_have_run: false,
+    })
+}
+
+/// Returns what identifies a request that is sent again.
+pub(super) fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
+    let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
+    let prefix = &body[..body.len().min(BODY_PREFIX_BYTES)];
+    Suspect::of(
+        job.organisation.as_ref(),
+        parts.method.as_str(),
+        target,
+        Some(body.len() as u64),
+        prefix,
+    )
+}
+
+/// Returns the regions that both lists allow, where there are any; an empty list allows all.
+fn common_regions(route: &Regions, organisation: &Regions) -> Option<Regions> {
+    if route.is_empty() || organisation.is_empty() {
+        return Some(route.iter().chain(organisation).cloned().collect());
+    }
+    let both = route.iter().filter(|r| organisation.contains(r));
+    let both: Regions = both.cloned().collect();
+    (!both.is_empty()).then_some(both)
+}
+
+/// Picks one of a route's services by its weight, evenly over request ids.
+fn choose_service(route: &Route, id: &Bytes) -> ServiceName {
+    let whole: u64 = route.services.iter().map(|(_, w)| u64::from(*w)).sum();
+    let mut place = xxh3_64(id) % whole.max(1);
+    for (service, weight) in &route.services {
+        if place < u64::from(*weight) {
+            return service.clone();
+        }
+        place -= u64::from(*weight);
+    }
+    route.services[0].0.clone()
+}
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -18,6 +18,7 @@
 use xtra::Address;
 
 use super::{
+    datagram::Datagram,
     dialect::{
         LoadReport,
         LookupQuery, //
@@ -27,7 +28,6 @@
         Priority,
         Regions, //
     },
-    peers::Datagram,
     settings::Settings,
     topic::{
         Changes,
@@ -72,6 +72,17 @@
     Outage,
 }
 
+impl News {
+    /// Returns whether it may change what a host knows.
+    pub fn is_change(&self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Since(changes) => !changes.changes.is_empty(),
+            Self::Outage => false,
+        }
+    }
+}
+
 /// A request that needs an upstream.
 #[derive(Clone, Debug)]
 pub struct Job {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -6,10 +6,7 @@
 };
 
 use prometheus_client::{
-    encoding::{
-        EncodeLabelSet,
-        text::encode, //
-    },
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
         family::Family,
@@ -22,6 +19,11 @@
     registry::Registry,
 };
 
+use crate::metrics::{
+    encoded,
+    registry, //
+};
+
 /// The upper bound of the first latency bucket, in seconds.
 const LATENCY_START_SECONDS: f64 = 0.005;
 /// Latency buckets; each is twice as wide as the one before.
@@ -94,7 +96,7 @@
     pub fn new() -> Self {
         let latency = || exponential_buckets(LATENCY_START_SECONDS, 2.0, LATENCY_BUCKETS);
         let mut m = Self {
-            registry: Registry::with_prefix("cardamomroad"),
+            registry: registry(),
             requests: Family::default(),
             latency: Histogram::new(latency()),
             waiting: Histogram::new(latency()),
@@ -185,9 +187,7 @@
     ///
     /// Fails only when formatting fails.
     pub fn encode(&self) -> Result<String, fmt::Error> {
-        let mut text = String::new();
-        encode(&mut text, &self.registry)?;
-        Ok(text)
+        encoded(&self.registry)
     }
 }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -1,4 +1,4 @@
-//! What entry hosts tell one another by datagrams.
+//! The other entry hosts, as they told of themselves.
 
 use std::{
     collections::{
@@ -9,27 +9,25 @@
     time::Duration,
 };
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    datagram::{
+        HostState,
+        Offered,
+        PeerMessage,
+        RunningMessage, //
+    },
     model::HostRegistration,
     upstreams::UpstreamKey, //
 };
-use crate::{
-    quarantine::SuspectEntry,
-    util::id::{
-        HostName,
-        Incarnation,
-        OrganisationName,
-        RegionName,
-        ServiceName,
-        ZoneName, //
-    },
+use crate::util::id::{
+    HostName,
+    Incarnation,
+    RegionName,
+    ServiceName,
+    ZoneName, //
 };
 
 /// The time between two messages to a host of the same region, in a small fleet.
@@ -44,97 +42,9 @@
 /// Messages of a host of another region that are missed before it counts as gone.
 const MISSED_MAX: u32 = 3;
 
-/// The state of a host that takes requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum HostState {
-    /// It knows the configuration and takes requests.
-    Ready,
-    /// It cannot serve requests with keys now.
-    Stale,
-    /// It is about to stop.
-    Leaving,
-}
-
 /// Messages of a process that must be missing before one with a smaller number replaces it.
 const MISSED_BY_OLD_PROCESS: u32 = 4;
 
-/// Requests a second of a host's callers for one service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Offered {
-    /// The service.
-    pub service: ServiceName,
-    /// The region in which alone they may run; `None` where they may run in any.
-    pub bound_to: Option<RegionName>,
-    /// Requests a second.
-    pub rate: f32,
-}
-
-/// One message from host to host.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PeerMessage {
-    /// The sender.
-    pub host: HostName,
-    /// The sender's process.
-    pub incarnation: Incarnation,
-    /// Grows with each message of a process.
-    pub sequence: u64,
-    /// The sender's state.
-    pub state: HostState,
-    /// Requests of the sender that run, by upstream.
-    pub running: Vec<(UpstreamKey, u32)>,
-    /// What its callers send.
-    pub offered: Vec<Offered>,
-    /// Tokens that it asks of the receiver, in thousandths of a request.
-    pub wants: Vec<(OrganisationName, u64)>,
-    /// Tokens that it hands to the receiver, in thousandths of a request.
-    pub grants: Vec<(OrganisationName, u64)>,
-    /// Requests that crashed upstreams.
-    pub suspects: Vec<SuspectEntry>,
-}
-
-/// What happened at an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum RunEvent {
-    /// A request for this object was sent there.
-    Started {
-        /// The object's hash.
-        object: u64,
-    },
-    /// It answered, after this many times the expected work.
-    Answered {
-        /// Parts of the expected work.
-        slowness: f32,
-    },
-    /// A request ended there without a whole answer.
-    Unanswered,
-}
-
-/// Tells at once how many requests of the sender run at one upstream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RunningMessage {
-    /// The sender.
-    pub host: HostName,
-    /// The sender's process.
-    pub incarnation: Incarnation,
-    /// Grows with each message of a process.
-    pub sequence: u64,
-    /// The upstream.
-    pub upstream: UpstreamKey,
-    /// Requests of the sender that run there.
-    pub running: u32,
-    /// What happened.
-    pub event: RunEvent,
-}
-
-/// Anything that hosts send one another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Datagram {
-    /// All that a host tells.
-    State(PeerMessage),
-    /// A change at one upstream.
-    Running(RunningMessage),
-}
-
 /// What is known of one other host.
 #[derive(Clone, Debug)]
 struct Peer {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -70,8 +70,7 @@
 
     /// Returns the time that really passed since.
     pub fn age(&self) -> Duration {
-        let asleep = suspended().saturating_sub(self.suspended);
-        self.at.elapsed() + asleep
+        Self::now().since(self)
     }
 
     /// Returns the time that really passed from an earlier instant until this one.
@@ -234,11 +233,7 @@
         if !shelves[topic.index()].take(base, &news, asked) {
             return;
         }
-        let is_change = match &news {
-            News::Whole(_) => true,
-            News::Since(changes) => !changes.changes.is_empty(),
-            News::Outage => false,
-        };
+        let is_change = news.is_change();
         // Sent under the lock, so that the dispatcher sees the same order.
         post(
             &self.dispatcher,
@@ -294,11 +289,7 @@
             else {
                 continue;
             };
-            is_new |= match &news {
-                News::Whole(_) => true,
-                News::Since(changes) => !changes.changes.is_empty(),
-                News::Outage => false,
-            };
+            is_new |= news.is_change();
             answer.topics.push(RelayNews {
                 topic,
                 age_ms: u64::try_from(came.since(&asked).as_millis()).unwrap_or(u64::MAX),
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -2,15 +2,11 @@
 
 use std::{
     io,
-    net::SocketAddr,
     sync::{
         Arc,
         Mutex, //
     },
-    time::{
-        Duration,
-        SystemTime, //
-    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -24,10 +20,7 @@
 };
 use thiserror::Error;
 use tokio::{
-    net::{
-        TcpListener,
-        UdpSocket, //
-    },
+    net::UdpSocket,
     signal::unix::{
         SignalKind,
         signal, //
@@ -49,10 +42,14 @@
 };
 
 use super::{
+    datagram::{
+        Outgoing,
+        receive_messages,
+        send_messages, //
+    },
     dialect::Dialect,
     dispatcher::{
         Dispatcher,
-        Outgoing,
         registration, //
     },
     follow::{
@@ -63,7 +60,6 @@
     forward::Gateway,
     lines::LineBudget,
     message::{
-        Heard,
         IsReady,
         Leave,
         Lookup,
@@ -71,7 +67,6 @@
         Tick, //
     },
     metrics::EdgeMetrics,
-    peers::Datagram,
     relay::Shelves,
     settings::Settings,
     topic::{
@@ -86,10 +81,14 @@
         full, //
     },
     connection::Connections,
-    listener,
-    membership::new_incarnation,
-    post::post,
-    util::id::Incarnation,
+    listener, operators,
+    process::{
+        BindError,
+        bind,
+        bind_datagrams,
+        incarnation,
+        wait_for_stop, //
+    },
 };
 
 /// The part of the memory that bodies may take, one in this many.
@@ -102,8 +101,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Messages to other hosts that wait to be sent.
 const OUTGOING_MAX: usize = 1024;
-/// The longest message from host to host, in bytes.
-const DATAGRAM_MAX: usize = 60 * 1024;
 /// The pause after a registration that failed.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
 /// Callers keep a look-up for up to this many times its time to live.
@@ -117,15 +114,8 @@
 #[derive(Debug, Error)]
 pub enum ServeError {
     /// An address could not be bound.
-    #[error("cannot bind {address} for {role} ({cause}); stop the process that holds it")]
-    Bind {
-        /// What the address is for.
-        role: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// What failed.
-        cause: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// A signal handler could not be installed.
     #[error("the process could not be set up: {0}")]
     Process(#[from] io::Error),
@@ -153,13 +143,7 @@
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let lookups = bind("look-ups", settings.lookups).await?;
-    let socket = UdpSocket::bind(settings.peers)
-        .await
-        .map_err(|cause| ServeError::Bind {
-            role: "other hosts",
-            address: settings.peers,
-            cause,
-        })?;
+    let socket = bind_datagrams("other hosts", settings.peers).await?;
     let relaying = bind("followers", settings.peers).await?;
     let configuration = Arc::new(ArcSwapOption::empty());
     let metrics = Arc::new(EdgeMetrics::new());
@@ -277,40 +261,6 @@
     }
 }
 
-async fn send_messages(socket: Arc<UdpSocket>, mut outgoing: mpsc::Receiver<Outgoing>) {
-    while let Some((to, msg)) = outgoing.recv().await {
-        let bytes = match rmp_serde::to_vec(&msg) {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                log::error!(event = "message-unwritable", cause:% = e; "");
-                continue;
-            }
-        };
-        for address in to {
-            if let Err(e) = socket.send_to(&bytes, address).await {
-                log::debug!(event = "message-unsent", to:% = address, cause:% = e; "");
-            }
-        }
-    }
-}
-
-async fn receive_messages(socket: Arc<UdpSocket>, dispatcher: Address<Dispatcher>) {
-    let mut buf = vec![0; DATAGRAM_MAX];
-    loop {
-        let (len, from) = match socket.recv_from(&mut buf).await {
-            Ok(received) => received,
-            Err(e) => {
-                log::debug!(event = "receive-failed", cause:% = e; "");
-                continue;
-            }
-        };
-        match rmp_serde::from_slice::<Datagram>(&buf[..len]) {
-            Ok(msg) => post(&dispatcher, Heard { msg }),
-            Err(e) => log::info!(event = "message-unreadable", from:%, cause:% = e; ""),
-        }
-    }
-}
-
 /// Answers followers, and whoever asks for the metrics.
 async fn serve_peer(
     shelves: Shelves,
@@ -320,15 +270,7 @@
     if req.uri().path() != METRICS_PATH {
         return serve_follower(shelves, req).await;
     }
-    let mut res = Response::new(empty());
-    match metrics.encode() {
-        Ok(text) => *res.body_mut() = full(text),
-        Err(e) => {
-            log::error!(event = "metrics-unwritable", cause:% = e; "");
-            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        }
-    }
-    res
+    operators::metrics(metrics.encode())
 }
 
 /// Answers look-ups and questions about readiness.
@@ -364,24 +306,6 @@
     res
 }
 
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, ServeError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| ServeError::Bind {
-            role,
-            address,
-            cause,
-        })
-}
-
-/// Returns a number that is larger than that of an earlier process of this host,
-/// unless the time of day stepped back in between.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let ms = since.unwrap_or_default().as_millis();
-    new_incarnation(u64::try_from(ms).unwrap_or(u64::MAX), rand::random())
-}
-
 /// Takes over settings that change while the host runs, at SIGHUP or without it.
 /// Its name, zone and addresses stay what they were at the start.
 async fn reload<L: Fn() -> Option<Settings>>(
@@ -421,13 +345,3 @@
         }
     }
 }
-
-async fn wait_for_stop() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    Ok(())
-}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,10 +8,7 @@
     },
     net::SocketAddr,
     sync::Arc,
-    time::{
-        Duration,
-        SystemTime, //
-    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -22,10 +19,6 @@
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    signal::unix::{
-        SignalKind,
-        signal, //
-    },
     sync::{
         mpsc,
         watch, //
@@ -55,16 +48,20 @@
     },
     listener,
     lookup::TTL,
-    membership::new_incarnation,
     metrics::Metrics,
     operators,
     options::EntryOptions,
+    process::{
+        BindError,
+        bind,
+        incarnation,
+        wait_for_stop, //
+    },
     store::http::HttpStore,
     trace::{
         TraceError,
         Tracing, //
     },
-    util::id::Incarnation,
     wire, //
 };
 
@@ -77,17 +74,8 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// An address could not be bound.
-    #[error(
-        "cannot bind {address} for {role} ({cause}); stop the process that holds it or choose another"
-    )]
-    Bind {
-        /// What the address is for.
-        role: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// What failed.
-        cause: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// The fleet secret cannot be sent in a header.
     #[error("the fleet secret holds bytes that a header cannot carry; use printable ASCII")]
     FleetSecret,
@@ -202,7 +190,7 @@
         let gw = gw.clone();
         move |req, _| operators::serve(gw.clone(), req)
     }));
-    wait_for_signal().await?;
+    wait_for_stop().await?;
     leave(&gw, &stop).await;
     if let Err(e) = callers.await {
         log::error!(event = "listener-failed", cause:% = e; "");
@@ -259,30 +247,3 @@
     }
     gw.serve_peer(req).await
 }
-
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| EntryError::Bind {
-            role,
-            address,
-            cause,
-        })
-}
-
-/// Returns a number that is larger than that of any earlier process of this host.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let ms = u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(0);
-    new_incarnation(ms, rand::random())
-}
-
-async fn wait_for_signal() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    Ok(())
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod planning;
 pub mod pool;
 pub mod post;
+pub mod process;
 pub mod publish;
 pub mod quarantine;
 pub mod queue;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,22 @@
 /// The number of latency buckets; each is twice the one before.
 const LATENCY_BUCKETS: u16 = 16;
 
+/// Returns an empty registry, whose metrics bear the project's prefix.
+pub fn registry() -> Registry {
+    Registry::with_prefix("cardamomroad")
+}
+
+/// Returns all metrics of a registry in the Prometheus text format.
+///
+/// # Errors
+///
+/// Fails only when formatting fails.
+pub fn encoded(registry: &Registry) -> Result<String, fmt::Error> {
+    let mut text = String::new();
+    encode(&mut text, registry)?;
+    Ok(text)
+}
+
 /// The label of an answered request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerLabels {
@@ -107,7 +123,7 @@
     pub fn new() -> Self {
         let buckets = exponential_buckets(LATENCY_START_SECONDS, 2.0, LATENCY_BUCKETS);
         let mut m = Self {
-            registry: Registry::with_prefix("cardamomroad"),
+            registry: registry(),
             answers: Family::default(),
             refusals: Family::default(),
             latency: Histogram::new(buckets),
@@ -129,9 +145,7 @@
     ///
     /// Fails only when formatting fails.
     pub fn encode(&self) -> Result<String, fmt::Error> {
-        let mut text = String::new();
-        encode(&mut text, &self.registry)?;
-        Ok(text)
+        encoded(&self.registry)
     }
 
     fn register(&mut self) {
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,9 @@
 //! The operators' address: metrics, status, explanations and readiness.
 
-use std::sync::Arc;
+use std::{
+    fmt,
+    sync::Arc, //
+};
 
 use hyper::{
     Request,
@@ -38,7 +41,7 @@
 pub async fn serve(gw: Arc<Gateway>, req: Request<Incoming>) -> Response<ProxyBody> {
     let query = req.uri().query().unwrap_or_default();
     match req.uri().path() {
-        "/metrics" => metrics(&gw),
+        "/metrics" => metrics(gw.metrics.encode()),
         "/ready" => ready(&gw),
         "/status" => match gw.host.send(GetStatus).await {
             Ok(status) => json(&status),
@@ -52,13 +55,17 @@
     }
 }
 
-fn metrics(gw: &Gateway) -> Response<ProxyBody> {
-    match gw.metrics.encode() {
+/// Answers with metrics in the Prometheus text format.
+pub fn metrics(encoded: Result<String, fmt::Error>) -> Response<ProxyBody> {
+    match encoded {
         Ok(text) => typed(StatusCode::OK, METRICS_TYPE, text),
-        Err(_) => plain(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "the metrics could not be written\n",
-        ),
+        Err(e) => {
+            log::error!(event = "metrics-unwritable", cause:% = e; "");
+            plain(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the metrics could not be written\n",
+            )
+        }
     }
 }
 
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -4,12 +4,12 @@
 
 use cardamomroad::{
     edge::{
-        model::HostRegistration,
-        peers::{
+        datagram::{
             HostState,
-            PeerMessage,
-            Peers, //
+            PeerMessage, //
         },
+        model::HostRegistration,
+        peers::Peers,
     },
     util::id::Incarnation,
 };
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -11,15 +11,15 @@
 
 use cardamomroad::{
     edge::{
+        datagram::{
+            RunEvent,
+            RunningMessage, //
+        },
         message::Ended,
         model::{
             Registration,
             Standing, //
         },
-        peers::{
-            RunEvent,
-            RunningMessage, //
-        },
         placement::{
             Places,
             Wish,
