--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -301,8 +301,9 @@
             })
             .inc();
         self.announce(&msg.service, msg.key, event);
-        if msg.end == TryEnd::Misdirected {
-            log::info!(event = "upstream-replaced", key = msg.key; "");
+        let replaced = msg.end == TryEnd::Misdirected;
+        if let Some(u) = self.upstreams.find(msg.key).filter(|_| replaced) {
+            log::info!(event = "upstream-replaced", upstream:% = u.entry.id; "");
         }
         self.drain_queue(now, Some(msg.key));
     }
