Leave a lender that stays silent alone for all resources at once

Each of a host's accounts found out for itself which lenders lie beyond the cut, and asked each of them twice a second: ten lenders and eight accounts are 160 messages a second where 40 are allowed, so that lenders in reach were not asked. Change: one belief for the host. A lender that owes an answer for half a second is asked again after half a second and then once a second, by any account. What that also did, refusing instead of waiting where all lenders rest, is left out. A first form asked a silent lender once a second only; a_repeated_request_gets_the_same_answer_and_an_older_one_none saw that one lost message then cost a second.

--- a/src/account/borrowing.rs
+++ b/src/account/borrowing.rs
@@ -168,8 +168,14 @@
         Quota::new(rate, burst)
     }
 
-    /// Returns the messages to send now, nearest lenders first, at most `most`.
-    pub(crate) fn asks(&mut self, now: Instant, most: usize) -> Vec<Ask> {
+    /// Returns the messages to send now, nearest lenders first, at most `most`,
+    /// and only to lenders that `may_ask` admits.
+    pub(crate) fn asks(
+        &mut self,
+        now: Instant,
+        most: usize,
+        may_ask: impl Fn(&HostName) -> bool,
+    ) -> Vec<Ask> {
         self.settle(now);
         let own = self.principal_at(now).minus(self.lent.withheld());
         let mut missing = self.need(now, own).minus(own);
@@ -180,6 +186,10 @@
                 break;
             }
             let held = self.held_of(&lender.host);
+            if !may_ask(&lender.host) {
+                missing = missing.minus(held);
+                continue;
+            }
             let wanted = missing.min(lender.limit(now, held));
             missing = missing.minus(wanted);
             asks.extend(self.ask(now, lender, wanted));
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -18,7 +18,9 @@
 
 mod debit;
 mod loans;
+mod silence;
 
+use self::silence::Silence;
 pub(crate) use debit::LOOK_AGAIN;
 pub use debit::{
     Attempt,
@@ -117,6 +119,7 @@
     accounts: BTreeMap<Resource, Account>,
     active: BTreeSet<Resource>,
     asks: Bucket,
+    silence: Silence,
 }
 
 impl Budgets {
@@ -136,6 +139,7 @@
             accounts: BTreeMap::new(),
             active: BTreeSet::new(),
             asks: Bucket::new(ASKS, now),
+            silence: Silence::default(),
         }
     }
 
--- a/src/budget/loans.rs
+++ b/src/budget/loans.rs
@@ -69,9 +69,13 @@
         }
         let (host, incarnation) = (&self.host, self.incarnation);
         let most = usize::try_from(self.asks.level(now)).unwrap_or(usize::MAX);
-        let asks = account.asks(now, most);
+        let silence = &self.silence;
+        let asks = account.asks(now, most, |lender| silence.may_ask(now, lender));
         self.asks.debit(now, asks.len() as u64);
         for ask in asks {
+            if matches!(ask.action, Action::Request { .. }) {
+                self.silence.asked(now, &ask.lender);
+            }
             messages.push(loan_message(host, incarnation, resource.clone(), ask));
         }
     }
@@ -92,6 +96,7 @@
         if reply.borrower != self.host || reply.incarnation != self.incarnation {
             return;
         }
+        self.silence.answered(&reply.lender);
         if let Some(account) = self.accounts.get_mut(&reply.resource) {
             account.take_reply(now, reply);
         }
