Keep strange objects out of slots that known ones could use

All objects known, the load would hold some 400 of 992 slots; yet 28% of the placements in the own region and 42% of those to other regions were strange (seconds 10 to 16). Two choices fed that: a request that had waited too long took any home's slot, where it was late all the same, held the slot three times as long and drove a known object out; and hosts of other regions took upstreams for idle that they hear little of. Ruled out: too many objects for the upstreams' memory (10 an upstream with 2.5 homes each, 21 are kept), and moves of the regions' shares. Change: a late request takes a strange slot only where half are free, or at its first home where nobody knows its object; requests to another region go to the object's first home alone.

The three tests were seen to fail without the change.

--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -5,7 +5,10 @@
 //! sooner, and each strange object drives a known one out. So a request goes
 //! where its answer is expected first, waits for a busy upstream that knows its
 //! object rather than going to a free one that does not, and only the object's
-//! home upstreams, or idle ones, ever get to know it.
+//! home upstreams, or idle ones, ever get to know it. Where all upstreams know
+//! their objects, the same slots carry several times the load; a strange object
+//! in a slot makes more requests wait, and those that wait go where they are
+//! strange. What is late already is therefore kept out of such slots.
 
 use std::collections::{
     BTreeMap,
@@ -27,6 +30,8 @@
 
 /// Upstreams of a region that get to know an object first, beside the first one of each zone.
 const HOMES: usize = 2;
+/// Upstreams of another region that a request may go to, the object's homes first.
+const FAR_HOMES: usize = 1;
 /// Objects that an upstream has to know before it stops counting as new.
 const NEW_OBJECTS: usize = 4;
 /// What each further rank costs a strange upstream, in parts of its own work.
@@ -91,7 +96,12 @@
     let mut met: SmallVec<[&ZoneName; 4]> = SmallVec::new();
     let mut free: Option<(f64, UpstreamKey)> = None;
     let mut busy = f64::INFINITY;
-    for (rank, u) in candidates(pool, places, wish, now).into_iter().enumerate() {
+    let candidates = candidates(pool, places, wish, now);
+    let is_known = knows
+        && candidates
+            .iter()
+            .any(|u| work.is_warm(u.recent.place(wish.object)));
+    for (rank, u) in candidates.into_iter().enumerate() {
         let first_of_zone = !met.contains(&&u.entry.zone);
         if first_of_zone {
             met.push(&u.entry.zone);
@@ -111,6 +121,14 @@
         if !warm && !home && !is_idle {
             continue;
         }
+        // How busy others are there is hardly known, and a wrong guess drives known objects out.
+        if !knows && rank >= FAR_HOMES {
+            continue;
+        }
+        // An answer that is late anyway must not take a slot from what could be in time.
+        if wish.late && !warm && !is_idle && (is_known || rank > 0) {
+            continue;
+        }
         let is_new = knows && first_of_zone && u.recent.len() < NEW_OBJECTS;
         // Among strange upstreams the homes go first, in the order of their rank.
         let strange = match warm {
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -159,8 +159,12 @@
         pick(pool, places, &wish, self.now)
     }
 
+    fn load(&mut self, upstream: UpstreamKey, running: u32) {
+        self.hear(upstream, i64::from(running), running, RunEvent::Unanswered);
+    }
+
     fn fill(&mut self, upstream: UpstreamKey) {
-        self.hear(upstream, i64::from(SLOTS), SLOTS, RunEvent::Unanswered);
+        self.load(upstream, SLOTS);
     }
 }
 
@@ -206,6 +210,36 @@
     );
 }
 
+/// A strange object holds a slot for longer and drives a known one out; under a standing
+/// load that costs others more than an answer that is late anyway is worth.
+#[test]
+fn a_late_request_for_a_known_object_takes_no_slot_where_it_is_strange() {
+    let mut world = World::measured();
+    let knows = key("north-a-1");
+    world.hear(knows, 0, 0, RunEvent::Started { object: 77 });
+    for id in world.upstreams.ids() {
+        world.load(key_of(&id), SLOTS - 1);
+    }
+    world.hear(knows, 1, SLOTS, RunEvent::Unanswered);
+    assert_eq!(world.pick(77, true), None, "other upstreams have a slot");
+    world.hear(knows, -1, SLOTS - 1, RunEvent::Unanswered);
+    assert_eq!(world.pick(77, true), Some(knows));
+}
+
+/// An object that no upstream knows has to be met by one, or it would never be known.
+#[test]
+fn a_late_request_for_a_strange_object_goes_to_its_first_home() {
+    for object in 0..50 {
+        let mut world = World::measured();
+        for id in world.upstreams.ids() {
+            world.load(key_of(&id), SLOTS - 1);
+        }
+        let home = world.pick(object, true).expect("a free slot");
+        world.hear(home, 1, SLOTS, RunEvent::Unanswered);
+        assert_eq!(world.pick(object, true), None, "object {object}");
+    }
+}
+
 #[test]
 fn a_slow_upstream_loses_its_objects() {
     let mut world = World::measured();
@@ -286,6 +320,23 @@
     }
 }
 
+/// What is free there is hardly known; a guess that is wrong drives known objects out.
+#[test]
+fn requests_to_another_region_go_to_the_first_home_alone() {
+    for object in 0..100 {
+        let mut world = World::measured();
+        let home = world.pick_in("south", object, false).expect("all are free");
+        world.fill(home);
+        for late in [false, true] {
+            assert_eq!(
+                world.pick_in("south", object, late),
+                None,
+                "object {object}"
+            );
+        }
+    }
+}
+
 /// A cold upstream is paced by the hosts of its zone, and gets nothing from others.
 #[test]
 fn a_cold_upstream_gets_no_more_than_it_bears() {
