--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -74,6 +74,7 @@
         HostRegistration, //
     },
     peers::Peers,
+    placement::Homes,
     quota::Quotas,
     settings::Settings,
     upstreams::{
@@ -100,6 +101,8 @@
     until: Instant,
     /// Whether its organisation's token was taken.
     paid: bool,
+    /// Where its object belongs, once it was looked for.
+    homes: Homes,
     reply: oneshot::Sender<Verdict>,
 }
 
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -28,6 +28,8 @@
         metrics::PlaceLabels,
         placement::{
             self,
+            Homes,
+            Pick,
             Places,
             Wish, //
         },
@@ -59,6 +61,14 @@
 /// When a caller comes back whose request crashes upstreams.
 const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
 
+/// Whether a request found an upstream.
+enum Sent {
+    /// It did, and its slot is taken.
+    Placed(Placed),
+    /// It did not; these are its object's homes.
+    Not(Homes),
+}
+
 impl Dispatcher {
     pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
@@ -89,6 +99,7 @@
             region,
             until,
             paid,
+            homes: Homes::default(),
             reply,
         };
         if let Some(waiting) = self.try_place(now, waiting) {
@@ -143,11 +154,13 @@
             self.demand_mut(&job.service, now).count(now, job, region);
         }
         let late = waiting.until <= now;
-        let picked = self.pick(now, &waiting.job, &waiting.region, late);
-        if let Some(placed) = picked {
-            // A caller that went away drops the place, which gives it back.
-            answer(waiting.reply, Verdict::Send(placed));
-            return None;
+        match self.pick(now, &waiting.job, &waiting.region, late) {
+            Sent::Placed(placed) => {
+                // A caller that went away drops the place, which gives it back.
+                answer(waiting.reply, Verdict::Send(placed));
+                return None;
+            }
+            Sent::Not(homes) => waiting.homes = homes,
         }
         if !late {
             return Some(waiting);
@@ -177,13 +190,14 @@
         Some(waiting)
     }
 
-    pub(super) fn pick(
+    /// Picks an upstream and starts a request there, or returns its object's homes.
+    fn pick(
         &mut self,
         now: Instant,
         job: &Job,
         region: &RegionName,
         late: bool,
-    ) -> Option<Placed> {
+    ) -> Sent {
         let places = Places {
             zone: &self.settings.zone,
             regions: &self.settings.regions,
@@ -197,14 +211,21 @@
             tried: &job.tried,
             late,
         };
-        let pool = self.upstreams.pool(&job.service)?;
-        let key = placement::pick(pool, places, &wish, now)?;
+        let Some(pool) = self.upstreams.pool(&job.service) else {
+            return Sent::Not(Homes::default());
+        };
+        let key = match placement::pick(pool, places, &wish, now) {
+            Pick::Upstream(key) => key,
+            Pick::Wait(homes) => return Sent::Not(homes),
+        };
         let cold = self.cold_share(now, &job.service, key);
         let object = job.object;
         let place = self.upstreams.started(now, &job.service, key, object, cold);
         self.announce(&job.service, key, RunEvent::Started { object });
         let me = self.me.clone();
-        let u = self.upstreams.get_mut(&job.service, key)?;
+        let Some(u) = self.upstreams.get_mut(&job.service, key) else {
+            return Sent::Not(Homes::default());
+        };
         let (address, id) = (u.entry.address, u.entry.id.clone());
         self.note_placed(now, job, &id, key, place);
         let ended = Ended {
@@ -216,7 +237,7 @@
             held: Duration::ZERO,
             load: None,
         };
-        Some(Placed::new(address, id, ended, me))
+        Sent::Placed(Placed::new(address, id, ended, me))
     }
 
     /// Returns the rate that a cold upstream bears, and how many hosts share it;
@@ -350,10 +371,12 @@
         if let Some(key) = freed {
             let u = self.upstreams.find(key);
             let region = u.and_then(|u| self.settings.region_of(&u.entry.zone));
-            let fits = |w: &Waiting| {
-                let serves = u.is_some_and(|u| u.entry.service == w.job.service);
-                w.until <= now || (serves && region == Some(&w.region))
+            let takes = |u: &Upstream, w: &Waiting| {
+                u.entry.service == w.job.service
+                    && region == Some(&w.region)
+                    && (!w.paid || placement::may_take(u, &w.homes, w.job.object, now))
             };
+            let fits = |w: &Waiting| w.until <= now || u.is_some_and(|u| takes(u, w));
             (queue, self.queue) = queue.into_iter().partition(fits);
         }
         self.turn = self.turn.wrapping_add(1);
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -21,7 +21,8 @@
 use super::upstreams::{
     Pool,
     Upstream,
-    UpstreamKey, //
+    UpstreamKey,
+    zone_hash, //
 };
 use crate::util::id::{
     RegionName,
@@ -30,8 +31,6 @@
 
 /// Upstreams of a region that get to know an object first, beside the first one of each zone.
 const HOMES: usize = 2;
-/// Upstreams of another region that a request may go to, the object's homes first.
-const FAR_HOMES: usize = 1;
 /// Objects that an upstream has to know before it stops counting as new.
 const NEW_OBJECTS: usize = 4;
 /// What each further rank costs a strange upstream, in parts of its own work.
@@ -76,11 +75,12 @@
 }
 
 impl Places<'_> {
-    /// Returns the zones of a region that get work.
-    fn zones_of(&self, region: &RegionName) -> SmallVec<[&ZoneName; 4]> {
+    /// Returns the hashes of the zones of a region that get work.
+    fn zones_of(&self, region: &RegionName) -> SmallVec<[u64; 4]> {
         let all = self.regions.iter().filter(|(_, r)| *r == region);
         let zones = all.map(|(zone, _)| zone);
-        zones.filter(|z| !self.evacuated.contains(*z)).collect()
+        let open = zones.filter(|z| !self.evacuated.contains(*z));
+        open.map(zone_hash).collect()
     }
 
     /// Returns whether the other hosts tell this one what the upstreams of a region handle.
@@ -89,56 +89,118 @@
     }
 }
 
-/// Picks an upstream with a free slot; none where the request had better wait.
-pub fn pick(pool: &Pool, places: Places<'_>, wish: &Wish<'_>, now: Instant) -> Option<UpstreamKey> {
+/// An upstream that a request may go to.
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    /// Where it stands among the candidates; the object's first home has the highest one.
+    rank: u64,
+    /// The object's place among those that it handled, where that is known.
+    place: Option<usize>,
+}
+
+impl Candidate<'_> {
+    /// Returns about how many of `all` candidates come before this one.
+    fn behind(&self, all: usize) -> f64 {
+        (u64::MAX - self.rank) as f64 / u64::MAX as f64 * all as f64
+    }
+}
+
+/// The upstreams that get to know an object first, in order: the first ones of the
+/// region, and the first one of each zone.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    first: SmallVec<[(u64, UpstreamKey); HOMES]>,
+    of_zones: SmallVec<[(u64, u64, UpstreamKey); 4]>,
+}
+
+impl Homes {
+    fn of(candidates: &[Candidate<'_>]) -> Self {
+        let mut homes = Self::default();
+        for c in candidates {
+            homes.add(c.rank, c.upstream);
+        }
+        homes
+    }
+
+    fn add(&mut self, rank: u64, u: &Upstream) {
+        let place = self.first.iter().take_while(|(r, _)| *r > rank).count();
+        if place < HOMES {
+            self.first.truncate(HOMES - 1);
+            self.first.insert(place, (rank, u.key));
+        }
+        match self.of_zones.iter_mut().find(|(z, ..)| *z == u.zone_hash) {
+            Some(first) if first.1 < rank => *first = (u.zone_hash, rank, u.key),
+            Some(_) => {}
+            None => self.of_zones.push((u.zone_hash, rank, u.key)),
+        }
+    }
+
+    fn is_first(&self, key: UpstreamKey) -> bool {
+        self.first.first().is_some_and(|(_, k)| *k == key)
+    }
+
+    fn is_first_of_zone(&self, key: UpstreamKey) -> bool {
+        self.of_zones.iter().any(|(.., k)| *k == key)
+    }
+
+    /// Returns whether an upstream is one of them.
+    pub fn contains(&self, key: UpstreamKey) -> bool {
+        self.first.iter().any(|(_, k)| *k == key) || self.is_first_of_zone(key)
+    }
+}
+
+/// What becomes of a request now.
+#[derive(Clone, Debug)]
+pub enum Pick {
+    /// It goes to this upstream.
+    Upstream(UpstreamKey),
+    /// It had better wait; a slot at one of these homes, at an upstream that knows its
+    /// object, or at an idle one may change that.
+    Wait(Homes),
+}
+
+/// Picks an upstream with a free slot, or says that the request had better wait.
+pub fn pick(pool: &Pool, places: Places<'_>, wish: &Wish<'_>, now: Instant) -> Pick {
     let work = pool.work_of(wish.route);
     let knows = places.knows(wish.region);
-    let mut met: SmallVec<[&ZoneName; 4]> = SmallVec::new();
+    let candidates = candidates(pool, places, wish, now);
+    let homes = Homes::of(&candidates);
+    let is_known = knows && candidates.iter().any(|c| work.is_warm(c.place));
     let mut free: Option<(f64, UpstreamKey)> = None;
     let mut busy = f64::INFINITY;
-    let candidates = candidates(pool, places, wish, now);
-    let is_known = knows
-        && candidates
-            .iter()
-            .any(|u| work.is_warm(u.recent.place(wish.object)));
-    for (rank, u) in candidates.into_iter().enumerate() {
-        let first_of_zone = !met.contains(&&u.entry.zone);
-        if first_of_zone {
-            met.push(&u.entry.zone);
-        }
-        let far = match u.entry.zone == *places.zone {
-            true => 0.0,
-            false => ZONE_SECONDS + wish.bytes as f64 / 1000.0 * ZONE_SECONDS_PER_KB,
-        };
+    for c in &candidates {
+        let u = c.upstream;
+        let is_first = homes.is_first(u.key);
         // What the hosts of another region do there is not told; its first home knows the object.
         let place = match knows {
-            true => u.recent.place(wish.object),
-            false => (rank == 0).then_some(0),
+            true => c.place,
+            false => is_first.then_some(0),
         };
         let warm = work.is_warm(place);
-        let home = rank < HOMES || first_of_zone;
-        let is_idle = u.free(now) * IDLE_PART >= u.entry.slots;
-        if !warm && !home && !is_idle {
+        if !warm && !is_idle(u, now) && !homes.contains(u.key) {
             continue;
         }
         // How busy others are there is hardly known, and a wrong guess drives known objects out.
-        if !knows && rank >= FAR_HOMES {
+        if !knows && !is_first {
             continue;
         }
         // An answer that is late anyway must not take a slot from what could be in time.
-        if wish.late && !warm && !is_idle && (is_known || rank > 0) {
+        if wish.late && !warm && !is_idle(u, now) && (is_known || !is_first) {
             continue;
         }
-        let is_new = knows && first_of_zone && u.recent.len() < NEW_OBJECTS;
+        let far = match u.entry.zone == *places.zone {
+            true => 0.0,
+            false => ZONE_SECONDS + wish.bytes as f64 / 1000.0 * ZONE_SECONDS_PER_KB,
+        };
+        let is_new = knows && u.recent.len() < NEW_OBJECTS && homes.is_first_of_zone(u.key);
         // Among strange upstreams the homes go first, in the order of their rank.
         let strange = match warm {
             true => 0.0,
-            false => STRANGE_PART + rank as f64 * RANK_PART,
+            false => STRANGE_PART + c.behind(candidates.len()) * RANK_PART,
         };
-        let slowness = u.slowness.factor(now);
         let cost = match is_new {
             true => far,
-            false => work.expect(place) * (slowness + strange) + far,
+            false => work.expect(place) * (u.slowness.factor(now) + strange) + far,
         };
         if !is_open(u, places, now) {
             let wait = pool.work() / f64::from(u.entry.slots.max(1)) + HANDOVER_SECONDS;
@@ -149,27 +211,48 @@
             free = Some((cost, u.key));
         }
     }
-    let (cost, key) = free?;
-    (wish.late || cost <= busy).then_some(key)
+    match free {
+        Some((cost, key)) if wish.late || cost <= busy => Pick::Upstream(key),
+        _ => Pick::Wait(homes),
+    }
+}
+
+/// Returns whether a waiting request may go to an upstream whose slot was freed.
+pub fn may_take(u: &Upstream, homes: &Homes, object: u64, now: Instant) -> bool {
+    homes.contains(u.key) || is_idle(u, now) || u.recent.place(object).is_some()
 }
 
-/// Returns the usable upstreams of the wished region, the object's homes first.
+/// Returns the usable upstreams of the wished region.
 fn candidates<'a>(
     pool: &'a Pool,
     places: Places<'_>,
     wish: &Wish<'_>,
     now: Instant,
-) -> SmallVec<[&'a Upstream; 32]> {
+) -> Vec<Candidate<'a>> {
     // Zones are few and upstreams are many.
     let zones = places.zones_of(wish.region);
-    let usable = pool.upstreams.iter().filter(|u| {
-        zones.contains(&&u.entry.zone) && u.is_usable(now) && !wish.tried.contains(&u.key)
-    });
-    let mut usable: SmallVec<[&Upstream; 32]> = usable.collect();
-    usable.sort_by_cached_key(|u| std::cmp::Reverse(u.rank(wish.object)));
+    let mut usable = Vec::with_capacity(pool.upstreams.len());
+    for upstream in &pool.upstreams {
+        if !zones.contains(&upstream.zone_hash) || !upstream.is_usable(now) {
+            continue;
+        }
+        if wish.tried.contains(&upstream.key) {
+            continue;
+        }
+        usable.push(Candidate {
+            upstream,
+            rank: upstream.rank(wish.object),
+            place: upstream.recent.place(wish.object),
+        });
+    }
     usable
 }
 
+/// Returns whether so many slots are free that a strange object drives out none that is needed.
+fn is_idle(u: &Upstream, now: Instant) -> bool {
+    u.free(now) * IDLE_PART >= u.entry.slots
+}
+
 /// Returns whether an upstream has a free slot and, where it is cold, bears
 /// another request of this host.
 fn is_open(u: &Upstream, places: Places<'_>, now: Instant) -> bool {
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -16,7 +16,8 @@
     TryEnd,
     Upstream,
     UpstreamKey,
-    key_of, //
+    key_of,
+    zone_hash, //
 };
 use super::{
     datagram::{
@@ -149,6 +150,7 @@
             true => u.cold_until,
             false => u.cold_until.max(cold_until),
         };
+        u.zone_hash = zone_hash(&entry.zone);
         u.entry = entry;
         self.pool_mut(&u.entry.service.clone()).push(u);
     }
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -21,7 +21,10 @@
             Slowness, //
         },
     },
-    util::id::UpstreamId,
+    util::id::{
+        UpstreamId,
+        ZoneName, //
+    },
 };
 
 /// How long an upstream that shed a request counts as full.
@@ -76,6 +79,8 @@
 pub struct Upstream {
     /// Its registration.
     pub entry: Registration,
+    /// The hash of its zone.
+    pub zone_hash: u64,
     /// Its key in messages.
     pub key: UpstreamKey,
     /// Requests of this host that run there.
@@ -102,6 +107,7 @@
     pub(super) fn new(entry: Registration, cold_until: Instant, now: Instant) -> Self {
         Self {
             key: key_of(&entry.id),
+            zone_hash: zone_hash(&entry.zone),
             entry,
             running: 0,
             others: 0,
@@ -196,6 +202,11 @@
     }
 }
 
+/// Returns what stands for a zone where names would be compared often.
+pub fn zone_hash(zone: &ZoneName) -> u64 {
+    xxh3_64(zone.as_str().as_bytes())
+}
+
 /// Returns the key of an upstream in messages between hosts.
 pub fn key_of(id: &UpstreamId) -> UpstreamKey {
     (xxh3_64(id.as_str().as_bytes()) & u64::from(u32::MAX)) as UpstreamKey
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -21,6 +21,7 @@
             Standing, //
         },
         placement::{
+            Pick,
             Places,
             Wish,
             pick, //
@@ -156,7 +157,7 @@
             late,
         };
         let pool = self.upstreams.pool(&service()).expect("pool");
-        pick(pool, places, &wish, self.now)
+        upstream(pick(pool, places, &wish, self.now))
     }
 
     fn load(&mut self, upstream: UpstreamKey, running: u32) {
@@ -168,6 +169,13 @@
     }
 }
 
+fn upstream(pick: Pick) -> Option<UpstreamKey> {
+    match pick {
+        Pick::Upstream(key) => Some(key),
+        Pick::Wait(_) => None,
+    }
+}
+
 fn registration(id: &str, zone_name: &str, port: u16) -> Registration {
     Registration {
         id: id.parse().expect("id"),
@@ -314,7 +322,7 @@
                 late: false,
             };
             let pool = world.upstreams.pool(&service()).expect("pool");
-            pick(pool, places, &wish, world.now)
+            upstream(pick(pool, places, &wish, world.now))
         };
         assert_eq!(world.pick_in("south", object, false), inside);
     }
