Use most of the retries that the operator allows

The hosts used half of the ratio, the rest being meant for chance. There is none: each host earns by its own requests, so that the sum keeps to the ratio in every window, but for what was saved up, which has a bound of its own. Change: nine tenths of the ratio.

--- a/src/edge/dispatcher/demand.rs
+++ b/src/edge/dispatcher/demand.rs
@@ -24,8 +24,6 @@
 
 /// The part of [`crate::edge::settings::Bounds::shift`] that the shares use; the rest is for chance.
 const SHIFT_PART: f64 = 0.6;
-/// The part of the retry bounds that the hosts use; the rest is for chance.
-const RETRY_PART: f64 = 0.5;
 
 /// The state of one service.
 #[derive(Debug)]
@@ -74,17 +72,15 @@
 impl Dispatcher {
     pub(super) fn demand_mut(&mut self, service: &ServiceName, now: Instant) -> &mut Demand {
         let settings = &self.settings;
-        let hosts = (self.peers.len() + 1) as f64;
+        let hosts = self.peers.len() + 1;
         self.demand.entry(service.clone()).or_insert_with(|| {
             let bounds = &settings.bounds;
-            let ratio = bounds.retry_ratio * RETRY_PART * 1000.0;
-            let most = bounds.retry_slack * RETRY_PART * 1000.0 / hosts;
             Demand {
                 free: DrainMeter::new(now),
                 bound: BTreeMap::new(),
                 seen: None,
                 shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
-                budget: Budget::with_limits(ratio as u64, most as u64),
+                budget: bounds.retry_budget(hosts),
             }
         })
     }
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -40,7 +40,12 @@
         for service in services {
             let loads = self.loads(now, &service);
             let target = spill::shares(&self.settings.region, &loads);
+            let saved_milli = self
+                .settings
+                .bounds
+                .retries_saved_milli(self.peers.len() + 1);
             let demand = self.demand_mut(&service, now);
+            demand.budget.save_up_to(saved_milli);
             let has_sent = demand.has_sent(now);
             let shares = &mut demand.shares;
             shares.follow(now, &target, has_sent);
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -191,13 +191,7 @@
     }
 
     /// Picks an upstream and starts a request there, or returns its object's homes.
-    fn pick(
-        &mut self,
-        now: Instant,
-        job: &Job,
-        region: &RegionName,
-        late: bool,
-    ) -> Sent {
+    fn pick(&mut self, now: Instant, job: &Job, region: &RegionName, late: bool) -> Sent {
         let places = Places {
             zone: &self.settings.zone,
             regions: &self.settings.regions,
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -6,10 +6,13 @@
     time::Duration, //
 };
 
-use crate::util::id::{
-    HostName,
-    RegionName,
-    ZoneName, //
+use crate::{
+    retry::Budget,
+    util::id::{
+        HostName,
+        RegionName,
+        ZoneName, //
+    },
 };
 
 /// The times and ratios that the operator holds the system to.
@@ -31,6 +34,26 @@
     pub shift: f64,
 }
 
+/// The part of [`Bounds::retry_ratio`] that the hosts use. Each earns it by its own
+/// requests, so that all together keep to it; the rest is for requests that cross a window's edge.
+const RETRY_RATIO_PART: f64 = 0.9;
+/// The part of [`Bounds::retry_slack`] that the hosts share; the rest is for hosts that
+/// do not know of one another yet.
+const RETRY_SLACK_PART: f64 = 0.5;
+
+impl Bounds {
+    /// Returns an empty retry budget of one of `hosts` for one service.
+    pub fn retry_budget(&self, hosts: usize) -> Budget {
+        let ratio_milli = self.retry_ratio * RETRY_RATIO_PART * 1000.0;
+        Budget::with_limits(ratio_milli as u64, self.retries_saved_milli(hosts))
+    }
+
+    /// Returns the thousandths of a retry that one of `hosts` may save up.
+    pub fn retries_saved_milli(&self, hosts: usize) -> u64 {
+        (self.retry_slack * RETRY_SLACK_PART * 1000.0 / hosts.max(1) as f64) as u64
+    }
+}
+
 /// The window over which [`Bounds::shift`] holds.
 pub const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Changes how many thousandths of a retry may be saved up.
+    pub fn save_up_to(&mut self, most_milli: u64) {
+        self.most_milli = most_milli;
+        self.milli = self.milli.min(most_milli);
+    }
+
     /// Earns for a first try.
     pub fn earn(&mut self) {
         self.milli = (self.milli + self.ratio_milli).min(self.most_milli);
--- /dev/null
+++ b/tests/edge_retries.rs
@@ -0,0 +1,83 @@
+//! The pattern: all upstreams turn away part of their requests at once, so that all
+//! hosts want more retries than there are. Together they stay within the operator's
+//! ratio, and use most of it.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use cardamomroad::{
+    edge::settings::Bounds,
+    retry::Budget, //
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+const HOSTS: usize = 65;
+/// Requests in the operator's window; callers keep sending at this pace.
+const WINDOW_REQUESTS: usize = 20_000;
+/// Requests of which one is turned away.
+const SHED_ONE_IN: u32 = 2;
+
+fn bounds() -> Bounds {
+    Bounds {
+        revocation: Duration::from_secs(5),
+        grace: Duration::from_secs(6),
+        reregistration: Duration::from_secs(2),
+        lookup_ttl: Duration::from_secs(5),
+        retry_ratio: 0.2,
+        retry_slack: 170.0,
+        shift: 0.15,
+    }
+}
+
+#[test]
+fn hosts_together_keep_to_the_ratio_in_every_window() {
+    let bounds = bounds();
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut budgets: Vec<Budget> = (0..HOSTS).map(|_| bounds.retry_budget(HOSTS)).collect();
+    let mut window: VecDeque<usize> = VecDeque::new();
+    let (mut in_window, mut most, mut all, mut wanted) = (0, 0, 0, 0);
+    for request in 0..5 * WINDOW_REQUESTS {
+        let budget = &mut budgets[rng.random_range(0..HOSTS)];
+        budget.earn();
+        // Nothing is turned away at first, so that every host has saved up all it may.
+        let mut retries = 0;
+        while request > WINDOW_REQUESTS && rng.random_ratio(1, SHED_ONE_IN) {
+            wanted += 1;
+            if !budget.take() {
+                break;
+            }
+            retries += 1;
+        }
+        window.push_back(retries);
+        in_window += retries;
+        all += retries;
+        if window.len() > WINDOW_REQUESTS {
+            in_window -= window.pop_front().unwrap_or_default();
+        }
+        most = most.max(in_window);
+    }
+    let allowed = bounds.retry_ratio * WINDOW_REQUESTS as f64;
+    assert!(most as f64 <= allowed + bounds.retry_slack, "{most}");
+    assert!(wanted > all);
+    let used = all as f64 / (4.0 * allowed);
+    assert!(
+        used >= 0.8,
+        "{used} of the retries that the operator allows"
+    );
+}
+
+#[test]
+fn a_host_that_learns_of_others_gives_up_what_it_saved_for_them() {
+    let bounds = bounds();
+    let mut budget = bounds.retry_budget(1);
+    (0..10_000).for_each(|_| budget.earn());
+    budget.save_up_to(bounds.retries_saved_milli(HOSTS));
+    let retries = std::iter::repeat_with(|| budget.take()).take_while(|t| *t);
+    assert!(retries.count() as f64 <= bounds.retry_slack / HOSTS as f64);
+}
