A starting host reads the list of hosts at the store, and the rest at its zone's relay

Change: the registrations name the largest host of the zone; a new process asks that one, and reads for itself where no answer came in 0.4 s or it is the largest. Ruled out: a longer pace of reads, which bounds the age of what all know.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -137,7 +137,9 @@
     turn: u32,
     spoke: Option<Instant>,
     shared: Option<Instant>,
-    hosts_known: bool,
+    /// When the registered hosts became known.
+    hosts_known_at: Option<Instant>,
+    relay_chosen: bool,
     leaving: bool,
     rng: SmallRng,
 }
@@ -185,7 +187,8 @@
             turn: 0,
             spoke: None,
             shared: None,
-            hosts_known: false,
+            hosts_known_at: None,
+            relay_chosen: false,
             leaving: false,
             settings,
             rng: SmallRng::seed_from_u64(seed),
@@ -194,7 +197,7 @@
 
     fn is_ready(&self, now: Instant) -> bool {
         !self.leaving
-            && self.hosts_known
+            && self.hosts_known_at.is_some()
             && self.configuration.load().is_some()
             && !self.upstreams.is_empty()
             && self.freshness.holds(now)
--- a/src/edge/dispatcher/beliefs.rs
+++ b/src/edge/dispatcher/beliefs.rs
@@ -60,7 +60,8 @@
             self.freshness.confirm(msg.asked_at, msg.suspended);
         }
         if msg.topic == Topic::Hosts {
-            self.hosts_known = true;
+            self.hosts_known_at.get_or_insert(now);
+            self.choose_relay(now);
             self.quotas.set_sharers(now, self.sharers());
         }
         self.drain_queue(now, None);
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -5,7 +5,8 @@
         BTreeMap,
         HashMap, //
     },
-    net::SocketAddr, //
+    net::SocketAddr,
+    time::Duration, //
 };
 
 use tokio::time::Instant;
@@ -40,6 +41,9 @@
 
 /// Suspect requests that one message tells of.
 const SUSPECTS_TOLD: usize = 8;
+/// How long a new host may take to hear the others of its zone: two messages of a
+/// large fleet. Until then it follows one that it knows by its registration.
+const HEARING_SPAN: Duration = Duration::from_secs(2);
 
 impl Dispatcher {
     pub(super) fn hear(&mut self, now: Instant, msg: Datagram) {
@@ -195,12 +199,21 @@
         self.post_datagram(to, Datagram::Running(msg));
     }
 
-    /// Chooses the host that reads the store for this zone.
+    /// Chooses the host that reads the store for this zone, once the hosts are known.
     pub(super) fn choose_relay(&mut self, now: Instant) {
+        let Some(known_at) = self.hosts_known_at else {
+            return;
+        };
         let own = registration(&self.settings);
-        let relay = self.peers.relay(&own, self.is_ready(now));
+        let is_new = now.saturating_duration_since(known_at) < HEARING_SPAN;
+        let relay = match is_new && !self.peers.hears(&own.zone) {
+            true => self.peers.first_relay(&own),
+            false => self.peers.relay(&own, self.is_ready(now)),
+        };
+        let is_first = !std::mem::replace(&mut self.relay_chosen, true);
         self.relay.send_if_modified(|known| {
-            if *known == relay {
+            // The first choice is told in any case; reading waits for it.
+            if *known == relay && !is_first {
                 return false;
             }
             let address = relay.map_or_else(|| "self".to_owned(), |a| a.to_string());
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -22,7 +22,8 @@
         Instant,
         sleep,
         sleep_until,
-        timeout, //
+        timeout,
+        timeout_at, //
     },
 };
 
@@ -70,6 +71,12 @@
 /// followers read for themselves: one question to the relay, and the ways.
 const RELAY_SLACK: Duration = Duration::from_millis(700);
 
+/// How long a new process leaves its first reads to the zone's relay: a question with its
+/// wait for changes, and less than a restart takes.
+const FIRST_READ_PATIENCE: Duration = RELAY_WAIT;
+/// The time between two looks at whether the relay has answered.
+const FIRST_READ_LOOK: Duration = Duration::from_millis(20);
+
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -92,13 +99,35 @@
     }
 }
 
+/// Leaves the first news of a topic to a relay, where one is known and answers soon.
+///
+/// The registered hosts are read at the store by every process; they name the relay.
+async fn wait_for_relay(
+    topic: Topic,
+    shelves: &Shelves,
+    mut relay: watch::Receiver<Option<SocketAddr>>,
+) {
+    if topic == Topic::Hosts {
+        return;
+    }
+    let end = Instant::now() + FIRST_READ_PATIENCE;
+    if !matches!(timeout_at(end, relay.changed()).await, Ok(Ok(()))) {
+        return;
+    }
+    while relay.borrow().is_some() && shelves.relayed(topic).is_none() && Instant::now() < end {
+        sleep(FIRST_READ_LOOK).await;
+    }
+}
+
 /// Follows a topic at the store, while no relay does.
 pub async fn follow_store<S: Source>(
     source: Arc<S>,
     topic: Topic,
     shelves: Shelves,
     metrics: Arc<EdgeMetrics>,
+    relay: watch::Receiver<Option<SocketAddr>>,
 ) {
+    wait_for_relay(topic, &shelves, relay).await;
     let pace = pace(topic);
     let mut pause = PAUSE_MIN;
     let mut lost = false;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -265,6 +265,21 @@
         (rank(is_ready, own) <= best).then_some(entry.peers)
     }
 
+    /// Returns the host that a starting one asks before it has heard any: the largest
+    /// one registered in its zone; none where it is the own one.
+    pub fn first_relay(&self, own: &HostRegistration) -> Option<SocketAddr> {
+        let rank = |h: &HostRegistration| (h.millicores, xxh3_64(h.name.as_str().as_bytes()));
+        let near = self.peers.values().map(|p| &p.entry);
+        let near = near.filter(|h| h.zone == own.zone);
+        let best = near.max_by_key(|h| rank(h))?;
+        (rank(own) < rank(best)).then_some(best.peers)
+    }
+
+    /// Returns whether a host of a zone was heard lately.
+    pub fn hears(&self, zone: &ZoneName) -> bool {
+        self.live().any(|p| p.entry.zone == *zone)
+    }
+
     /// Returns the registered hosts by zone.
     pub fn by_zone(&self) -> BTreeMap<ZoneName, Vec<HostName>> {
         let mut zones: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -179,6 +179,7 @@
             topic,
             shelves.clone(),
             metrics.clone(),
+            relay_rx.clone(),
         ));
     }
     tokio::spawn(follow_relay(relay_rx, shelves.clone(), metrics.clone()));
