Use no rested connections for a while after one was found forgotten

Change: after such a loss the host uses only connections that rested less than 0.1 s, for 10 s, and opens new ones instead. A loss after real work says nothing of rest.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -3,6 +3,8 @@
 //! A connection goes back to its pool only after its answer was read to the
 //! end. A connection whose answer was abandoned is closed with it.
 
+mod forgetting;
+
 use std::{
     collections::HashMap,
     io::ErrorKind,
@@ -40,6 +42,7 @@
     },
 };
 
+pub use self::forgetting::Forgetting;
 use crate::body::ProxyBody;
 
 /// Idle connections that are kept to one address.
@@ -87,10 +90,11 @@
 
 type Sender = SendRequest<ProxyBody>;
 
-/// An idle connection, and until when it may be used.
+/// An idle connection, since when it rests, and until when it may be used.
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
+    since: Instant,
     until: Instant,
 }
 
@@ -98,6 +102,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Connections {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    forgetting: Arc<Mutex<Forgetting>>,
 }
 
 /// An answer and the connection that it came on.
@@ -133,9 +138,11 @@
         };
         let senders = idle.entry(self.address).or_default();
         if senders.len() < IDLE_PER_ADDRESS {
+            let since = Instant::now();
             senders.push(Idle {
                 sender: self.sender,
-                until: Instant::now() + idle_max,
+                since,
+                until: since + idle_max,
             });
         }
     }
@@ -164,9 +171,16 @@
         address: SocketAddr,
         mut req: Request<ProxyBody>,
     ) -> Result<Exchange, SendError> {
-        while let Some(sender) = self.take_idle(address) {
+        while let Some((sender, rested)) = self.take_idle(address) {
+            let sent = Instant::now();
             match self.exchange(address, sender, req).await {
                 Err(SendError::NotSent { req: Some(r), .. }) => req = *r,
+                Err(e) => {
+                    if let Ok(mut forgetting) = self.forgetting.lock() {
+                        forgetting.lost(Instant::now(), rested, sent.elapsed());
+                    }
+                    return Err(e);
+                }
                 result => return result,
             }
         }
@@ -203,13 +217,22 @@
         Ok(Response::from_parts(parts, bytes))
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// Takes the connection that rested least, with the time that it rested.
+    fn take_idle(&self, address: SocketAddr) -> Option<(Sender, Duration)> {
+        let forgetting = *self.forgetting.lock().ok()?;
         let mut idle = self.idle.lock().ok()?;
         let senders = idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(Idle { sender, until }) = senders.pop() {
-            if until > now && sender.is_ready() && !sender.is_closed() {
-                return Some(sender);
+        while let Some(Idle {
+            sender,
+            since,
+            until,
+        }) = senders.pop()
+        {
+            let rested = now.saturating_duration_since(since);
+            let open = sender.is_ready() && !sender.is_closed();
+            if open && until > now && forgetting.allows(now, rested) {
+                return Some((sender, rested));
             }
         }
         None
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -208,7 +208,10 @@
         let is_new = now.saturating_duration_since(known_at) < HEARING_SPAN;
         let relay = match is_new && !self.peers.hears(&own.zone) {
             true => self.peers.first_relay(&own),
-            false => self.peers.relay(&own, self.is_ready(now)),
+            false => {
+                let is_ready = self.is_ready(now);
+                self.peers.relay(&own, is_ready, &self.settings.regions)
+            }
         };
         let is_first = !std::mem::replace(&mut self.relay_chosen, true);
         self.relay.send_if_modified(|known| {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -250,17 +250,38 @@
         ready.map(|p| &p.entry)
     }
 
-    /// Returns the host that reads the store for the others of a zone: the largest
-    /// one that is ready, else the largest one; none where it is the own one.
+    /// Returns the host that hands on what it reads of the store: to the hosts of a zone
+    /// its best one, and to these the best one of the region, which reads for itself.
+    /// None where that is the own one.
     ///
-    /// Before there is a configuration no host is ready, and one reader is enough then too.
-    pub fn relay(&self, own: &HostRegistration, is_ready: bool) -> Option<SocketAddr> {
+    /// The best one is the largest that is ready, else the largest. Before there is a
+    /// configuration no host is ready, and one reader is enough then too.
+    pub fn relay(
+        &self,
+        own: &HostRegistration,
+        is_ready: bool,
+        regions: &BTreeMap<ZoneName, RegionName>,
+    ) -> Option<SocketAddr> {
+        let is_near = |zone: &ZoneName| *zone == own.zone;
+        let region = regions.get(&own.zone);
+        let in_region = |zone: &ZoneName| region.is_some() && regions.get(zone) == region;
+        self.better(own, is_ready, is_near)
+            .or_else(|| self.better(own, is_ready, in_region))
+    }
+
+    /// Returns the best host of some zones, where it is better than the own one.
+    fn better(
+        &self,
+        own: &HostRegistration,
+        is_ready: bool,
+        of: impl Fn(&ZoneName) -> bool,
+    ) -> Option<SocketAddr> {
         let rank = |is_ready: bool, h: &HostRegistration| {
             let chance = xxh3_64(h.name.as_str().as_bytes());
             (is_ready, h.millicores, chance)
         };
-        let near = self.live().filter(|p| p.entry.zone == own.zone);
-        let ranked = near.map(|p| (rank(p.state == HostState::Ready, &p.entry), &p.entry));
+        let others = self.live().filter(|p| of(&p.entry.zone));
+        let ranked = others.map(|p| (rank(p.state == HostState::Ready, &p.entry), &p.entry));
         let (best, entry) = ranked.max_by_key(|(rank, _)| *rank)?;
         (rank(is_ready, own) <= best).then_some(entry.peers)
     }
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -1,6 +1,9 @@
 //! Who reads the store for a zone, and what hosts tell one another.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 use cardamomroad::{
     edge::{
@@ -11,20 +14,35 @@
         model::HostRegistration,
         peers::Peers,
     },
-    util::id::Incarnation,
+    util::id::{
+        Incarnation,
+        RegionName,
+        ZoneName, //
+    },
 };
 use tokio::time::Instant;
 
 fn host(n: u8, millicores: u32) -> HostRegistration {
+    host_in("bac-a", n, millicores)
+}
+
+fn host_in(zone: &str, n: u8, millicores: u32) -> HostRegistration {
     HostRegistration {
-        name: format!("bac-a-{n}").parse().expect("host"),
-        zone: "bac-a".parse().expect("zone"),
+        name: format!("{zone}-{n}").parse().expect("host"),
+        zone: zone.parse().expect("zone"),
         callers: SocketAddr::from(([10, 0, 0, n], 80)),
         peers: SocketAddr::from(([10, 0, 0, n], 81)),
         millicores,
     }
 }
 
+/// The region of each zone: two in `bac`, one in `nam`.
+fn regions() -> BTreeMap<ZoneName, RegionName> {
+    let of = [("bac-a", "bac"), ("bac-b", "bac"), ("nam-a", "nam")];
+    let parsed = of.map(|(z, r)| (z.parse().expect("zone"), r.parse().expect("region")));
+    parsed.into_iter().collect()
+}
+
 fn message(of: &HostRegistration, state: HostState, sequence: u64) -> PeerMessage {
     PeerMessage {
         host: of.name.clone(),
@@ -48,7 +66,7 @@
             peers.register(other.clone());
             assert!(peers.hear(now, &message(other, *state, 1)).is_some());
         }
-        peers.relay(own, *state == HostState::Ready)
+        peers.relay(own, *state == HostState::Ready, &regions())
     };
     hosts.iter().map(relay_of).collect()
 }
@@ -71,6 +89,20 @@
     assert!(relays.iter().flatten().all(|r| *r == hosts[reader].0.peers));
 }
 
+/// Reads of the store grow with the regions, and not with their zones.
+#[test]
+fn the_readers_of_a_regions_zones_follow_one_of_them() {
+    let hosts = [
+        (host_in("bac-a", 1, 100), HostState::Ready),
+        (host_in("bac-a", 2, 500), HostState::Ready),
+        (host_in("bac-b", 3, 200), HostState::Ready),
+        (host_in("bac-b", 4, 100), HostState::Ready),
+        (host_in("nam-a", 5, 900), HostState::Ready),
+    ];
+    let at = |place: usize| Some(hosts[place].0.peers);
+    assert_eq!(relays(&hosts), [at(1), None, at(1), at(2), None]);
+}
+
 #[test]
 fn a_ready_host_reads_for_larger_ones_that_are_not() {
     let hosts = [
