--- a/src/edge/dispatcher/demand.rs
+++ b/src/edge/dispatcher/demand.rs
@@ -80,7 +80,7 @@
                 bound: BTreeMap::new(),
                 seen: None,
                 shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
-                budget: bounds.retry_budget(hosts),
+                budget: bounds.budget_of_one(hosts),
             }
         })
     }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -43,7 +43,7 @@
 
 impl Bounds {
     /// Returns an empty retry budget of one of `hosts` for one service.
-    pub fn retry_budget(&self, hosts: usize) -> Budget {
+    pub fn budget_of_one(&self, hosts: usize) -> Budget {
         let ratio_milli = self.retry_ratio * RETRY_RATIO_PART * 1000.0;
         Budget::with_limits(ratio_milli as u64, self.retries_saved_milli(hosts))
     }
--- a/tests/edge_retries.rs
+++ b/tests/edge_retries.rs
@@ -39,7 +39,7 @@
 fn hosts_together_keep_to_the_ratio_in_every_window() {
     let bounds = bounds();
     let mut rng = StdRng::seed_from_u64(5);
-    let mut budgets: Vec<Budget> = (0..HOSTS).map(|_| bounds.retry_budget(HOSTS)).collect();
+    let mut budgets: Vec<Budget> = (0..HOSTS).map(|_| bounds.budget_of_one(HOSTS)).collect();
     let mut window: VecDeque<usize> = VecDeque::new();
     let (mut in_window, mut most, mut all, mut wanted) = (0, 0, 0, 0);
     for request in 0..5 * WINDOW_REQUESTS {
@@ -75,7 +75,7 @@
 #[test]
 fn a_host_that_learns_of_others_gives_up_what_it_saved_for_them() {
     let bounds = bounds();
-    let mut budget = bounds.retry_budget(1);
+    let mut budget = bounds.budget_of_one(1);
     (0..10_000).for_each(|_| budget.earn());
     budget.save_up_to(bounds.retries_saved_milli(HOSTS));
     let retries = std::iter::repeat_with(|| budget.take()).take_while(|t| *t);
