Divide rates by hashes that are computed once a name

Tokens of idle organisations were looked at on every tick and request.

A host now keeps the hash of each name. Its own parts follow from its own zone alone; the homes of other zones are looked for when tokens are borrowed there. Only organisations that may lack tokens are looked at.

Same homes in meaning, another order of hashes; tests of the rates unchanged but for the constructor.

--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -101,11 +101,11 @@
         let mut zones = self.peers.by_zone();
         let own = zones.entry(self.settings.zone.clone()).or_default();
         own.push(self.settings.host.clone());
-        Sharers {
-            host: Some(self.settings.host.clone()),
-            zone: Some(self.settings.zone.clone()),
+        Sharers::new(
+            self.settings.host.clone(),
+            self.settings.zone.clone(),
             zones,
-        }
+        )
     }
 
     /// Asks homes of this zone, or of others, for the tokens that are about to be missing.
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -69,81 +69,147 @@
     asked: Option<Instant>,
     /// Asks in a row that brought nothing.
     vain: u32,
-    /// Other hosts that hold a share, those of the own zone first.
-    lenders: Lenders,
+    /// Asks so far; the lenders take turns.
+    turn: usize,
+    /// The hash of the organisation's name.
+    hash: u64,
+    /// Whether the organisation is among those that tokens may have to be asked for.
+    is_active: bool,
 }
 
 /// Where tokens can be borrowed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 struct Lenders {
-    /// Homes in the own zone.
+    /// Homes in the own zone, without the own host.
     near: Vec<HostName>,
     /// Homes in other zones.
     far: Vec<HostName>,
 }
 
 impl Lenders {
+    /// Puts the hosts in the order of another turn, so that each is asked before
+    /// its bucket runs over.
+    fn rotate(&mut self, turn: usize) {
+        for hosts in [&mut self.near, &mut self.far] {
+            let len = hosts.len().max(1);
+            hosts.rotate_left(turn % len);
+        }
+    }
+
     /// Returns whom to ask: a home asks other homes; others ask the homes of
     /// their zone, and those of other zones once these had nothing.
-    fn to_ask(&self, is_home: bool, vain: u32) -> SmallVec<[Vec<HostName>; 2]> {
+    fn to_ask(self, is_home: bool, vain: u32) -> SmallVec<[Vec<HostName>; 2]> {
         let mut groups = SmallVec::new();
+        let asks_far = is_home || self.near.is_empty() || vain > 1;
         if !self.near.is_empty() {
-            groups.push(self.near.clone());
+            groups.push(self.near);
         }
-        if is_home || self.near.is_empty() || vain > 1 {
-            groups.push(self.far.clone());
+        if asks_far {
+            groups.push(self.far);
         }
         groups
     }
 }
 
+/// A host that may be a home, with the hash that ranks it.
+#[derive(Clone, Debug)]
+struct Sharer {
+    name: HostName,
+    hash: u64,
+}
+
 /// The hosts that share the rates.
+///
+/// Names are hashed once, when the hosts become known. What an organisation's
+/// own part is depends on the hosts of the own zone alone; the homes of other
+/// zones are looked for only when tokens are borrowed there.
 #[derive(Clone, Debug, Default)]
 pub struct Sharers {
-    /// The own host.
-    pub host: Option<HostName>,
-    /// Its zone.
-    pub zone: Option<ZoneName>,
-    /// All registered hosts by zone, the own one among them.
-    pub zones: BTreeMap<ZoneName, Vec<HostName>>,
+    host: Option<HostName>,
+    zone: Option<ZoneName>,
+    zones: BTreeMap<ZoneName, Vec<Sharer>>,
 }
 
 impl Sharers {
-    /// Returns an organisation's homes in one zone.
-    fn homes(&self, zone: &ZoneName, organisation: &OrganisationName, rate: Rate) -> Vec<HostName> {
-        let mut hosts = self.zones.get(zone).cloned().unwrap_or_default();
-        let rank = |host: &HostName| {
-            let seed = xxh3_64(organisation.as_str().as_bytes());
-            xxh3_64_with_seed(host.as_str().as_bytes(), seed)
+    /// Returns the registered hosts by zone, the own one among them.
+    pub fn new(host: HostName, zone: ZoneName, zones: BTreeMap<ZoneName, Vec<HostName>>) -> Self {
+        let sharer = |name: HostName| Sharer {
+            hash: xxh3_64(name.as_str().as_bytes()),
+            name,
         };
-        hosts.sort_by_key(rank);
+        let zones = zones
+            .into_iter()
+            .map(|(zone, hosts)| (zone, hosts.into_iter().map(sharer).collect()));
+        Self {
+            host: Some(host),
+            zone: Some(zone),
+            zones: zones.collect(),
+        }
+    }
+
+    /// Returns an organisation's homes among the hosts of one zone.
+    fn homes<'a>(&'a self, hosts: &'a [Sharer], organisation: u64, rate: Rate) -> Vec<&'a Sharer> {
         let of_zone = rate.per_second / self.zones.len().max(1) as f64;
-        let homes = (of_zone / SHARE_MIN) as usize;
-        hosts.truncate(homes.max(1));
-        hosts
+        let count = ((of_zone / SHARE_MIN) as usize).clamp(1, hosts.len().max(1));
+        let mut ranked: Vec<(u64, &Sharer)> = hosts
+            .iter()
+            .map(|h| (rank(h.hash, organisation), h))
+            .collect();
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by_key(count, |(rank, _)| *rank);
+            ranked.truncate(count);
+        }
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, h)| h).collect()
+    }
+
+    /// Returns the hosts of the own zone.
+    fn own_zone(&self) -> &[Sharer] {
+        let zone = self.zone.as_ref().and_then(|zone| self.zones.get(zone));
+        zone.map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the own part of a rate, and who else holds parts of it.
-    fn divide(&self, organisation: &OrganisationName, rate: Rate) -> (Quota, Lenders) {
+    /// Returns the own part of a rate.
+    fn part(&self, organisation: u64, rate: Rate) -> Quota {
+        let homes = self.homes(self.own_zone(), organisation, rate);
+        let parts = self.zones.len() * homes.len().max(1);
+        match homes.iter().any(|h| Some(&h.name) == self.host.as_ref()) {
+            true => part_of(rate, parts),
+            false => Quota::default(),
+        }
+    }
+
+    /// Returns who else holds parts of a rate.
+    fn lenders(&self, organisation: u64, rate: Rate) -> Lenders {
         let mut lenders = Lenders::default();
-        let mut own = Quota::default();
-        for zone in self.zones.keys() {
-            let mut homes = self.homes(zone, organisation, rate);
-            if Some(zone) != self.zone.as_ref() {
-                lenders.far.extend(homes);
-                continue;
+        for (zone, hosts) in &self.zones {
+            let homes = self.homes(hosts, organisation, rate);
+            let names = homes.into_iter().map(|h| &h.name);
+            let others = names.filter(|name| Some(*name) != self.host.as_ref());
+            match Some(zone) == self.zone.as_ref() {
+                true => lenders.near.extend(others.cloned()),
+                false => lenders.far.extend(others.cloned()),
             }
-            let parts = self.zones.len() * homes.len().max(1);
-            if homes.iter().any(|h| Some(h) == self.host.as_ref()) {
-                own = part_of(rate, parts);
-            }
-            homes.retain(|h| Some(h) != self.host.as_ref());
-            lenders.near = homes;
         }
-        (own, lenders)
+        lenders
+    }
+
+    /// Returns whether a host of the own zone has no part of a rate itself.
+    fn borrows_near(&self, host: &HostName, organisation: u64, rate: Rate) -> bool {
+        let near = self.own_zone();
+        near.iter().any(|h| h.name == *host)
+            && !self
+                .homes(near, organisation, rate)
+                .iter()
+                .any(|h| h.name == *host)
     }
 }
 
+/// Returns a host's rank among the homes of an organisation; the lowest ones are homes.
+fn rank(host: u64, organisation: u64) -> u64 {
+    xxh3_64_with_seed(&host.to_le_bytes(), organisation)
+}
+
 /// What becomes of a request that needs a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Debit {
@@ -160,6 +226,8 @@
 pub struct Quotas {
     sharers: Sharers,
     tokens: HashMap<OrganisationName, Tokens>,
+    /// Organisations that tokens may have to be asked for; all others have what they need.
+    active: Vec<OrganisationName>,
 }
 
 /// Tokens that this host wants of others.
@@ -179,10 +247,9 @@
     /// has no part of any rate.
     pub fn set_sharers(&mut self, now: Instant, sharers: Sharers) {
         self.sharers = sharers;
-        for (name, tokens) in &mut self.tokens {
-            let (quota, lenders) = self.sharers.divide(name, tokens.rate);
+        for tokens in self.tokens.values_mut() {
+            let quota = self.sharers.part(tokens.hash, tokens.rate);
             tokens.own.set_quota(now, quota);
-            tokens.lenders = lenders;
         }
     }
 
@@ -197,12 +264,12 @@
             let Some(rate) = rate else {
                 continue;
             };
-            let (quota, lenders) = self.sharers.divide(name, rate);
+            let hash = xxh3_64(name.as_str().as_bytes());
+            let quota = self.sharers.part(hash, rate);
             let tokens = match old.remove(name) {
                 Some(mut tokens) => {
                     tokens.own.set_quota(now, quota);
                     tokens.rate = rate;
-                    tokens.lenders = lenders;
                     tokens
                 }
                 None => Tokens {
@@ -214,16 +281,29 @@
                     asked_for: DrainMeter::new(now),
                     asked: None,
                     vain: 0,
-                    lenders,
+                    turn: 0,
+                    hash,
+                    is_active: false,
                 },
             };
             self.tokens.insert(name.clone(), tokens);
         }
+        let tokens = &self.tokens;
+        self.active.retain(|name| tokens.contains_key(name));
+    }
+
+    /// Returns an organisation's tokens, which may have to be asked for from now on.
+    fn active(&mut self, organisation: &OrganisationName) -> Option<&mut Tokens> {
+        let tokens = self.tokens.get_mut(organisation)?;
+        if !std::mem::replace(&mut tokens.is_active, true) {
+            self.active.push(organisation.clone());
+        }
+        Some(tokens)
     }
 
     /// Counts a request that arrived.
     pub fn arrived(&mut self, now: Instant, organisation: &OrganisationName) {
-        if let Some(tokens) = self.tokens.get_mut(organisation) {
+        if let Some(tokens) = self.active(organisation) {
             tokens.demand.finished(now);
         }
     }
@@ -258,14 +338,17 @@
     /// Describes a host's part of a rate, for logs.
     pub fn describe(&self, organisation: &OrganisationName) -> String {
         match self.tokens.get(organisation) {
-            Some(t) => format!(
-                "{}m/s of {}/s, burst {}, {} homes near and {} far",
-                t.own.quota().rate,
-                t.rate.per_second,
-                t.rate.burst,
-                t.lenders.near.len(),
-                t.lenders.far.len()
-            ),
+            Some(t) => {
+                let lenders = self.sharers.lenders(t.hash, t.rate);
+                format!(
+                    "{}m/s of {}/s, burst {}, {} homes near and {} far",
+                    t.own.quota().rate,
+                    t.rate.per_second,
+                    t.rate.burst,
+                    lenders.near.len(),
+                    lenders.far.len()
+                )
+            }
             None => "unlimited".to_owned(),
         }
     }
@@ -274,44 +357,27 @@
     /// wait for a token.
     pub fn asks(&mut self, now: Instant, waiting: &HashMap<OrganisationName, u64>) -> Vec<Want> {
         let mut asks = Vec::new();
-        for (name, tokens) in &mut self.tokens {
-            tokens.lapse(now);
-            let kept = tokens.kept(now);
-            let is_home = !tokens.own.quota().is_zero();
-            let wanted = match is_home {
-                // A home keeps what its zone needs.
-                true => (kept + tokens.kept_for_others(now)).max(MILLI),
-                // Tokens that many hosts keep for callers that come rarely would be lost to all.
-                false if kept < MILLI => 0,
-                false => kept,
-            };
-            let unpaid = waiting.get(name).map_or(0, |n| n * MILLI);
-            let missing = wanted.max(unpaid);
-            if tokens.own.level(now) + tokens.borrowed >= missing {
-                if is_home {
-                    tokens.vain = 0;
-                }
+        for name in std::mem::take(&mut self.active) {
+            let Some(tokens) = self.tokens.get_mut(&name) else {
                 continue;
+            };
+            let unpaid = waiting.get(&name).map_or(0, |n| n * MILLI);
+            let need = tokens.need(now, unpaid);
+            if need.missing > 0
+                && let Some(is_home) = tokens.may_ask(now)
+            {
+                let mut lenders = self.sharers.lenders(tokens.hash, tokens.rate);
+                lenders.rotate(tokens.turn);
+                asks.push(Want {
+                    organisation: name.clone(),
+                    amount: need.missing,
+                    lenders: lenders.to_ask(is_home, tokens.vain),
+                });
             }
-            if tokens.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
-                continue;
-            }
-            if tokens.asked.is_some_and(|at| now >= at + VAIN_FOR) {
-                tokens.vain = 0;
-            }
-            tokens.asked = Some(now);
-            tokens.vain += 1;
-            // Each home is asked in its turn, before its bucket runs over.
-            for lenders in [&mut tokens.lenders.near, &mut tokens.lenders.far] {
-                if !lenders.is_empty() {
-                    lenders.rotate_left(1);
-                }
+            tokens.is_active = need.is_lasting;
+            if need.is_lasting {
+                self.active.push(name);
             }
-            asks.push(Want {
-                organisation: name.clone(),
-                amount: missing.max(MILLI),
-                lenders: tokens.lenders.to_ask(is_home, tokens.vain),
-            });
         }
         asks
     }
@@ -325,15 +391,17 @@
         wanted: u64,
         borrower: &HostName,
     ) -> u64 {
-        let Some(tokens) = self.tokens.get_mut(organisation) else {
+        let Some(tokens) = self.tokens.get(organisation) else {
             return 0;
         };
-        tokens.lapse(now);
-        let zone = self.sharers.zone.as_ref();
-        let zone = zone.and_then(|zone| self.sharers.zones.get(zone));
         // Homes that borrowed for one another would chase the same tokens.
-        let is_near = zone.is_some_and(|hosts| hosts.contains(borrower))
-            && !tokens.lenders.near.contains(borrower);
+        let is_near = self
+            .sharers
+            .borrows_near(borrower, tokens.hash, tokens.rate);
+        let Some(tokens) = self.active(organisation) else {
+            return 0;
+        };
+        tokens.lapse(now);
         let kept = tokens.kept(now);
         let mut granted = 0;
         if is_near {
@@ -362,7 +430,53 @@
     }
 }
 
+/// What an organisation's tokens fall short of.
+struct Need {
+    /// Thousandths of a request to ask for; 0 where there are enough.
+    missing: u64,
+    /// Whether more may be needed shortly without another request.
+    is_lasting: bool,
+}
+
 impl Tokens {
+    /// Returns what is missing, beside what waiting requests need.
+    fn need(&mut self, now: Instant, unpaid: u64) -> Need {
+        self.lapse(now);
+        let kept = self.kept(now);
+        let is_home = !self.own.quota().is_zero();
+        let wanted = match is_home {
+            // A home keeps what its zone needs.
+            true => (kept + self.kept_for_others(now)).max(MILLI),
+            // Tokens that many hosts keep for callers that come rarely would be lost to all.
+            false if kept < MILLI => 0,
+            false => kept,
+        };
+        let wanted = wanted.max(unpaid);
+        let is_enough = self.own.level(now) + self.borrowed >= wanted;
+        if is_enough && is_home {
+            self.vain = 0;
+        }
+        Need {
+            missing: if is_enough { 0 } else { wanted.max(MILLI) },
+            is_lasting: !is_enough || wanted > MILLI,
+        }
+    }
+
+    /// Notes that lenders are asked now; returns whether this host has a part of the rate
+    /// itself. None where they were asked a moment ago.
+    fn may_ask(&mut self, now: Instant) -> Option<bool> {
+        if self.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
+            return None;
+        }
+        if self.asked.is_some_and(|at| now >= at + VAIN_FOR) {
+            self.vain = 0;
+        }
+        self.asked = Some(now);
+        self.vain += 1;
+        self.turn += 1;
+        Some(!self.own.quota().is_zero())
+    }
+
     fn lapse(&mut self, now: Instant) {
         if self.borrowed_until <= now {
             self.borrowed = 0;
--- a/tests/edge_quota.rs
+++ b/tests/edge_quota.rs
@@ -61,11 +61,8 @@
     for n in 0..HOSTS {
         let mut quotas = Quotas::default();
         quotas.configure(now, [(&organisation(), Some(RATE))].into_iter());
-        let sharers = Sharers {
-            host: Some(host(n)),
-            zone: Some(format!("zone-{}", n / 2).parse().expect("zone")),
-            zones: zones(),
-        };
+        let zone = format!("zone-{}", n / 2).parse().expect("zone");
+        let sharers = Sharers::new(host(n), zone, zones());
         quotas.set_sharers(now, sharers);
         hosts.push(quotas);
     }
@@ -173,11 +170,8 @@
 
 fn alone() -> Sharers {
     let zone: ZoneName = "zone-0".parse().expect("zone");
-    Sharers {
-        host: Some(host(0)),
-        zone: Some(zone.clone()),
-        zones: BTreeMap::from([(zone, vec![host(0)])]),
-    }
+    let zones = BTreeMap::from([(zone.clone(), vec![host(0)])]);
+    Sharers::new(host(0), zone, zones)
 }
 
 #[test]
