Steadier shares of the regions, and watches as long as the bounds allow

Requests without an object were kept among those that an upstream remembers. Watches waited a sixth of their bound whatever else the bound had to cover.

Ruled out: blind sends to other regions (all of these had claimed a slot).

Now the mean has a weight of 0.02, requests return to their region at a fifth of the pace, objects are told apart from request ids, and a watch gets what the bound leaves after the relays, a read and the ways.

--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -158,8 +158,10 @@
     pub priority: Priority,
     /// The hash of its route.
     pub route: u64,
-    /// The hash of its object.
+    /// The hash of its object, or of the request where there is none.
     pub object: u64,
+    /// Whether it concerns an object.
+    pub has_object: bool,
     /// Bytes of its body.
     pub bytes: u64,
     /// Milliseconds since its head was read.
@@ -217,8 +219,8 @@
     pub upstream: UpstreamKey,
     /// The hash of the request's route.
     pub route: u64,
-    /// The hash of its object.
-    pub object: u64,
+    /// The hash of its object, where it concerns one.
+    pub object: Option<u64>,
 }
 
 /// Tells the scheduler that a run has ended.
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -121,6 +121,7 @@
             priority: job.priority,
             route: job.route,
             object: job.object,
+            has_object: job.has_object,
             bytes: job.bytes,
             waited_ms: ms(now.saturating_duration_since(job.received)),
             lost_ms: ms(job.lost),
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -141,7 +141,7 @@
         };
         let job = &waiting.job;
         let cold = self.cold_share(now, &job.service, key, waiting.view);
-        let place = self.upstreams.granted(now, key, job.object, cold);
+        let place = self.upstreams.granted(now, key, job.remembered(), cold);
         let load = self.upstreams.find(key).map_or(0, |u| u.load(now));
         let run = Run {
             upstream: key,
@@ -217,6 +217,7 @@
             route: msg.route,
             bytes: msg.bytes,
             object: msg.object,
+            has_object: msg.has_object,
             regions: Regions::new(),
             received: now.checked_sub(ms(msg.waited_ms)).unwrap_or(now),
             suspect: Suspect(0),
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -217,7 +217,7 @@
         };
         let seen = self
             .upstreams
-            .started(now, &job.service, key, job.object, cold);
+            .started(now, &job.service, key, job.remembered(), cold);
         let Some(u) = self.upstreams.find(key) else {
             let verdict = self.refused(now, &job, Why::NoUpstream);
             return answer(reply, verdict);
@@ -231,7 +231,7 @@
                 run,
                 upstream: key,
                 route: job.route,
-                object: job.object,
+                object: job.remembered(),
             };
             self.tell_scheduler(now, &domain, Datagram::Started(msg));
         }
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -28,6 +28,7 @@
 };
 
 use super::{
+    freshness,
     message::News,
     metrics::{
         EdgeMetrics,
@@ -72,15 +73,15 @@
 const RELAY_PAUSE: Duration = Duration::from_millis(500);
 /// The ways of news from the store to a host.
 const TRANSIT: Duration = Duration::from_millis(300);
-/// The parts of a bound that a watch may wait, one in this many. The bound also covers the
-/// watch before it, the relays' waits and a read of one's own.
-const DRAIN_PART: u32 = 6;
-/// The part of the bound on configurations.
-const ADOPTION_PART: u32 = 5;
-/// The part of the bound on withdrawn keys.
-const REVOCATION_PART: u32 = 10;
-/// The part of the bound on evacuations.
-const EVACUATION_PART: u32 = 4;
+/// How long a host's own read takes, once its relay's news is too old.
+const READ_TIME: Duration = Duration::from_millis(200);
+/// The part of the tightest bound that a question to a zone's leader waits, one in this many.
+const RELAY_PART: u32 = 8;
+/// What is left for a watch is shared by the one that ended and the one that goes on; the
+/// rest is for timers that fire late.
+const WATCH_PART: f64 = 0.45;
+/// The shortest wait of a watch, whatever the bounds.
+const WAIT_MIN: Duration = Duration::from_millis(200);
 /// How long a watch of the hosts waits; nothing depends on its age.
 const HOSTS_WAIT: Duration = Duration::from_secs(8);
 
@@ -115,19 +116,25 @@
 impl Pace {
     /// Returns how a topic is followed so that news of it is in force within the bounds.
     pub fn new(topic: Topic, bounds: &Bounds) -> Self {
+        let relay_wait = bounds.drain.min(bounds.adoption) / RELAY_PART;
+        let on_the_way = LEADER_WAIT * LEADER_HOPS + relay_wait + TRANSIT + READ_TIME;
+        let watch = |bound: Duration| {
+            let left = bound.saturating_sub(on_the_way);
+            left.mul_f64(WATCH_PART).max(WAIT_MIN)
+        };
         let (wait, gap_ms) = match topic {
             Topic::Configuration => {
-                let adoption = bounds.adoption / ADOPTION_PART;
-                (adoption.min(bounds.revocation / REVOCATION_PART), 100)
+                let keys = bounds.revocation.saturating_sub(freshness::MARGIN);
+                (watch(bounds.adoption.min(keys)), 100)
             }
-            Topic::Upstreams => (bounds.drain / DRAIN_PART, 400),
-            Topic::Evacuations => (bounds.evacuation / EVACUATION_PART, 200),
+            Topic::Upstreams => (watch(bounds.drain), 400),
+            Topic::Evacuations => (watch(bounds.evacuation), 200),
             Topic::Hosts => (HOSTS_WAIT, 500),
         };
         Self {
             wait,
             gap: Duration::from_millis(gap_ms),
-            relay_wait: bounds.drain.min(bounds.adoption) / DRAIN_PART,
+            relay_wait,
         }
     }
 
--- a/src/edge/forward/job.rs
+++ b/src/edge/forward/job.rs
@@ -69,9 +69,10 @@
         organisation,
     } = routed;
     let route_hash = xxh3_64(&route.prefix);
-    let object = match (&head.object, route.affinity) {
-        (Some(object), true) => xxh3_64_with_seed(object, route_hash),
-        _ => xxh3_64(id),
+    let own_object = head.object.as_ref().filter(|_| route.affinity);
+    let object = match own_object {
+        Some(object) => xxh3_64_with_seed(object, route_hash),
+        None => xxh3_64(id),
     };
     let own = organisation.and_then(|o| o.priority);
     let unrestricted = Regions::new();
@@ -87,6 +88,7 @@
         route: route_hash,
         bytes: 0,
         object,
+        has_object: own_object.is_some(),
         regions,
         received,
         suspect: Suspect(0),
--- a/src/edge/freshness.rs
+++ b/src/edge/freshness.rs
@@ -8,7 +8,7 @@
 const SUSPENSION_MIN: Duration = Duration::from_millis(50);
 /// How much earlier than the bound a host stops trusting its knowledge; covers
 /// the time that a request takes from the check to the upstream.
-const MARGIN: Duration = Duration::from_millis(500);
+pub const MARGIN: Duration = Duration::from_millis(500);
 
 /// The last instant at which the configuration in force is known to have been current.
 ///
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -103,6 +103,8 @@
     pub bytes: u64,
     /// The hash of the object that it concerns, or of the request where there is none.
     pub object: u64,
+    /// Whether it concerns an object, which an upstream then remembers.
+    pub has_object: bool,
     /// Regions in which it may run; an empty list allows all.
     pub regions: Regions,
     /// When its head had been read.
@@ -122,6 +124,11 @@
 }
 
 impl Job {
+    /// Returns the hash of its object, where it concerns one.
+    pub fn remembered(&self) -> Option<u64> {
+        self.has_object.then_some(self.object)
+    }
+
     /// Returns the organisation for logs; `-` where there is none.
     pub fn organisation_text(&self) -> &str {
         self.organisation.as_ref().map_or("-", |o| o.as_str())
--- a/src/edge/spill.rs
+++ b/src/edge/spill.rs
@@ -23,6 +23,10 @@
 /// elsewhere. Beyond it requests often find the upstreams busy that know their objects.
 const KEEP_AT_HOME: f64 = 0.5;
 
+/// The part of the allowed pace at which requests return to their own region. The upstreams
+/// elsewhere know their objects, and the way there costs less than strange work does.
+const RETURN_PART: f64 = 0.2;
+
 /// What one region has and what its callers ask, for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionLoad {
@@ -97,6 +101,7 @@
 /// Shares that follow their target no faster than a bound.
 #[derive(Clone, Debug)]
 pub struct SlowShares {
+    home: RegionName,
     shares: Shares,
     /// The shares when they were last told.
     told: Shares,
@@ -110,6 +115,7 @@
     /// At most `moved` of all requests change region in `window`.
     pub fn new(home: &RegionName, moved: f64, window: Duration) -> Self {
         Self {
+            home: home.clone(),
             shares: Shares::from([(home.clone(), 1.0)]),
             told: Shares::new(),
             at: None,
@@ -125,7 +131,12 @@
             self.shares = target.clone();
             return;
         };
-        let most = self.per_second * now.saturating_duration_since(at).as_secs_f64();
+        let part = |shares: &Shares| shares.get(&self.home).copied().unwrap_or(0.0);
+        let pace = match part(target) > part(&self.shares) {
+            true => self.per_second * RETURN_PART,
+            false => self.per_second,
+        };
+        let most = pace * now.saturating_duration_since(at).as_secs_f64();
         let mut regions: Vec<RegionName> = self.shares.keys().cloned().collect();
         regions.extend(
             target
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -35,8 +35,9 @@
     ZoneName, //
 };
 
-/// The weight of a new sample in a running mean.
-const SAMPLE_WEIGHT: f64 = 0.1;
+/// The weight of a new sample in a running mean. The regions' shares follow from it, and
+/// each move of a share makes objects strange elsewhere.
+const SAMPLE_WEIGHT: f64 = 0.02;
 
 /// The shortest work that a ratio is taken of, in seconds.
 const WORK_MIN: f64 = 0.001;
@@ -222,7 +223,7 @@
         now: Instant,
         service: &ServiceName,
         key: UpstreamKey,
-        object: u64,
+        object: Option<u64>,
         cold: Option<(f64, usize)>,
     ) -> Option<usize> {
         let u = self.get_mut(service, key)?;
@@ -230,9 +231,7 @@
         if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
             u.cold_pace.sent(now, rate, hosts);
         }
-        let place = u.recent.place(object);
-        u.recent.touch(object);
-        place
+        u.meet(object)
     }
 
     /// Notes that another host sends a request there; returns the place that its object had.
@@ -240,16 +239,14 @@
         &mut self,
         now: Instant,
         key: UpstreamKey,
-        object: u64,
+        object: Option<u64>,
         cold: Option<(f64, usize)>,
     ) -> Option<usize> {
         let u = self.find_mut(key)?;
         if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
             u.cold_pace.sent(now, rate, hosts);
         }
-        let place = u.recent.place(object);
-        u.recent.touch(object);
-        place
+        u.meet(object)
     }
 
     /// Notes how a try of this host ended.
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -162,6 +162,14 @@
         self.entry.slots.saturating_sub(self.load(now))
     }
 
+    /// Notes that it handles an object; returns the place that the object had.
+    pub(super) fn meet(&mut self, object: Option<u64>) -> Option<usize> {
+        let object = object?;
+        let place = self.recent.place(object);
+        self.recent.touch(object);
+        place
+    }
+
     /// Returns its slots, where it takes new work.
     pub(super) fn ready_slots(&self) -> u32 {
         match self.entry.standing {
--- /dev/null
+++ b/tests/edge_follow.rs
@@ -0,0 +1,60 @@
+//! News of the platform is in force within the operator's bounds, also where the host that
+//! reads the store for all others is cut off without a word.
+
+use std::time::Duration;
+
+use cardamomroad::edge::{
+    follow::Pace,
+    settings::Bounds,
+    topic::Topic, //
+};
+
+/// The time that a host's own read takes: an answer of the store from the farthest region.
+const READ: Duration = Duration::from_millis(200);
+/// How much earlier than the bound a host stops trusting its knowledge of keys.
+const KEY_MARGIN: Duration = Duration::from_millis(500);
+
+fn bounds(drain_ms: u64, adoption_ms: u64) -> Bounds {
+    Bounds {
+        revocation: Duration::from_secs(5),
+        drain: Duration::from_millis(drain_ms),
+        adoption: Duration::from_millis(adoption_ms),
+        evacuation: Duration::from_secs(5),
+        grace: Duration::from_secs(6),
+        reregistration: Duration::from_secs(2),
+        lookup_ttl: Duration::from_secs(1),
+        retry_ratio: 0.2,
+        retry_slack: 62.0,
+        shift: 0.15,
+    }
+}
+
+#[test]
+fn news_that_stops_is_read_again_within_its_bound() {
+    for ms in [2000, 2500, 3000, 4000, 8000] {
+        let bounds = bounds(ms, ms);
+        let limits = [
+            (Topic::Upstreams, bounds.drain),
+            (Topic::Configuration, bounds.adoption),
+            (Topic::Configuration, bounds.revocation - KEY_MARGIN),
+            (Topic::Evacuations, bounds.evacuation),
+        ];
+        for (topic, bound) in limits {
+            let pace = Pace::new(topic, &bounds);
+            assert!(
+                pace.patience() + READ <= bound,
+                "{topic} {bound:?} {pace:?}"
+            );
+        }
+    }
+}
+
+/// Each call is paid for; a bound that allows longer waits is used.
+#[test]
+fn wider_bounds_make_fewer_calls() {
+    let (tight, wide) = (bounds(2500, 2500), bounds(5000, 5000));
+    for topic in [Topic::Upstreams, Topic::Configuration] {
+        let (tight, wide) = (Pace::new(topic, &tight), Pace::new(topic, &wide));
+        assert!(wide.wait > tight.wait * 2, "{tight:?} {wide:?}");
+    }
+}
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -125,7 +125,8 @@
 
     /// Another host sends a request for an object to an upstream.
     fn meet(&mut self, upstream: UpstreamKey, object: u64) {
-        self.upstreams.granted(self.now, upstream, object, None);
+        self.upstreams
+            .granted(self.now, upstream, Some(object), None);
     }
 
     fn pick(&self, object: u64, late: bool) -> Option<UpstreamKey> {
@@ -351,7 +352,7 @@
             let cold = Some((COLD_RATE, 2));
             world
                 .upstreams
-                .started(world.now, &service(), picked, object, cold);
+                .started(world.now, &service(), picked, Some(object), cold);
             world.upstreams.finished(
                 world.now,
                 &Ended {
@@ -388,7 +389,7 @@
         let picked = world.pick(object, false).expect("free slots");
         let place = world
             .upstreams
-            .started(world.now, &service(), picked, object, None);
+            .started(world.now, &service(), picked, Some(object), None);
         knowers.entry(object).or_default().insert(picked);
         let held = place.map_or(STRANGE_WORK, |_| KNOWN_WORK);
         let ended = Ended {
--- a/tests/support/dispatchers.rs
+++ b/tests/support/dispatchers.rs
@@ -400,6 +400,7 @@
             route: 1,
             bytes: 0,
             object,
+            has_object: true,
             regions: Regions::new(),
             received: now,
             suspect: Suspect(u128::from(id)),
