Notice callers that leave behind unread requests; choose the reader by who can read

A reader that the store turned away left all hosts without news, and each read for itself; 68 hosts that were cut off from all others polled four topics as fast as a reader with followers.

Leaders now tell whether they read the store, and the best that does is asked; hosts farther down wait longer, so that their relay reads first; one topic finds out when the store answers again; who has no followers waits longer. A test found two leaders that each took the other for the reader: what ranks a host is now what it says of itself.

--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -116,6 +116,8 @@
     pub age_ms: u32,
     /// Whether the leader is fit to lead: it takes requests, and hears the zone.
     pub is_fit: bool,
+    /// Whether the leader reads the store, and is answered.
+    pub reads: bool,
     /// Its registered hosts that take no requests.
     pub away: Vec<HostName>,
     /// What its callers send.
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -56,7 +56,7 @@
         RunId,
         Sender, //
     },
-    follow::Relay,
+    follow::NewsPath,
     freshness::{
         Freshness,
         suspended, //
@@ -107,6 +107,10 @@
     },
 };
 
+/// How long after its last answer a host counts as one that reads the store: longer than a
+/// watch waits.
+const READ_MAX_AGE: Duration = Duration::from_secs(4);
+
 /// Who asked for an upstream.
 #[derive(Debug)]
 enum Asker {
@@ -164,7 +168,7 @@
     /// Whether requests with keys could run when that was last logged.
     told_fresh: Option<bool>,
     outgoing: mpsc::Sender<Outgoing>,
-    relay: watch::Sender<Option<Relay>>,
+    path: watch::Sender<NewsPath>,
     quarantine: Quarantine,
     metrics: Arc<EdgeMetrics>,
     placed_lines: LineBudget,
@@ -175,9 +179,11 @@
     turn: u32,
     spoke: Option<Instant>,
     shared: Option<Instant>,
+    /// When the last own read of the store was answered; none once one failed.
+    read_at: Option<Instant>,
     /// When the registered hosts became known.
     hosts_known_at: Option<Instant>,
-    relay_chosen: bool,
+    path_chosen: bool,
     leaving: bool,
     rng: SmallRng,
 }
@@ -196,7 +202,7 @@
         incarnation: Incarnation,
         configuration: Arc<ArcSwapOption<Configuration>>,
         outgoing: mpsc::Sender<Outgoing>,
-        relay: watch::Sender<Option<Relay>>,
+        path: watch::Sender<NewsPath>,
         metrics: Arc<EdgeMetrics>,
         seed: u64,
     ) -> Self {
@@ -219,7 +225,7 @@
             vanished: HashMap::new(),
             told_fresh: None,
             outgoing,
-            relay,
+            path,
             quarantine: Quarantine::new(&settings.host, incarnation),
             metrics,
             placed_lines: LineBudget::default(),
@@ -229,8 +235,9 @@
             turn: 0,
             spoke: None,
             shared: None,
+            read_at: None,
             hosts_known_at: None,
-            relay_chosen: false,
+            path_chosen: false,
             leaving: false,
             settings,
             rng: SmallRng::seed_from_u64(seed),
@@ -258,7 +265,8 @@
         self.freshness.observe(suspended());
         self.note_freshness(was_fresh, self.freshness.holds(now));
         self.set_gauges(now);
-        self.peers.update(now, self.is_ready(now));
+        let reads = self.read_at.is_some_and(|at| now < at + READ_MAX_AGE);
+        self.peers.update(now, self.is_ready(now), reads);
         let gone: Vec<UpstreamId> = self
             .vanished
             .iter()
@@ -271,7 +279,7 @@
         }
         self.speak(now);
         self.ask_for_tokens(now);
-        self.choose_relay(now);
+        self.choose_path(now);
         self.share(now);
         self.look_after_claims(now);
         self.drain_queue(now, None);
--- a/src/edge/dispatcher/beliefs.rs
+++ b/src/edge/dispatcher/beliefs.rs
@@ -16,7 +16,8 @@
     edge::{
         message::{
             News,
-            Observed, //
+            Observed,
+            Origin, //
         },
         model::Configuration,
         topic::{
@@ -35,6 +36,10 @@
 
 impl Dispatcher {
     pub(super) fn observe(&mut self, now: Instant, msg: Observed) {
+        if msg.origin == Origin::Store {
+            let is_answered = !matches!(msg.news, News::Outage);
+            self.read_at = is_answered.then_some(now);
+        }
         let (whole, changes) = match msg.news {
             News::Outage => {
                 self.note_outage(msg.topic);
@@ -65,7 +70,7 @@
                 log::info!(event = "hosts-known", others = self.peers.len(); "");
             }
             self.peers.listen(now);
-            self.choose_relay(now);
+            self.choose_path(now);
             self.quotas.set_sharers(now, self.sharers());
         }
         self.drain_queue(now, None);
--- a/src/edge/dispatcher/hosts.rs
+++ b/src/edge/dispatcher/hosts.rs
@@ -28,7 +28,7 @@
             self,
             Candidate, //
         },
-        follow::Relay,
+        follow::NewsPath,
         model::HostRegistration,
         peers::FAR_BEATS,
         quota::Sharers,
@@ -239,25 +239,27 @@
         all.filter(|o| o.rate > 0.0).collect()
     }
 
-    /// Chooses the host that reads the store for this zone, once the hosts are known.
-    pub(super) fn choose_relay(&mut self, now: Instant) {
+    /// Chooses whom to ask for news, once the hosts are known.
+    pub(super) fn choose_path(&mut self, now: Instant) {
         if self.hosts_known_at.is_none() {
             return;
         }
-        let for_leader = self.peers.leads();
-        let relay = self.peers.relay(now).map(|address| Relay {
-            address,
-            for_leader,
-        });
-        let is_first = !std::mem::replace(&mut self.relay_chosen, true);
-        self.relay.send_if_modified(|known| {
+        let path = NewsPath {
+            relay: self.peers.relay(now),
+            has_followers: self.peers.has_followers(now),
+        };
+        let is_first = !std::mem::replace(&mut self.path_chosen, true);
+        self.path.send_if_modified(|known| {
             // The first choice is told in any case; reading waits for it.
-            if *known == relay && !is_first {
+            if *known == path && !is_first {
                 return false;
             }
-            let address = relay.map_or_else(|| "self".to_owned(), |r| r.address.to_string());
-            log::info!(event = "relay-chosen", address:%; "");
-            *known = relay;
+            if known.relay != path.relay || is_first {
+                let relay = path.relay;
+                let address = relay.map_or_else(|| "self".to_owned(), |r| r.address.to_string());
+                log::info!(event = "relay-chosen", address:%; "");
+            }
+            *known = path;
             true
         });
     }
--- a/src/edge/follow.rs
+++ b/src/edge/follow.rs
@@ -63,16 +63,16 @@
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 /// The longest pause between two reads that fail.
 const PAUSE_MAX: Duration = Duration::from_millis(800);
+/// The longest such pause of a host whose relay is about to read as well.
+const PAUSE_MAX_OF_MANY: Duration = Duration::from_millis(3200);
 /// How long a question of a zone's leader to its relay waits for changes.
 const LEADER_WAIT: Duration = Duration::from_millis(250);
-/// Leaders that hand on what one host reads at the store: a region's and a zone's.
-const LEADER_HOPS: u32 = 2;
 /// How long the relay's answer may take beyond that.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The pause after a question that the relay did not answer.
 const RELAY_PAUSE: Duration = Duration::from_millis(500);
-/// The ways of news from the store to a host.
-const TRANSIT: Duration = Duration::from_millis(300);
+/// The way of news from one host to the next, the longest one between regions.
+const TRANSIT: Duration = Duration::from_millis(100);
 /// How long a host's own read takes, once its relay's news is too old.
 const READ_TIME: Duration = Duration::from_millis(200);
 /// The part of the tightest bound that a question to a zone's leader waits, one in this many.
@@ -80,11 +80,13 @@
 /// What is left for a watch is shared by the one that ended and the one that goes on; the
 /// rest is for timers that fire late.
 const WATCH_PART: f64 = 0.45;
+/// The part of a bound that a watch waits where nobody follows the host: a connection that
+/// went silent is noticed a second later, and read anew.
+const LONE_PART: f64 = 0.4;
 /// The shortest wait of a watch, whatever the bounds.
-const WAIT_MIN: Duration = Duration::from_millis(200);
+const WAIT_MIN: Duration = Duration::from_millis(150);
 /// How long a watch of the hosts waits; nothing depends on its age.
 const HOSTS_WAIT: Duration = Duration::from_secs(8);
-
 /// How long hosts that start together for the first time wait for one another's
 /// registrations to show in lists, which may be seconds old.
 const FIRST_START_PAUSE: Duration = Duration::from_millis(2500);
@@ -93,13 +95,41 @@
 /// The time between two looks at whether the relay has answered.
 const FIRST_READ_LOOK: Duration = Duration::from_millis(20);
 
+/// How many hosts hand news on between a host and the one that reads the store. A host
+/// farther down waits longer for its relay, which may just be reading for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// It leads a region, and asks the reader.
+    Region,
+    /// It leads a zone, and asks the best leader of its region.
+    Zone,
+    /// It asks the leader of its zone.
+    Member,
+}
+
 /// Whom a host asks for news in place of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Relay {
     /// Where it is asked.
     pub address: SocketAddr,
-    /// Whether the asking host leads its zone and hands the news on.
-    pub for_leader: bool,
+    /// The asking host's place.
+    pub level: Level,
+}
+
+/// Where a host's news comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NewsPath {
+    /// The host that it asks; none where it reads the store.
+    pub relay: Option<Relay>,
+    /// Whether others ask it.
+    pub has_followers: bool,
+}
+
+impl NewsPath {
+    /// Returns whether many other hosts are likely to read the store if this one does.
+    fn is_one_of_many(&self) -> bool {
+        self.relay.is_some_and(|r| r.level == Level::Member)
+    }
 }
 
 /// How a topic is followed.
@@ -107,6 +137,8 @@
 pub struct Pace {
     /// How long a watch waits for changes. It bounds the age of what is known.
     pub wait: Duration,
+    /// How long it waits where no other host depends on it.
+    pub lone_wait: Duration,
     /// The shortest time between two reads; changes in between come together.
     pub gap: Duration,
     /// How long a question of a host that hands nothing on waits for changes.
@@ -117,33 +149,56 @@
     /// Returns how a topic is followed so that news of it is in force within the bounds.
     pub fn new(topic: Topic, bounds: &Bounds) -> Self {
         let relay_wait = bounds.drain.min(bounds.adoption) / RELAY_PART;
-        let on_the_way = LEADER_WAIT * LEADER_HOPS + relay_wait + TRANSIT + READ_TIME;
-        let watch = |bound: Duration| {
-            let left = bound.saturating_sub(on_the_way);
-            left.mul_f64(WATCH_PART).max(WAIT_MIN)
-        };
-        let (wait, gap_ms) = match topic {
-            Topic::Configuration => {
-                let keys = bounds.revocation.saturating_sub(freshness::MARGIN);
-                (watch(bounds.adoption.min(keys)), 100)
-            }
-            Topic::Upstreams => (watch(bounds.drain), 400),
-            Topic::Evacuations => (watch(bounds.evacuation), 200),
-            Topic::Hosts => (HOSTS_WAIT, 500),
+        let keys = bounds.revocation.saturating_sub(freshness::MARGIN);
+        let (bound, gap_ms) = match topic {
+            Topic::Configuration => (Some(bounds.adoption.min(keys)), 100),
+            Topic::Upstreams => (Some(bounds.drain), 400),
+            Topic::Evacuations => (Some(bounds.evacuation), 200),
+            Topic::Hosts => (None, 500),
         };
-        Self {
-            wait,
+        let mut pace = Self {
+            wait: Duration::ZERO,
+            lone_wait: HOSTS_WAIT,
             gap: Duration::from_millis(gap_ms),
             relay_wait,
+        };
+        // With no wait of its own, what a member's patience holds is the way alone.
+        let on_the_way = pace.patience(Level::Member) + READ_TIME;
+        let watch = |bound: Duration| bound.saturating_sub(on_the_way).mul_f64(WATCH_PART);
+        pace.wait = bound.map_or(HOSTS_WAIT, |b| watch(b).max(WAIT_MIN));
+        pace.lone_wait = bound.map_or(HOSTS_WAIT, |b| b.mul_f64(LONE_PART).max(pace.wait));
+        pace
+    }
+
+    /// Returns how long a question to a relay waits for changes.
+    pub fn question_wait(&self, level: Level) -> Duration {
+        match level {
+            Level::Region | Level::Zone => LEADER_WAIT,
+            Level::Member => self.relay_wait,
         }
     }
 
     /// Returns how old a relay's news may be before its followers read for themselves.
     ///
     /// The read that it rests on may be as old as two waits: the one that ended with it, and
-    /// the one that is going on. Each host on the way adds the wait of its question.
-    pub fn patience(&self) -> Duration {
-        self.wait * 2 + LEADER_WAIT * LEADER_HOPS + self.relay_wait + TRANSIT
+    /// the one that is going on. Each host on the way adds its question, and the time to
+    /// read for itself where its own relay has failed.
+    pub fn patience(&self, level: Level) -> Duration {
+        let hop = |level| self.question_wait(level) + TRANSIT;
+        let read = self.wait * 2 + hop(Level::Region);
+        match level {
+            Level::Region => read,
+            Level::Zone => read + READ_TIME + hop(Level::Zone),
+            Level::Member => read + (READ_TIME + hop(Level::Zone)) + READ_TIME + hop(Level::Member),
+        }
+    }
+
+    /// Returns how long a watch waits.
+    fn watch_wait(&self, path: NewsPath) -> Duration {
+        match path.has_followers {
+            true => self.wait,
+            false => self.lone_wait,
+        }
     }
 }
 
@@ -154,19 +209,19 @@
     topic: Topic,
     shelves: &Shelves,
     pace: Pace,
-    mut relay: watch::Receiver<Option<Relay>>,
+    mut path: watch::Receiver<NewsPath>,
 ) {
     if topic == Topic::Hosts {
         return;
     }
     let end = Instant::now() + FIRST_RELAY_PATIENCE;
-    if !matches!(timeout_at(end, relay.changed()).await, Ok(Ok(()))) {
+    if !matches!(timeout_at(end, path.changed()).await, Ok(Ok(()))) {
         return;
     }
     // A relay that answers may have to read long lists itself.
     let known_at = Instant::now();
     let patience = pace.relay_wait + RELAY_TIMEOUT;
-    while relay.borrow().is_some() && shelves.relayed(topic).is_none() {
+    while path.borrow().relay.is_some() && shelves.relayed(topic).is_none() {
         let answered = shelves.relay_answered().unwrap_or(known_at);
         if Instant::now() >= answered + patience {
             return;
@@ -181,29 +236,35 @@
     topic: Topic,
     shelves: Shelves,
     metrics: Arc<EdgeMetrics>,
-    relay: watch::Receiver<Option<Relay>>,
+    path: watch::Receiver<NewsPath>,
     pace: Pace,
     is_first_start: bool,
 ) {
     if is_first_start {
         sleep(FIRST_START_PAUSE).await;
     }
-    wait_for_relay(topic, &shelves, pace, relay).await;
+    wait_for_relay(topic, &shelves, pace, path.clone()).await;
     let mut pause = PAUSE_MIN;
     let mut lost = false;
     let mut was_covered = false;
     loop {
-        if let Some(until) = covered_until(&shelves, topic, pace)
+        let known_path = *path.borrow();
+        if let Some(until) = covered_until(&shelves, topic, pace, known_path)
             && !lost
         {
             was_covered = true;
             sleep_until(until).await;
             continue;
         }
+        // One topic finds out when the store answers again.
+        if topic != Topic::Configuration && shelves.store_fails() {
+            sleep(PAUSE_MIN).await;
+            continue;
+        }
         // What the relay told last is as old as it may be.
         let wait = match std::mem::take(&mut was_covered) {
             true => Duration::ZERO,
-            false => pace.wait,
+            false => pace.watch_wait(known_path),
         };
         let asked = Asked::now();
         let base = match lost {
@@ -219,7 +280,7 @@
             Ok(news) => {
                 // A new list replaces whatever is known by now.
                 let base = if lost { shelves.revision(topic) } else { base };
-                shelves.take(topic, base, news, asked);
+                shelves.take_read(topic, base, news, asked);
                 pause = PAUSE_MIN;
                 lost = false;
             }
@@ -229,9 +290,13 @@
             }
             Err(cause) => {
                 log::info!(event = "read-failed", topic:%, cause:%, pause_ms = pause.as_millis() as u64; "");
+                shelves.take_failure(topic, asked);
                 sleep(pause).await;
-                pause = (pause * 2).min(PAUSE_MAX);
-                shelves.take(topic, base, News::Outage, asked);
+                let most = match known_path.is_one_of_many() {
+                    true => PAUSE_MAX_OF_MANY,
+                    false => PAUSE_MAX,
+                };
+                pause = (pause * 2).min(most);
             }
         }
         sleep_until(asked.at + pace.gap).await;
@@ -247,9 +312,10 @@
 }
 
 /// Returns until when a topic needs no reading, since a relay told it lately.
-fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace) -> Option<Instant> {
+fn covered_until(shelves: &Shelves, topic: Topic, pace: Pace, path: NewsPath) -> Option<Instant> {
+    let level = path.relay.map_or(Level::Region, |r| r.level);
     let asked = shelves.relayed(topic)?;
-    let left = pace.patience().checked_sub(asked.age())?;
+    let left = pace.patience(level).checked_sub(asked.age())?;
     (!left.is_zero()).then(|| Instant::now() + left)
 }
 
@@ -270,28 +336,21 @@
 
 /// Follows all topics at the zone's relay, while there is one.
 pub async fn follow_relay(
-    mut relay: watch::Receiver<Option<Relay>>,
+    mut path: watch::Receiver<NewsPath>,
     shelves: Shelves,
     metrics: Arc<EdgeMetrics>,
     pace: Pace,
 ) {
     let connections = Connections::new();
     loop {
-        let known = *relay.borrow_and_update();
-        let Some(Relay {
-            address,
-            for_leader,
-        }) = known
-        else {
-            if relay.changed().await.is_err() {
+        let known = path.borrow_and_update().relay;
+        let Some(Relay { address, level }) = known else {
+            if path.changed().await.is_err() {
                 return;
             }
             continue;
         };
-        let wait = match for_leader {
-            true => LEADER_WAIT,
-            false => pace.relay_wait,
-        };
+        let wait = pace.question_wait(level);
         let query = RelayQuery {
             after: shelves.revisions(),
             wait_ms: wait.as_millis() as u64,
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -51,11 +51,22 @@
     },
 };
 
+/// Where news comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A read of the store.
+    Store,
+    /// Another host.
+    Relay,
+}
+
 /// What a topic's follower learned.
 #[derive(Debug)]
 pub struct Observed {
     /// The topic.
     pub topic: Topic,
+    /// Where it comes from.
+    pub origin: Origin,
     /// When the read was sent.
     pub asked_at: Instant,
     /// The time spent suspended when the read was sent.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -36,6 +36,10 @@
         Sender,
         ZoneDigest, //
     },
+    follow::{
+        Level,
+        Relay, //
+    },
     model::HostRegistration,
 };
 use crate::util::id::{
@@ -148,6 +152,8 @@
     away: BTreeSet<HostName>,
     /// Whether the leader said that it is fit to lead.
     is_fit: bool,
+    /// Whether it reads the store.
+    reads: bool,
     offered: Vec<Offered>,
 }
 
@@ -173,6 +179,8 @@
     /// Whether this host takes requests, and since when it does or does not.
     is_ready: bool,
     state_since: Option<Instant>,
+    /// Whether this host reads the store, and is answered.
+    own_reads: bool,
     /// Whether this host would lead better than one that takes no requests.
     is_fit: bool,
     /// When this host began to listen for a leader.
@@ -196,6 +204,7 @@
             rival: None,
             is_ready: false,
             state_since: None,
+            own_reads: false,
             is_fit: false,
             listened_since: None,
             deferred_at: None,
@@ -376,6 +385,7 @@
             at,
             away: told.away.iter().cloned().collect(),
             is_fit: told.is_fit,
+            reads: told.reads,
             offered: told.offered.clone(),
         };
         if !self.may_take(now, &told.zone, &view) {
@@ -444,14 +454,15 @@
 
     /// Notes that this host is about to stop; others lead in its place at once.
     pub fn leave(&mut self, now: Instant) {
-        self.update(now, false);
+        self.update(now, false, false);
         self.is_fit = false;
     }
 
-    /// Notes whether this host takes requests, and decides whether it leads its zone now: it
+    /// Notes whether this host takes requests and reads the store, and decides whether it leads its zone now: it
     /// has heard no better host lately. Smaller hosts wait a little longer for larger ones,
     /// so that mostly one host follows a leader that ended.
-    pub fn update(&mut self, now: Instant, is_ready: bool) {
+    pub fn update(&mut self, now: Instant, is_ready: bool, reads: bool) {
+        self.own_reads = reads;
         if is_ready != self.is_ready || self.state_since.is_none() {
             self.is_ready = is_ready;
             self.state_since = Some(now);
@@ -570,24 +581,53 @@
         }
     }
 
-    /// Returns the host that hands on what it reads of the store: to the hosts of a zone its
-    /// leader, to these the best one of the region, and to those the best one of all, which
-    /// reads for itself. None where that is the own one.
-    pub fn relay(&self, now: Instant) -> Option<SocketAddr> {
+    /// Returns whom this host asks for news of the store: a host of a zone its leader, that one
+    /// the best leader of its region, and this the best host that reads the store. None where
+    /// it reads for itself.
+    pub fn relay(&self, now: Instant) -> Option<Relay> {
         if !self.leads() {
             let leader = self.leader(now, &self.own.zone);
-            return match leader {
+            let address = match leader {
                 Some(leader) => self.address(leader),
                 None => self.first_relay(now),
             };
+            return Some(Relay {
+                address: address?,
+                level: Level::Member,
+            });
         }
         let region = self.regions.get(&self.own.zone)?;
-        let of_region = self.best_leader(now, self.zones_of(region))?;
-        if *of_region != self.own.name {
-            return self.address(of_region);
+        let best = self.best_leader(now, self.zones_of(region))?;
+        if *best != self.own.name {
+            return Some(Relay {
+                address: self.address(best)?,
+                level: Level::Zone,
+            });
+        }
+        Some(Relay {
+            address: self.best_reader(now)?,
+            level: Level::Region,
+        })
+    }
+
+    /// Returns the best other host that reads the store, where it is better than the own one
+    /// or the own one cannot read.
+    fn best_reader(&self, now: Instant) -> Option<SocketAddr> {
+        let others = self.views.keys().filter(|zone| **zone != self.own.zone);
+        let readers = others.filter_map(|zone| {
+            let view = self.fresh_view(now, zone).filter(|v| v.reads)?;
+            Some((self.rank_of(&view.leader, view.is_fit)?, &view.leader))
+        });
+        let (rank, best) = readers.max_by_key(|(rank, _)| *rank)?;
+        match self.own_reads && self.own_rank(now) > rank {
+            true => None,
+            false => self.address(best),
         }
-        // The own host has no address here.
-        self.address(self.best_leader(now, self.regions.keys())?)
+    }
+
+    /// Returns whether other hosts ask this one for news.
+    pub fn has_followers(&self, now: Instant) -> bool {
+        self.leads() && !self.is_alone(now)
     }
 
     /// Returns the host that a starting one asks before it has heard any: the largest
@@ -689,6 +729,7 @@
             leader: self.own.name.clone(),
             age_ms: 0,
             is_fit: self.is_fit && !self.is_alone(now),
+            reads: self.own_reads,
             away,
             offered: summed(offered),
         }
@@ -706,6 +747,7 @@
             leader: v.leader.clone(),
             age_ms: u32::try_from(v.age(now).as_millis()).unwrap_or(u32::MAX),
             is_fit: v.is_fit,
+            reads: v.reads,
             away: v.away.iter().cloned().collect(),
             offered: v.offered.clone(),
         });
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -35,7 +35,8 @@
     freshness::suspended,
     message::{
         News,
-        Observed, //
+        Observed,
+        Origin, //
     },
     topic::{
         Change,
@@ -162,12 +163,20 @@
     }
 }
 
+/// Whether the store and the relay answer.
+#[derive(Debug, Default)]
+struct Contacts {
+    /// When the relay last answered, whatever it knew.
+    relay_answered: Option<Instant>,
+    /// Whether the last read of the store failed.
+    store_fails: bool,
+}
+
 /// The topics that a host knows, shared by its tasks.
 #[derive(Clone, Debug)]
 pub struct Shelves {
     shelves: Arc<Mutex<[Shelf; Topic::ALL.len()]>>,
-    /// When the relay last answered, whatever it knew.
-    relay_answered: Arc<Mutex<Option<Instant>>>,
+    contacts: Arc<Mutex<Contacts>>,
     changed: watch::Sender<u64>,
     dispatcher: Address<Dispatcher>,
 }
@@ -204,7 +213,7 @@
     pub fn new(dispatcher: Address<Dispatcher>) -> Self {
         Self {
             shelves: Arc::default(),
-            relay_answered: Arc::default(),
+            contacts: Arc::default(),
             changed: watch::Sender::new(0),
             dispatcher,
         }
@@ -230,8 +239,8 @@
         self.lock()[topic.index()].relayed
     }
 
-    /// Takes in what a read brought that was based on revision `base`.
-    pub fn take(&self, topic: Topic, base: Option<Revision>, news: News, asked: Asked) {
+    /// Takes in news that was based on revision `base`.
+    fn take(&self, topic: Topic, base: Option<Revision>, news: News, asked: Asked, origin: Origin) {
         let mut shelves = self.lock();
         if !shelves[topic.index()].take(base, &news, asked) {
             return;
@@ -242,6 +251,7 @@
             &self.dispatcher,
             Observed {
                 topic,
+                origin,
                 asked_at: asked.at,
                 suspended: asked.suspended,
                 news,
@@ -254,19 +264,34 @@
 
     /// Returns when the relay last answered, whatever it knew.
     pub fn relay_answered(&self) -> Option<Instant> {
-        *self
-            .relay_answered
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.contacts().relay_answered
+    }
+
+    /// Returns whether the store refused or did not answer the last read.
+    pub fn store_fails(&self) -> bool {
+        self.contacts().store_fails
+    }
+
+    fn contacts(&self) -> MutexGuard<'_, Contacts> {
+        self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what a read of the store brought that was based on revision `base`.
+    pub fn take_read(&self, topic: Topic, base: Option<Revision>, news: News, asked: Asked) {
+        self.contacts().store_fails = false;
+        self.take(topic, base, news, asked, Origin::Store);
+    }
+
+    /// Takes in that the store did not answer a read.
+    pub fn take_failure(&self, topic: Topic, asked: Asked) {
+        self.contacts().store_fails = true;
+        let base = self.revision(topic);
+        self.take(topic, base, News::Outage, asked, Origin::Store);
     }
 
     /// Takes in what another host handed on, in answer to a question that was sent at `sent`.
     pub fn take_relayed(&self, query: &RelayQuery, answer: RelayAnswer, sent: Asked) {
-        let answered = &mut *self
-            .relay_answered
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *answered = Some(Instant::now());
+        self.contacts().relay_answered = Some(Instant::now());
         for relayed in answer.topics {
             let age = Duration::from_millis(relayed.age_ms);
             let Some(asked) = sent.earlier(age) else {
@@ -274,7 +299,7 @@
             };
             let base = query.after[relayed.topic.index()];
             self.lock()[relayed.topic.index()].relayed = Some(asked);
-            self.take(relayed.topic, base, relayed.news, asked);
+            self.take(relayed.topic, base, relayed.news, asked, Origin::Relay);
         }
     }
 
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -53,6 +53,7 @@
         registration, //
     },
     follow::{
+        NewsPath,
         Pace,
         follow_relay,
         follow_store,
@@ -148,7 +149,7 @@
     let relaying = bind("followers", settings.peers).await?;
     let configuration = Arc::new(ArcSwapOption::empty());
     let metrics = Arc::new(EdgeMetrics::new());
-    let (relay, relay_rx) = watch::channel(None);
+    let (path, path_rx) = watch::channel(NewsPath::default());
     let (outgoing, outgoing_rx) = mpsc::channel(OUTGOING_MAX);
     let incarnation = incarnation();
     let dispatcher = Dispatcher::new(
@@ -156,7 +157,7 @@
         incarnation,
         configuration.clone(),
         outgoing,
-        relay,
+        path,
         metrics.clone(),
         rand::random(),
     );
@@ -180,14 +181,14 @@
             topic,
             shelves.clone(),
             metrics.clone(),
-            relay_rx.clone(),
+            path_rx.clone(),
             Pace::new(topic, &settings.bounds),
             settings.is_first_start,
         ));
     }
     let pace = Pace::new(Topic::Hosts, &settings.bounds);
     tokio::spawn(follow_relay(
-        relay_rx,
+        path_rx,
         shelves.clone(),
         metrics.clone(),
         pace,
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,5 +1,7 @@
 //! Accepts connections and serves them until a graceful stop.
 
+mod attended;
+
 use std::{
     future::Future,
     io,
@@ -32,6 +34,11 @@
     sync::watch,
 };
 
+use self::attended::{
+    Attended,
+    InFlight,
+    Stream, //
+};
 use crate::body::ProxyBody;
 
 /// How long a connection may take to send a request's head.
@@ -93,9 +100,16 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(event = "nodelay-failed", client:%, cause:% = e; "");
     }
+    let (stream, in_flight) = (Stream::new(stream), InFlight::default());
+    let requests = in_flight.clone();
     let service = service_fn(move |req| {
+        let entered = requests.enter();
         let answer = handler(req, client);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            drop(entered);
+            Ok::<_, std::convert::Infallible>(answer)
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -103,9 +117,9 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT);
     let connection = builder
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(stream.clone()), service)
         .into_owned();
-    let connection = graceful.watch(connection);
+    let connection = Attended::new(graceful.watch(connection), stream, in_flight);
     tokio::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!(event = "connection-failed", client:%, cause:% = e; "");
--- /dev/null
+++ b/src/listener/attended.rs
@@ -0,0 +1,197 @@
+//! Connections whose callers may leave while a request behind the present one is unread.
+//!
+//! A server reads the next request of a connection once the present one is answered. A
+//! caller that sent several and left is noticed only then, since its leaving comes behind
+//! what is unread. So what comes meanwhile is read ahead, up to a bound.
+
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+};
+
+use bytes::{
+    Buf,
+    BytesMut, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    net::TcpStream,
+};
+
+/// Bytes that are read ahead of the requests on one connection.
+const AHEAD_MAX: usize = 16 * 1024;
+/// Bytes of one read ahead.
+const CHUNK: usize = 2048;
+
+/// A caller's stream, with what was read ahead.
+#[derive(Debug)]
+struct Inner {
+    stream: TcpStream,
+    ahead: BytesMut,
+    /// Whether the server waits for bytes, and so will notice itself when the caller leaves.
+    is_awaited: bool,
+}
+
+/// A caller's stream, shared by the server and the one who watches it.
+#[derive(Clone, Debug)]
+pub(super) struct Stream(Arc<Mutex<Inner>>);
+
+impl Stream {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(Mutex::new(Inner {
+            stream,
+            ahead: BytesMut::new(),
+            is_awaited: false,
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads ahead where the server does not read; ready once the caller has left.
+    fn poll_left(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        if inner.is_awaited {
+            return Poll::Pending;
+        }
+        while inner.ahead.len() < AHEAD_MAX {
+            let mut chunk = [0; CHUNK];
+            let mut buf = ReadBuf::new(&mut chunk);
+            let read = ready!(Pin::new(&mut inner.stream).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            inner.ahead.extend_from_slice(buf.filled());
+        }
+        Poll::Pending
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut inner = self.lock();
+        if !inner.ahead.is_empty() {
+            let len = inner.ahead.len().min(buf.remaining());
+            buf.put_slice(&inner.ahead[..len]);
+            inner.ahead.advance(len);
+            inner.is_awaited = false;
+            return Poll::Ready(Ok(()));
+        }
+        let read = Pin::new(&mut inner.stream).poll_read(cx, buf);
+        inner.is_awaited = read.is_pending();
+        read
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.lock().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.lock().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.lock().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_shutdown(cx)
+    }
+}
+
+/// Counts the requests of a connection that are worked on.
+#[derive(Clone, Debug, Default)]
+pub(super) struct InFlight(Arc<AtomicUsize>);
+
+impl InFlight {
+    /// Counts one until it is dropped.
+    pub(super) fn enter(&self) -> Entered {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Entered(self.0.clone())
+    }
+
+    fn is_any(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > 0
+    }
+}
+
+/// One request that is worked on.
+#[derive(Debug)]
+pub(super) struct Entered(Arc<AtomicUsize>);
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection that ends, with the work for it, when its caller leaves.
+pub(super) struct Attended<C> {
+    connection: Pin<Box<C>>,
+    stream: Stream,
+    in_flight: InFlight,
+}
+
+impl<C> Attended<C> {
+    pub(super) fn new(connection: C, stream: Stream, in_flight: InFlight) -> Self {
+        Self {
+            connection: Box::pin(connection),
+            stream,
+            in_flight,
+        }
+    }
+}
+
+impl<C, E> Future for Attended<C>
+where
+    C: Future<Output = Result<(), E>>,
+{
+    type Output = Result<(), E>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        if let Poll::Ready(ended) = self.connection.as_mut().poll(cx) {
+            return Poll::Ready(ended);
+        }
+        if self.in_flight.is_any() && self.stream.poll_left(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Pending
+    }
+}
--- a/tests/edge_follow.rs
+++ b/tests/edge_follow.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use cardamomroad::edge::{
-    follow::Pace,
+    follow::{
+        Level,
+        Pace, //
+    },
     settings::Bounds,
     topic::Topic, //
 };
@@ -41,14 +44,28 @@
         ];
         for (topic, bound) in limits {
             let pace = Pace::new(topic, &bounds);
+            // A host that nobody follows notices a silent connection a second after the wait.
+            let lone = pace.lone_wait + Duration::from_secs(1);
+            assert!(lone <= bound, "{topic} {bound:?} {pace:?}");
             assert!(
-                pace.patience() + READ <= bound,
+                pace.patience(Level::Member) + READ <= bound,
                 "{topic} {bound:?} {pace:?}"
             );
         }
     }
 }
 
+/// Each host that hands news on has had the time to read for itself before its followers do.
+#[test]
+fn hosts_farther_down_wait_longer() {
+    for topic in [Topic::Upstreams, Topic::Configuration, Topic::Evacuations] {
+        let pace = Pace::new(topic, &bounds(2500, 2500));
+        let levels = [Level::Region, Level::Zone, Level::Member].map(|l| pace.patience(l));
+        assert!(levels[0] + READ <= levels[1], "{topic} {levels:?}");
+        assert!(levels[1] + READ <= levels[2], "{topic} {levels:?}");
+    }
+}
+
 /// Each call is paid for; a bound that allows longer waits is used.
 #[test]
 fn wider_bounds_make_fewer_calls() {
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -58,6 +58,8 @@
     state: HostState,
     /// Whether it runs and is reached.
     is_up: bool,
+    /// Whether the store answers it.
+    can_read: bool,
     sequence: u64,
     beats: u32,
     spoke: Option<Instant>,
@@ -93,6 +95,7 @@
                 peers,
                 state: HostState::Ready,
                 is_up: true,
+                can_read: true,
                 sequence: 0,
                 beats: 0,
                 spoke: None,
@@ -120,7 +123,8 @@
         if !m.is_up {
             return;
         }
-        m.peers.update(now, m.state == HostState::Ready);
+        let reads = m.peers.relay(now).is_none() && m.can_read;
+        m.peers.update(now, m.state == HostState::Ready, reads);
         let is_due = |at: Instant| now >= at + m.peers.beat();
         if !m.spoke.is_none_or(is_due) {
             return;
@@ -228,10 +232,39 @@
     assert_eq!(readers.count(), 1);
     let largest = Some(fleet.members[LARGEST].entry.peers);
     for m in &fleet.members[LARGEST + 1..] {
-        assert_eq!(relay_of(m), largest, "{}", m.entry.name);
+        let relay = relay_of(m).map(|r| r.address);
+        assert_eq!(relay, largest, "{}", m.entry.name);
     }
 }
 
+/// The store turns the reader away and serves the others.
+#[test]
+fn a_reader_that_the_store_turns_away_asks_another_one() {
+    let mut fleet = TestFleet::new(hosts());
+    fleet.run(Duration::from_secs(3));
+    let reader = |fleet: &TestFleet| {
+        let is_reader = |m: &Member| m.peers.relay(fleet.now).is_none();
+        fleet.members.iter().position(is_reader).expect("a reader")
+    };
+    let before = reader(&fleet);
+    fleet.members[before].can_read = false;
+    fleet.run(Duration::from_secs(4));
+    let after = reader(&fleet);
+    assert_ne!(after, before);
+    let relay = fleet.members[before].peers.relay(fleet.now);
+    assert_eq!(
+        relay.map(|r| r.address),
+        Some(fleet.members[after].entry.peers)
+    );
+    fleet.members[before].can_read = true;
+    fleet.run(Duration::from_secs(4));
+    let readers = fleet
+        .members
+        .iter()
+        .filter(|m| m.peers.relay(fleet.now).is_none());
+    assert_eq!(readers.count(), 1);
+}
+
 #[test]
 fn a_leader_that_ends_is_followed_by_the_next_host_and_named_no_more() {
     let mut fleet = TestFleet::new(hosts());
--- /dev/null
+++ b/tests/listener.rs
@@ -0,0 +1,120 @@
+//! Connections of callers that leave.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use cardamomroad::{
+    body::full,
+    listener, //
+};
+use hyper::Response;
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+
+/// How soon work for a caller that left has to end: half of what the users allow.
+const GONE_MAX: Duration = Duration::from_millis(250);
+
+/// Counts handlers that run.
+struct Running(Arc<AtomicUsize>);
+
+impl Running {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn wait_for(count: &AtomicUsize, wanted: usize, longest: Duration) {
+    let end = Instant::now() + longest;
+    while count.load(Ordering::SeqCst) != wanted {
+        let running = count.load(Ordering::SeqCst);
+        assert!(Instant::now() < end, "{running} run, not {wanted}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Serves requests that never end, but for those to `/now`.
+async fn start() -> (std::net::SocketAddr, Arc<AtomicUsize>, watch::Sender<bool>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    let running = Arc::new(AtomicUsize::new(0));
+    let count = running.clone();
+    tokio::spawn(listener::serve(socket, stopped, move |req, _| {
+        let running = Running::new(&count);
+        async move {
+            if req.uri().path() != "/now" {
+                std::future::pending::<()>().await;
+            }
+            drop(running);
+            Response::new(full("now"))
+        }
+    }));
+    (address, running, stop)
+}
+
+const SLOW: &[u8] = b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n";
+
+#[tokio::test]
+async fn work_ends_when_its_caller_leaves() {
+    let (address, running, _stop) = start().await;
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    caller.write_all(SLOW).await.expect("a request");
+    wait_for(&running, 1, Duration::from_secs(5)).await;
+    drop(caller);
+    wait_for(&running, 0, GONE_MAX).await;
+}
+
+/// What a caller sent behind a request is not read before that one is answered, and its
+/// leaving comes behind that.
+#[tokio::test]
+async fn work_ends_when_a_caller_leaves_that_sent_more_requests() {
+    let (address, running, _stop) = start().await;
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    caller.write_all(&SLOW.repeat(3)).await.expect("requests");
+    wait_for(&running, 1, Duration::from_secs(5)).await;
+    drop(caller);
+    wait_for(&running, 0, GONE_MAX).await;
+}
+
+#[tokio::test]
+async fn requests_that_were_sent_together_are_answered_in_order() {
+    let (address, _running, _stop) = start().await;
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    let requests = b"GET /now HTTP/1.1\r\nhost: a\r\n\r\n".repeat(50);
+    caller.write_all(&requests).await.expect("requests");
+    let mut answers = Vec::new();
+    while answers.windows(4).filter(|w| w == b"\nnow").count() < 50 {
+        let mut buf = [0; 4096];
+        let read = caller.read(&mut buf).await.expect("answers");
+        assert!(read > 0, "the connection ended early");
+        answers.extend_from_slice(&buf[..read]);
+    }
+}
--- a/tests/support/dispatchers.rs
+++ b/tests/support/dispatchers.rs
@@ -26,11 +26,13 @@
             Dispatcher,
             registration, //
         },
+        follow::NewsPath,
         message::{
             Heard,
             Job,
             News,
             Observed,
+            Origin,
             Placed,
             Submit,
             Tick,
@@ -257,6 +259,7 @@
     });
     Observed {
         topic,
+        origin: Origin::Store,
         asked_at: Instant::now(),
         suspended: cardamomroad::edge::freshness::suspended(),
         news: News::Whole(Changes {
@@ -279,7 +282,7 @@
                     Incarnation(1),
                     Arc::new(ArcSwapOption::empty()),
                     tx,
-                    watch::channel(None).0,
+                    watch::channel(NewsPath::default()).0,
                     Arc::new(EdgeMetrics::new()),
                     hosts.len() as u64,
                 );
