--- a/src/body.rs
+++ b/src/body.rs
@@ -41,6 +41,9 @@
     /// The caller's key was withdrawn while it ran.
     #[error("the key was withdrawn while the body was running")]
     KeyWithdrawn,
+    /// It did not end before the caller stopped waiting.
+    #[error("the body did not end in time")]
+    Late,
     /// The host was told to end at once.
     #[error("the host stopped before the body's end")]
     Stopped,
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -4,6 +4,7 @@
 //! end. A connection whose answer was abandoned is closed with it.
 
 mod forgetting;
+mod metered;
 
 use std::{
     collections::HashMap,
@@ -43,6 +44,11 @@
 };
 
 pub use self::forgetting::Forgetting;
+use self::metered::{
+    Allowance,
+    HEAD_MAX,
+    Metered, //
+};
 use crate::body::ProxyBody;
 
 /// Idle connections that are kept to one address.
@@ -88,7 +94,18 @@
     Broken(#[from] hyper::Error),
 }
 
-type Sender = SendRequest<ProxyBody>;
+/// The sending end of one connection.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<ProxyBody>,
+    allowance: Allowance,
+}
+
+impl Sender {
+    fn is_open(&self) -> bool {
+        self.requests.is_ready() && !self.requests.is_closed()
+    }
+}
 
 /// An idle connection, since when it rests, and until when it may be used.
 #[derive(Debug)]
@@ -138,7 +155,7 @@
 
     /// Gives the connection back for use within `idle_max`.
     pub fn give_back_for(self, idle_max: Duration) {
-        if self.sender.is_closed() {
+        if self.sender.requests.is_closed() {
             return;
         }
         let Ok(mut pools) = self.connections.pools.lock() else {
@@ -261,8 +278,7 @@
         }) = idle.pop()
         {
             let rested = now.saturating_duration_since(since);
-            let is_open = sender.is_ready() && !sender.is_closed();
-            if is_open && until > now && forgetting.allows(now, rested) {
+            if sender.is_open() && until > now && forgetting.allows(now, rested) {
                 return Some((sender, rested));
             }
         }
@@ -275,15 +291,19 @@
         mut sender: Sender,
         req: Request<ProxyBody>,
     ) -> Result<Exchange, SendError> {
-        match sender.try_send_request(req).await {
-            Ok(res) => Ok(Exchange {
-                res,
-                lease: ConnectionLease {
-                    address,
-                    sender,
-                    connections: self.clone(),
-                },
-            }),
+        sender.allowance.for_head();
+        match sender.requests.try_send_request(req).await {
+            Ok(res) => {
+                sender.allowance.for_body();
+                Ok(Exchange {
+                    res,
+                    lease: ConnectionLease {
+                        address,
+                        sender,
+                        connections: self.clone(),
+                    },
+                })
+            }
             Err(mut e) => {
                 let unsent = e.take_message();
                 let cause = e.into_error().to_string();
@@ -315,7 +335,11 @@
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let unacknowledged_ms = u32::try_from(UNACKNOWLEDGED_MAX.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms).map_err(|e| e.to_string())?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let allowance = Allowance::new();
+    let stream = Metered::new(stream, allowance.clone());
+    let (requests, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_MAX)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| e.to_string())?;
     tokio::spawn(async move {
@@ -323,5 +347,8 @@
             log::debug!(event = "connection-closed", address:% = address, cause:% = e; "");
         }
     });
-    Ok(sender)
+    Ok(Sender {
+        requests,
+        allowance,
+    })
 }
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -168,7 +168,9 @@
                 place,
                 load,
             } => {
-                if !self.may_send(upstream, &claimed.waiting) {
+                // A host that was paused hears of a slot that its scheduler may have given away.
+                let is_overdue = now >= claimed.limit;
+                if is_overdue || !self.may_send(upstream, &claimed.waiting) {
                     self.return_slot(msg.from.host.clone(), msg.run, upstream);
                     return self.decline(now, claimed.waiting);
                 }
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -18,10 +18,7 @@
 use bytes::Bytes;
 use hyper::{
     Request, Response,
-    body::{
-        Body,
-        Incoming, //
-    },
+    body::Incoming,
     header,
     http::{
         request,
@@ -40,7 +37,7 @@
 
 use self::{
     answer_body::{
-        WHOLE_ANSWER_MAX,
+        Collected,
         collect,
         give_back,
         is_usable,
@@ -76,6 +73,7 @@
     },
     metrics::EdgeMetrics,
     model::Configuration,
+    relay::Asked,
     upstreams::TryEnd,
 };
 use crate::{
@@ -95,6 +93,7 @@
     },
     post::post,
     quarantine::Suspect,
+    util::id::KeyDigest,
 };
 
 /// How long after the deadline an upstream's answer is still waited for; it may
@@ -104,6 +103,9 @@
 const TIME_LEFT_MIN: Duration = Duration::from_millis(20);
 /// How long after a lost answer an upstream is looked at; a crash closes its port at once.
 const CRASH_PAUSE: Duration = Duration::from_millis(5);
+/// How long the check of a key holds; a request that waited longer, or a host that was
+/// paused meanwhile, checks it again before the request is sent.
+const CHECK_MAX_AGE: Duration = Duration::from_millis(300);
 /// When a caller comes back whose request found no usable upstream.
 const BUSY_RETRY: Duration = Duration::from_millis(300);
 
@@ -139,6 +141,10 @@
     _kept: KeptBytes,
     idempotent: bool,
     tries: usize,
+    /// The digest of the caller's key, where the request needs one.
+    key: Option<KeyDigest>,
+    /// When the key was checked.
+    checked: Asked,
     job: Job,
 }
 
@@ -208,6 +214,7 @@
         head: CallerHead,
         body: Incoming,
     ) -> Result<Call, Ending> {
+        let checked = Asked::now();
         let cfg = self.configuration.load_full().ok_or(Ending::NotReady)?;
         let id = head.id.clone().ok_or(Ending::BadHead)?;
         let routed = route(&cfg, &parts, &head);
@@ -225,6 +232,7 @@
             .ok_or(Ending::NotRun(Why::NoUpstream, BUSY_RETRY))?;
         job.lost = self.time_lost(&routed.route.prefix, patience);
         let (idempotent, tries) = (routed.route.idempotent, routed.route.tries as usize);
+        let key = head.key.filter(|_| routed.organisation.is_some());
         let (body, kept) = self.read_body(body, cfg.body_bytes_max, deadline).await?;
         job.bytes = body.len() as u64;
         job.suspect = suspect(&job, &parts, &body);
@@ -237,6 +245,8 @@
             _kept: kept,
             idempotent,
             tries,
+            key: key.map(|key| KeyDigest::of(&key)),
+            checked,
             job,
         })
     }
@@ -260,6 +270,12 @@
                 Verdict::Send(placed) => placed,
                 Verdict::Refused(refused) => return Err(unanswered(call, timed_out, refused)),
             };
+            if let Err(ending) = self.check_key(call).await {
+                return Err(match call.job.may_have_run {
+                    true => Ending::Lost,
+                    false => ending,
+                });
+            }
             call.job.tried.push(placed.key);
             match self.send(call, placed).await {
                 Tried::Answer(res) => return Ok(res),
@@ -287,6 +303,28 @@
         }
     }
 
+    /// Checks again that the caller's key holds, where that was last done a while ago.
+    async fn check_key(&self, call: &mut Call) -> Result<(), Ending> {
+        let Some(key) = &call.key else {
+            return Ok(());
+        };
+        if call.checked.age() < CHECK_MAX_AGE {
+            return Ok(());
+        }
+        let checked = Asked::now();
+        if !self.dispatcher.send(IsFresh).await.unwrap_or(false) {
+            return Err(Ending::NotReady);
+        }
+        let cfg = self.configuration.load_full().ok_or(Ending::NotReady)?;
+        let place = cfg.keys.get(key);
+        let organisation = place.and_then(|&place| cfg.organisations.get(place));
+        if organisation.map(|o| &o.name) != call.job.organisation.as_ref() {
+            return Err(Ending::Key);
+        }
+        call.checked = checked;
+        Ok(())
+    }
+
     async fn place(&self, call: &Call) -> Verdict {
         let (reply, verdict) = oneshot::channel();
         let msg = Submit {
@@ -355,7 +393,8 @@
                 true => TryEnd::Misdirected,
                 false => TryEnd::Shed,
             });
-            if !head.misdirected && collect(body, until).await.is_some() {
+            let is_whole = matches!(collect(body, until).await, Collected::Whole(_));
+            if !head.misdirected && is_whole {
                 give_back(exchange.lease, &head);
             }
             return Tried::NotRun;
@@ -386,17 +425,18 @@
         lease: ConnectionLease,
     ) -> Tried {
         remove_hop_by_hop(&mut parts.headers);
-        let exact = body.size_hint().exact();
-        if exact.is_some_and(|n| n > WHOLE_ANSWER_MAX as u64) && is_usable(&parts, &head) {
-            return Tried::Answer(Response::from_parts(
-                parts,
-                passing(body, placed, lease, head),
-            ));
-        }
-        let Some(bytes) = collect(body, call.job.deadline + LATE_GRACE).await else {
-            log::info!(event = "answer-broken", id:% = call.job.id, upstream:% = placed.id; "");
-            placed.ended(TryEnd::Lost);
-            return Tried::Lost;
+        let until = call.job.deadline + LATE_GRACE;
+        let bytes = match collect(body, until).await {
+            Collected::Whole(bytes) => bytes,
+            Collected::Long(read, rest) if is_usable(&parts, &head) => {
+                let body = passing(read, rest, until, placed, lease, head);
+                return Tried::Answer(Response::from_parts(parts, body));
+            }
+            Collected::Long(..) | Collected::Broken => {
+                log::info!(event = "answer-broken", id:% = call.job.id, upstream:% = placed.id; "");
+                placed.ended(TryEnd::Lost);
+                return Tried::Lost;
+            }
         };
         placed.ended(TryEnd::Whole);
         give_back(lease, &head);
--- a/src/edge/forward/answer_body.rs
+++ b/src/edge/forward/answer_body.rs
@@ -1,24 +1,38 @@
 //! Answers of upstreams: whether they may be handed on, and their bodies.
 
-use std::time::Duration;
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
+};
 
-use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
+use bytes::{
+    Bytes,
+    BytesMut, //
 };
+use http_body_util::BodyExt;
 use hyper::{
     StatusCode,
-    body::Incoming,
+    body::{
+        Body,
+        Frame,
+        Incoming,
+        SizeHint, //
+    },
     http::response, //
 };
 use tokio::time::{
     Instant,
+    sleep_until,
     timeout_at, //
 };
 
 use crate::{
     body::{
+        BodyError,
         PassingBody,
         ProxyBody, //
     },
@@ -36,10 +50,33 @@
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(5);
 /// How much earlier than the upstream a connection is given up.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
-/// Reads a body to its end; `None` where it breaks off, is too long or takes too long.
-pub(super) async fn collect(body: Incoming, until: Instant) -> Option<Bytes> {
-    let whole = timeout_at(until, Limited::new(body, WHOLE_ANSWER_MAX).collect()).await;
-    whole.ok()?.ok().map(|b| b.to_bytes())
+/// What was read of an answer's body.
+pub(super) enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// As much as is kept, and the rest.
+    Long(Bytes, Incoming),
+    /// It broke off, or took too long.
+    Broken,
+}
+
+/// Reads a body to its end, or as far as it is kept.
+pub(super) async fn collect(mut body: Incoming, until: Instant) -> Collected {
+    let mut read = BytesMut::new();
+    loop {
+        let frame = match timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return Collected::Whole(read.freeze()),
+            Ok(Some(Err(_))) | Err(_) => return Collected::Broken,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&data);
+        if read.len() > WHOLE_ANSWER_MAX {
+            return Collected::Long(read.freeze(), body);
+        }
+    }
 }
 
 /// Returns whether an answer may be handed on as it is.
@@ -64,9 +101,12 @@
     lease.give_back_for(idle.saturating_sub(KEEP_ALIVE_MARGIN));
 }
 
-/// Returns the body of a long answer, which is handed on as it comes.
+/// Returns the body of a long answer, which is handed on as it comes: what was read of it
+/// and the rest. It breaks off at `until`; an upstream may never end it.
 pub(super) fn passing(
-    body: Incoming,
+    read: Bytes,
+    rest: Incoming,
+    until: Instant,
     mut placed: Placed,
     lease: ConnectionLease,
     head: AnswerHead,
@@ -80,7 +120,48 @@
             give_back(lease, &head);
         }
     };
-    PassingBody::new(body)
+    let cutoff = async move {
+        sleep_until(until).await;
+        BodyError::Late
+    };
+    PassingBody::new(Begun { read, rest })
+        .with_cutoff(Some(Box::pin(cutoff)))
         .with_at_end(Box::new(at_end))
         .boxed_unsync()
 }
+
+/// A body of which a part was read already.
+struct Begun {
+    read: Bytes,
+    rest: Incoming,
+}
+
+impl Body for Begun {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if !self.read.is_empty() {
+            let read = std::mem::take(&mut self.read);
+            return Poll::Ready(Some(Ok(Frame::data(read))));
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.read.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let (read, rest) = (self.read.len() as u64, self.rest.size_hint());
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + read);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + read);
+        }
+        hint
+    }
+}
