--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -133,6 +133,8 @@
     view: View,
     /// Domains that had no slot for it in time.
     declined: SmallVec<[Domain; 2]>,
+    /// Whether its own region had no slot, so that it goes to another one.
+    is_overflow: bool,
     until: Instant,
     /// Whether its organisation's token was taken.
     paid: bool,
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -81,6 +81,13 @@
         self.trips.get(domain).copied()
     }
 
+    /// Returns the shortest time to another region's schedulers and back; none are known at
+    /// the start.
+    pub(super) fn far_trip(&self, is_near: impl Fn(&Domain) -> bool) -> Duration {
+        let far = self.trips.iter().filter(|(domain, _)| !is_near(domain));
+        far.map(|(_, trip)| *trip).min().unwrap_or_default()
+    }
+
     fn note_answer(&mut self, domain: &Domain, host: &HostName, took: Duration) {
         self.missed.remove(host);
         let trip = self.trips.entry(domain.clone()).or_insert(took);
--- a/src/edge/dispatcher/demand.rs
+++ b/src/edge/dispatcher/demand.rs
@@ -1,6 +1,9 @@
 //! What callers ask of each service.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use tokio::time::Instant;
 
@@ -24,6 +27,14 @@
 
 /// The part of [`crate::edge::settings::Bounds::shift`] that the shares use; the rest is for chance.
 const SHIFT_PART: f64 = 0.6;
+/// The aim that callers are taken to have before any was seen.
+const AIM_PRIOR: Duration = Duration::from_millis(500);
+/// The weight of one request in the mean aim.
+const AIM_WEIGHT: f64 = 0.02;
+/// The part that requests use which find no slot in their region, beside [`SHIFT_PART`].
+const OVERFLOW_PART: f64 = 0.2;
+/// Thousandths of such a request that a host may save up.
+const OVERFLOW_SAVED_MILLI: u64 = 2000;
 
 /// The state of one service.
 #[derive(Debug)]
@@ -34,13 +45,18 @@
     pub(super) bound: BTreeMap<RegionName, DrainMeter>,
     /// When requests for the service were first seen, here or at another host.
     pub(super) seen: Option<Instant>,
+    /// The mean time within which the own callers want their answers.
+    pub(super) aim: Duration,
     pub(super) shares: SlowShares,
     pub(super) budget: Budget,
+    /// Requests that may leave a region that has no slot for them.
+    pub(super) overflow: Budget,
 }
 
 impl Demand {
     /// Counts a request whose token was taken.
     pub(super) fn count(&mut self, now: Instant, job: &Job, region: &RegionName) {
+        self.aim = self.aim.mul_f64(1.0 - AIM_WEIGHT) + job.aim.mul_f64(AIM_WEIGHT);
         if job.regions.is_empty() {
             self.free.finished(now);
             return;
@@ -79,8 +95,13 @@
                 free: DrainMeter::new(now),
                 bound: BTreeMap::new(),
                 seen: None,
+                aim: AIM_PRIOR,
                 shares: SlowShares::new(&settings.region, bounds.shift * SHIFT_PART, SHIFT_WINDOW),
                 budget: bounds.budget_of_one(hosts),
+                overflow: Budget::with_limits(
+                    (bounds.shift * OVERFLOW_PART * 1000.0) as u64,
+                    OVERFLOW_SAVED_MILLI,
+                ),
             }
         })
     }
--- a/src/edge/dispatcher/domains.rs
+++ b/src/edge/dispatcher/domains.rs
@@ -14,7 +14,10 @@
     edge::{
         message::Job,
         peers::Domain,
-        placement::View,
+        placement::{
+            View,
+            is_heavy, //
+        },
         upstreams::{
             UpstreamKey,
             zone_hash, //
@@ -83,15 +86,11 @@
     ///
     /// Objects are spread over the zones in proportion to their slots. A heavy request goes to
     /// the own zone first.
-    pub(super) fn domains(
-        &self,
-        job: &Job,
-        region: &RegionName,
-        is_heavy: bool,
-    ) -> SmallVec<[Domain; 4]> {
+    pub(super) fn domains(&self, job: &Job, region: &RegionName) -> SmallVec<[Domain; 4]> {
         let Some(pool) = self.upstreams.pool(&job.service) else {
             return SmallVec::new();
         };
+        let is_heavy = is_heavy(job.bytes, pool.work_of(job.route));
         let mut ranked: SmallVec<[(f64, &ZoneName); 4]> = SmallVec::new();
         for (zone, of) in &self.settings.regions {
             if of != region || self.evacuated.contains(zone) {
@@ -121,6 +120,31 @@
         domains
     }
 
+    /// Returns another region that may have a slot for a request. Each object overflows to the
+    /// same one, and all regions get their part by slots.
+    pub(super) fn overflow_region(
+        &self,
+        now: Instant,
+        job: &Job,
+        full: &RegionName,
+    ) -> Option<RegionName> {
+        let pool = self.upstreams.pool(&job.service)?;
+        let mut best: Option<(f64, &RegionName)> = None;
+        for (zone, region) in &self.settings.regions {
+            let hash = zone_hash(zone);
+            let slots = pool.slots_in(hash);
+            let is_open = region != full && slots > 0 && !self.evacuated.contains(zone);
+            if !is_open || self.is_cut(now, region) {
+                continue;
+            }
+            let rank = weighted_rank(job.object, hash, slots);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, region));
+            }
+        }
+        best.map(|(_, region)| region.clone())
+    }
+
     /// Returns who keeps the slots of a domain for a request with this aim.
     pub(super) fn scheduler_of(&self, now: Instant, domain: &Domain, aim: Duration) -> Scheduler {
         let Some(host) = self.peers.scheduler(now, domain) else {
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -236,6 +236,7 @@
             zones,
             view: View::Scheduler,
             declined: SmallVec::new(),
+            is_overflow: false,
             paid: true,
             homes: Homes::default(),
             asker: Asker::Host(msg.from, msg.run),
--- a/src/edge/dispatcher/regions.rs
+++ b/src/edge/dispatcher/regions.rs
@@ -71,7 +71,10 @@
                 continue;
             }
             let loads = self.loads(now, &service);
-            let target = spill::shares(&self.settings.region, &loads);
+            let trip = self.claims.far_trip(|domain| self.is_near(domain));
+            let aim = self.demand_mut(&service, now).aim;
+            let keep = spill::keep_at_home(trip, aim);
+            let target = spill::shares(&self.settings.region, &loads, keep);
             let demand = self.demand_mut(&service, now);
             let has_sent = demand.has_sent(now);
             let shares = &mut demand.shares;
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -35,10 +35,10 @@
             Why, //
         },
         metrics::PlaceLabels,
+        peers::Domain,
         placement::{
             Homes,
-            View,
-            is_heavy, //
+            View, //
         },
         quota::Debit,
         upstreams::{
@@ -66,7 +66,7 @@
 /// When a caller comes back whose request crashes upstreams.
 const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
 
-/// Domains that one request may ask for a slot.
+/// Domains of one region that a request may ask for a slot.
 const DOMAINS_MAX: usize = 2;
 
 impl Dispatcher {
@@ -83,7 +83,9 @@
                 self.quotas.arrived(now, organisation);
                 paid = self.quotas.debit(now, organisation) == Debit::Paid;
             }
-            self.demand_mut(&job.service, now).budget.earn();
+            let demand = self.demand_mut(&job.service, now);
+            demand.budget.earn();
+            demand.overflow.earn();
         } else if !self.demand_mut(&job.service, now).budget.take() {
             self.refund(now, &job);
             answer(reply, self.refused(now, &job, Why::RetryBudget));
@@ -101,6 +103,7 @@
             zones: ZoneHashes::new(),
             view: View::Near,
             declined: SmallVec::new(),
+            is_overflow: false,
             paid,
             homes: Homes::default(),
             asker: Asker::Own(reply),
@@ -145,16 +148,8 @@
     /// Looks for a slot in the next domain that may have one; refuses the request where
     /// there is none.
     pub(super) fn seek(&mut self, now: Instant, mut waiting: Waiting) {
-        let job = &waiting.job;
-        let pool = self.upstreams.pool(&job.service);
-        let is_heavy = pool.is_some_and(|p| is_heavy(job.bytes, p.work_of(job.route)));
-        let domains = self.domains(job, &waiting.region, is_heavy);
-        let mut next = domains.iter().find(|d| !waiting.declined.contains(d));
-        if waiting.declined.len() >= DOMAINS_MAX {
-            next = None;
-        }
-        let Some(domain) = next.cloned() else {
-            let why = match domains.is_empty() {
+        let Some(domain) = self.next_domain(now, &mut waiting) else {
+            let why = match waiting.declined.is_empty() {
                 true => Why::NoUpstream,
                 false => Why::Busy,
             };
@@ -162,6 +157,7 @@
             let verdict = self.refused(now, &waiting.job, why);
             return conclude(waiting, verdict);
         };
+        let job = &waiting.job;
         match self.scheduler_of(now, &domain, job.aim) {
             Scheduler::Own => {
                 self.enter(&mut waiting, domain, View::Scheduler);
@@ -172,6 +168,36 @@
         }
     }
 
+    /// Returns the next domain that may have a slot for a request: one of its region, then
+    /// one of another region, for as many requests as may change region.
+    fn next_domain(&mut self, now: Instant, waiting: &mut Waiting) -> Option<Domain> {
+        let domains = self.domains(&waiting.job, &waiting.region);
+        let has_slots = !domains.is_empty();
+        let mut untried = domains
+            .into_iter()
+            .filter(|d| !waiting.declined.contains(d));
+        if let Some(domain) = untried.next()
+            && waiting.declined.len() < DOMAINS_MAX
+        {
+            return Some(domain);
+        }
+        if !waiting.job.regions.is_empty() || waiting.is_overflow {
+            return None;
+        }
+        let region = self.overflow_region(now, &waiting.job, &waiting.region)?;
+        let domain = self.domains(&waiting.job, &region).into_iter().next()?;
+        // Where nobody tells what is free, a guess under overload drives known objects out.
+        let scheduler = self.scheduler_of(now, &domain, waiting.job.aim);
+        let demand = self.demand_mut(&waiting.job.service, now);
+        let may_leave = matches!(scheduler, Scheduler::Host(_)) && demand.overflow.take();
+        if has_slots && !may_leave {
+            return None;
+        }
+        waiting.is_overflow = true;
+        waiting.region = region;
+        Some(domain)
+    }
+
     /// Looks for a slot elsewhere, where a domain had none in time.
     pub(super) fn decline(&mut self, now: Instant, mut waiting: Waiting) {
         waiting.declined.extend(waiting.domain.take());
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -500,10 +500,11 @@
     }
 
     /// Notes that a lender is asked now; returns whether it may be: a moment after the last
-    /// one, or once that one had nothing.
+    /// one, or once that one had nothing. Where nobody had anything, asking at once would go
+    /// round and round.
     fn may_ask(&mut self, now: Instant) -> bool {
-        let is_answered = std::mem::take(&mut self.was_denied);
-        if !is_answered && self.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
+        let goes_on = std::mem::take(&mut self.was_denied) && self.vain < self.vain_max;
+        if !goes_on && self.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
             return false;
         }
         if self.asked.is_some_and(|at| now >= at + VAIN_FOR) {
--- a/src/edge/spill.rs
+++ b/src/edge/spill.rs
@@ -3,7 +3,7 @@
 //! Demand is spread over the regions so that all are loaded alike: a region
 //! serves its own callers up to its part of the whole, and sends the rest to
 //! regions in proportion to what they have left. Requests that may run in one
-//! region alone come first there, and all others share the room that these leave.
+//! region alone come first there, and all others fill up what these leave.
 //! The parts move slowly, so that a region's work never jumps.
 
 use std::{
@@ -12,6 +12,7 @@
     time::Duration, //
 };
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::{
@@ -19,10 +20,12 @@
     util::id::RegionName, //
 };
 
-/// The part of its room up to which a region keeps its own callers while there is room
-/// elsewhere. Beyond it requests often find the upstreams busy that know their objects.
-const KEEP_AT_HOME: f64 = 0.5;
-
+/// The part of its slots up to which a region keeps its own callers while there is room
+/// elsewhere and the way there takes no time. Beyond it requests often find the upstreams
+/// busy that know their objects.
+const KEEP_MIN: f64 = 0.5;
+/// That part where the way takes long: near full, requests wait as long as it takes.
+const KEEP_MAX: f64 = 0.85;
 /// The part of the allowed pace at which requests return to their own region. The upstreams
 /// elsewhere know their objects, and the way there costs less than strange work does.
 const RETURN_PART: f64 = 0.2;
@@ -49,13 +52,6 @@
     }
 }
 
-impl RegionLoad {
-    /// Returns the slots that bound requests leave.
-    fn room(&self) -> f64 {
-        (self.slots - self.bound).max(0.0)
-    }
-}
-
 /// The part of a region's requests that runs in each region; the parts add up to 1.
 pub type Shares = BTreeMap<RegionName, f64>;
 
@@ -69,23 +65,48 @@
     slots / zones.max(1) as f64 * unseen
 }
 
-/// Returns the shares of the requests from `home` that may run in any region.
-pub fn shares(home: &RegionName, loads: &BTreeMap<RegionName, RegionLoad>) -> Shares {
-    let room: f64 = loads.values().map(RegionLoad::room).sum();
+/// Returns the part of its slots up to which a region keeps its own callers, where the way
+/// to another region and back takes `trip`: the longer it is beside their aim, the fuller.
+pub fn keep_at_home(trip: Duration, aim: Duration) -> f64 {
+    let way = trip.as_secs_f64() / aim.as_secs_f64().max(f64::EPSILON);
+    (KEEP_MIN + way).min(KEEP_MAX)
+}
+
+/// Returns the part of its slots that each region uses if all are loaded alike, by the work
+/// that is bound to them and all other work together. A region with more bound work than
+/// that takes no other work.
+fn common_fill(loads: &BTreeMap<RegionName, RegionLoad>) -> f64 {
     let demand: f64 = loads.values().map(|l| l.demand).sum();
+    let mut open: SmallVec<[&RegionLoad; 8]> = loads.values().filter(|l| l.slots > 0.0).collect();
+    loop {
+        let slots: f64 = open.iter().map(|l| l.slots).sum();
+        let bound: f64 = open.iter().map(|l| l.bound).sum();
+        if slots <= 0.0 {
+            return 0.0;
+        }
+        let fill = (demand + bound) / slots;
+        let before = open.len();
+        open.retain(|l| l.bound < fill * l.slots);
+        if open.len() == before {
+            return fill;
+        }
+    }
+}
+
+/// Returns the shares of the requests from `home` that may run in any region; `keep` is the
+/// part of its slots up to which a region keeps its own callers.
+pub fn shares(home: &RegionName, loads: &BTreeMap<RegionName, RegionLoad>, keep: f64) -> Shares {
     let mut shares = Shares::new();
     let own = loads.get(home).copied().unwrap_or_default();
-    if room <= 0.0 || demand <= 0.0 || own.demand <= 0.0 {
-        shares.insert(home.clone(), 1.0);
-        return shares;
-    }
-    let fill = (demand / room).max(KEEP_AT_HOME);
-    let spare = |l: &RegionLoad| (l.room() * fill - l.demand).max(0.0);
-    let over = (own.demand - own.room() * fill).max(0.0);
+    let fill = common_fill(loads).max(keep);
+    // What a region takes of the work that may run anywhere.
+    let taken = |l: &RegionLoad| (l.slots * fill - l.bound).max(0.0);
+    let spare = |l: &RegionLoad| (taken(l) - l.demand).max(0.0);
+    let over = (own.demand - taken(&own)).max(0.0);
     let all_spare: f64 = loads.values().map(spare).sum();
     let mut kept = 1.0;
     for (region, load) in loads {
-        if region == home || all_spare <= 0.0 {
+        if region == home || all_spare <= 0.0 || own.demand <= 0.0 {
             continue;
         }
         let part = over / own.demand * spare(load) / all_spare;
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -292,7 +292,7 @@
         if let Some(load) = run.load {
             u.report(now, load);
         }
-        u.finish(now, run.end);
+        u.finish(now, run.end, run.load);
     }
 
     /// Replaces what other hosts run at the upstreams.
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -193,12 +193,16 @@
         self.reported = Some((others, now));
     }
 
-    pub(super) fn finish(&mut self, now: Instant, end: TryEnd) {
+    /// Notes how a run ended, with the load that the upstream reported.
+    pub(super) fn finish(&mut self, now: Instant, end: TryEnd, load: Option<LoadReport>) {
+        // One that sheds with slots to spare would shed the next request as well or not.
+        let has_room = load.is_some_and(|l| l.running + l.waiting < self.entry.slots);
         match end {
             TryEnd::Whole => {
                 self.failures = 0;
                 self.suspended_for = Duration::ZERO;
             }
+            TryEnd::Shed if has_room => {}
             TryEnd::Shed => self.full_until = now + FULL_FOR,
             TryEnd::Misdirected => self.gone = true,
             TryEnd::Unreachable => self.suspend(now),
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -12,6 +12,7 @@
 use cardamomroad::{
     edge::{
         datagram::RunId,
+        dialect::LoadReport,
         message::Ended,
         model::{
             Registration,
@@ -431,3 +432,29 @@
         assert_eq!(recent.len(), plain.len());
     }
 }
+
+/// The pattern: all upstreams shed half of their requests whatever room they have. One that
+/// says that it has room is not full, or its objects would go where they are strange.
+#[test]
+fn an_upstream_that_sheds_with_slots_to_spare_keeps_its_objects() {
+    let shed = |running| {
+        let mut world = World::measured();
+        let knows = key("north-a-1");
+        world.meet(knows, 77);
+        let end = RunEnd {
+            key: knows,
+            route: Some(ROUTE),
+            place: Some(0),
+            end: TryEnd::Shed,
+            held: Duration::ZERO,
+            load: Some(LoadReport {
+                running,
+                waiting: 0,
+            }),
+        };
+        world.upstreams.learn(world.now, &end, true);
+        world.pick(77, true)
+    };
+    assert_eq!(shed(1), Some(key("north-a-1")));
+    assert_ne!(shed(SLOTS), Some(key("north-a-1")));
+}
--- a/tests/edge_quota.rs
+++ b/tests/edge_quota.rs
@@ -205,3 +205,30 @@
     let later = t0 + Duration::from_secs(10);
     assert_ne!(quotas.debit(later, &organisation()), Debit::Paid);
 }
+
+/// An organisation asks for far more than its rate: hosts that learn at once that a lender
+/// has nothing must not ask round and round.
+#[test]
+fn where_nobody_has_tokens_few_are_asked() {
+    let t0 = Instant::now();
+    let mut hosts = fleet(t0);
+    let span = Duration::from_secs(2);
+    let mut asked = 0;
+    for ms in 0..span.as_millis() as u64 {
+        let now = t0 + Duration::from_millis(ms);
+        hosts[0].arrived(now, &organisation());
+        let unpaid = HashMap::from([(organisation(), 5)]);
+        // Answers come at once.
+        for _ in 0..100 {
+            let wants = hosts[0].asks(now, &unpaid);
+            if wants.is_empty() {
+                break;
+            }
+            asked += wants.iter().map(|w| w.lenders.len()).sum::<usize>();
+            hosts[0].denied(&organisation());
+        }
+    }
+    // Two lenders each 60 ms, and each of them once without a pause.
+    let most = 2 * span.as_millis() as usize / 60 + 2 * HOSTS;
+    assert!(asked <= most, "{asked} asks, {most} at most");
+}
--- a/tests/edge_scheduling.rs
+++ b/tests/edge_scheduling.rs
@@ -238,3 +238,19 @@
     assert_eq!(why, Why::NoUpstream);
     assert!(held < Duration::from_millis(50), "{held:?}");
 }
+
+/// One region is full of work for a moment while the others have room. Before the regions'
+/// shares have moved, a few of its requests go there, no more than may change region.
+#[tokio::test(start_paused = true)]
+async fn a_full_region_sends_a_few_requests_to_others() {
+    let fleet = TestFleet::start(plan()).await;
+    load(&fleet, &ALL, 60, 20, Duration::from_secs(60)).await;
+    let before = fleet.runs_by_region();
+    let ends = load(&fleet, &["bac"], 300, 5000, Duration::from_secs(1)).await;
+    let after = fleet.runs_by_region();
+    let ran = |region: &str| after[region] - before.get(region).copied().unwrap_or(0);
+    let away = (ran("trung") + ran("nam")) as f64 / ends.all() as f64;
+    // In a second the shares move by 0.045.
+    assert!(away > 0.06, "{away} of {ends:?}");
+    assert!(away < 0.15, "{away} of {ends:?}");
+}
--- a/tests/support/dispatchers.rs
+++ b/tests/support/dispatchers.rs
@@ -125,6 +125,7 @@
 struct UpstreamState {
     recent: Vec<u64>,
     running: u32,
+    runs: usize,
 }
 
 /// What was seen of the fleet.
@@ -380,6 +381,20 @@
         *self.loss_milli.lock().expect("a lock") = loss;
     }
 
+    /// Returns how many requests ran in each region.
+    pub fn runs_by_region(&self) -> BTreeMap<&'static str, usize> {
+        let mut runs = BTreeMap::new();
+        let upstreams = self.upstreams.lock().expect("a lock");
+        for (place, (zone, region, _, count)) in self.plan.zones.iter().enumerate() {
+            for n in 0..*count {
+                let key = key_of(&upstream(zone, place, n, 1).id);
+                let of_one = upstreams.get(&key).map_or(0, |u| u.runs);
+                *runs.entry(*region).or_default() += of_one;
+            }
+        }
+        runs
+    }
+
     pub fn seen(&self) -> MutexGuard<'_, Seen> {
         self.seen.lock().expect("a lock")
     }
@@ -486,6 +501,7 @@
             return false;
         }
         u.running += 1;
+        u.runs += 1;
         seen.runs += 1;
         seen.most_running = seen.most_running.max(u.running);
         let is_known = u.recent.contains(&object);
