Narrow the spread of caller timeouts that counts as patience

Cause: with 1.5 times the spread above the median, many returning callers were taken for patient ones.

Change: 1.2 times.

--- a/src/edge/caller_timeouts.rs
+++ b/src/edge/caller_timeouts.rs
@@ -16,7 +16,7 @@
 const OUTLIER_DIVISOR: usize = 16;
 /// How far first attempts may lie below the median, relative to how far they lie above it. The
 /// excess over 1 allows for the error of a median of few samples.
-const SPREAD_RATIO: f64 = 1.5;
+const SPREAD_RATIO: f64 = 1.2;
 
 /// The most recent caller timeouts on one route.
 #[derive(Clone, Debug, Default)]
