Policy benchmark: reject runs that would test nothing; pass on panics

Change: both options are checked by the command line (exit code 2, the known names in the message), and a worker's panic ends the program.

The new test failed before the change (exit code 0) and passes with it.

--- a/standins/src/bin/cardamomroad-policy.rs
+++ b/standins/src/bin/cardamomroad-policy.rs
@@ -1,6 +1,7 @@
 //! Runs the policy benchmark and writes the results as tables, CSV and plots.
 
 use std::{
+    num::NonZeroUsize,
     path::PathBuf,
     process::ExitCode,
     thread, //
@@ -25,7 +26,8 @@
 };
 use clap::{
     Parser,
-    ValueEnum, //
+    ValueEnum,
+    builder::PossibleValuesParser, //
 };
 use eyre::Result;
 
@@ -45,7 +47,7 @@
     #[arg(long, value_enum)]
     policy: Vec<Policy>,
     /// Deployment to run. Runs both by default.
-    #[arg(long)]
+    #[arg(long, value_parser = PossibleValuesParser::new([THANH.name, SKYGLASS.name]))]
     deployment: Option<String>,
     /// Folder for policy.md, policy.csv and the plots.
     #[arg(long, env = "CARDAMOMROAD_OUT")]
@@ -55,7 +57,7 @@
     commit: String,
     /// Number of threads; by default one per core.
     #[arg(long, env = "CARDAMOMROAD_THREADS")]
-    threads: Option<usize>,
+    threads: Option<NonZeroUsize>,
 }
 
 impl Cli {
@@ -93,8 +95,9 @@
 }
 
 fn run(cli: &Cli) -> Result<ExitCode> {
-    let cores = thread::available_parallelism().map_or(1, |n| n.get());
-    let results = run_all(&cli.runs(), cli.seed, cli.threads.unwrap_or(cores));
+    let cores = thread::available_parallelism().unwrap_or(NonZeroUsize::MIN);
+    let threads = cli.threads.unwrap_or(cores);
+    let results = run_all(&cli.runs(), cli.seed, threads.get());
     print!("{}", report::tables(&results));
     if let Some(folder) = &cli.out {
         let source = Source {
--- a/standins/src/policy.rs
+++ b/standins/src/policy.rs
@@ -16,7 +16,10 @@
 pub mod tally;
 pub mod world;
 
-use std::thread;
+use std::{
+    panic::resume_unwind,
+    thread, //
+};
 
 use crate::policy::{
     deployment::Deployment,
@@ -46,7 +49,8 @@
     }
 }
 
-/// Executes `runs` on `threads` threads and returns the results in the order of `runs`.
+/// Executes `runs` on `threads` threads and returns the results in the order of `runs`. A panic of a
+/// run is passed on.
 pub fn run_all(runs: &[Run], seed: u64, threads: usize) -> Vec<(Run, Figures)> {
     let next = std::sync::atomic::AtomicUsize::new(0);
     let mut done: Vec<(usize, Figures)> = thread::scope(|scope| {
@@ -61,7 +65,9 @@
             }
         };
         let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
-        let joined = workers.into_iter().filter_map(|w| w.join().ok());
+        let joined = workers
+            .into_iter()
+            .map(|w| w.join().unwrap_or_else(|panic| resume_unwind(panic)));
         joined.flatten().collect()
     });
     done.sort_by_key(|(i, _)| *i);
--- a/standins/tests/policy.rs
+++ b/standins/tests/policy.rs
@@ -1,6 +1,8 @@
 //! Checks that the library's own policy meets the bounds of the policy benchmark
 //! in every scenario of both deployments. `cardamomroad-policy` prints the results.
 
+use std::process::Command;
+
 use cardamomroad_standins::policy::{
     Run,
     deployment::{
@@ -63,3 +65,27 @@
     };
     assert_eq!(run.figures(2), run.figures(2));
 }
+
+/// Runs `cardamomroad-policy` with the arguments and returns its exit code and error output.
+fn run_program(args: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_cardamomroad-policy"))
+        .args(args)
+        .output()
+        .expect("program starts");
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), errors)
+}
+
+/// A run that tests nothing must not look like one that passed.
+#[test]
+fn a_benchmark_that_would_run_nothing_is_rejected() {
+    let (code, errors) = run_program(&["--deployment", "nowhere"]);
+    assert_eq!(code, Some(2), "{errors}");
+    assert!(
+        errors.contains("nowhere") && errors.contains(THANH.name),
+        "{errors}"
+    );
+    let (code, errors) = run_program(&["--threads", "0"]);
+    assert_eq!(code, Some(2), "{errors}");
+    assert!(errors.contains("--threads"), "{errors}");
+}
