--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -36,6 +36,7 @@
         "odd-entry" => odd_entry(dir, trouble),
         "poison" => poison(dir, trouble),
         "odd-time" => odd_time(dir, trouble),
+        "withdrawn" => withdrawn(dir, trouble),
         "storms" => storms(dir, trouble),
         "uploads" => uploads(dir, trouble),
         "innocent" => innocent(dir, trouble),
@@ -176,6 +177,72 @@
     verdict(&fleet, !late.is_empty(), &text)
 }
 
+/// A change of the configuration takes a key away and adds a tenant.
+fn withdrawn(dir: &Path, trouble: bool) -> i32 {
+    const SLOTS: u32 = 4;
+    const REVOKE_S: f64 = 5.0;
+    const KEPT: &str = fleet::KEY;
+    const TAKEN: &str = "wsjnbanfqasnmgkcuyj8";
+    const ADDED: &str = "h4kq9zt0rmx3c7vd1w8e";
+    let mut fleet = Fleet::new(dir, &ZONES);
+    let work = Work::new(SLOTS, 50);
+    let mut servers: Vec<ServerProcess> = Vec::new();
+    for (i, zone) in ["bac-a", "bac-b", "bac-a", "bac-b"].iter().enumerate() {
+        let server = fleet.start_server(&format!("i-{i}a3f91c2"), zone, fleet::free_address(), &work);
+        fleet.register(&server, "ready", SLOTS, 0, unix_ms());
+        servers.push(server);
+    }
+    let routes = [("/pufi791/", fleet::route("unsafe", 3000, 2, false))];
+    fleet.configure_tenants("r5", &routes, &[(fleet::TENANT, &[KEPT, TAKEN])]);
+    fleet.start_hosts(&["bac-a", "bac-b", "bac-a"], 260);
+    if !fleet.wait_ready(secs(20.0)) {
+        return 2;
+    }
+    thread::sleep(secs(2.0));
+    let mut sent = Vec::new();
+    let mut ask = |what: &str, key: &str, n: usize| {
+        let host = &fleet.hosts[n % fleet.hosts.len()];
+        let id = format!("{what}-{n}");
+        let at = fleet.record.line(&format!("client sends {id} with the key {what} to {}", host.name));
+        let bytes = fleet::request_with_key(key, "POST", "/pufi791/2f", &id, 3000, b"{\"visit\":1}");
+        let got = http::call(host.callers, &bytes, secs(3.5));
+        let status = got.map(|a| a.status()).unwrap_or(0);
+        fleet.record.line(&format!("client gets {id} {status}"));
+        sent.push((id, at, status));
+    };
+    for n in 0..6 {
+        ask("kept", KEPT, n);
+        ask("taken", TAKEN, n);
+    }
+    let tenant = if trouble { "Hue_Station" } else { "hue-station" };
+    let acknowledged =
+        fleet.configure_tenants("r7", &routes, &[(fleet::TENANT, &[KEPT]), (tenant, &[ADDED])]);
+    fleet.record.line(&format!("r7 takes the key taken away and adds the tenant {tenant}"));
+    for n in 6..66 {
+        thread::sleep(secs(0.5));
+        ask("kept", KEPT, n);
+        ask("taken", TAKEN, n);
+        ask("added", ADDED, n);
+    }
+    let seen = fleet.seen();
+    let ran = |id: &str| seen.iter().any(|s| s.event == "run" && s.id == id);
+    let later = |what: &str| {
+        let of = sent.iter().filter(|(id, at, _)| id.starts_with(what) && *at > acknowledged + REVOKE_S);
+        of.cloned().collect::<Vec<_>>()
+    };
+    let (taken, added) = (later("taken"), later("added"));
+    let count = taken.iter().filter(|(id, ..)| ran(id)).count();
+    let denied = added.iter().filter(|(_, _, status)| *status == 401).count();
+    let ready = fleet.wait_ready(secs(1.0));
+    let text = format!(
+        "CONFIG: {count} of {} requests with a key that was taken away, sent later than {REVOKE_S} s after the \
+         acknowledgement, ran; {denied} of {} requests with the added key got 401; hosts ready: {ready}",
+        taken.len(),
+        added.len()
+    );
+    verdict(&fleet, count > 0, &text)
+}
+
 /// A request that crashes the servers that run it comes again at one machine after the other.
 fn poison(dir: &Path, trouble: bool) -> i32 {
     const SLOTS: u32 = 4;
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -304,6 +304,22 @@
 
     /// Writes the configuration. `routes` are pairs of a prefix and the rest of the route.
     pub fn configure(&self, version: &str, routes: &[(&str, String)]) -> f64 {
+        self.configure_tenants(version, routes, &[(TENANT, &[KEY])])
+    }
+
+    /// Writes the configuration with these tenants and their keys.
+    pub fn configure_tenants(&self, version: &str, routes: &[(&str, String)], tenants: &[(&str, &[&str])]) -> f64 {
+        let tenants: Vec<String> = tenants
+            .iter()
+            .map(|(name, keys)| {
+                let keys: Vec<String> = keys.iter().map(|k| format!("\"{k}\"")).collect();
+                format!(
+                    "{{\"name\":\"{name}\",\"api_keys\":[{}],\"priority\":1,\"rate_per_s\":1000,\
+                     \"burst\":1000,\"allowed_regions\":[]}}",
+                    keys.join(",")
+                )
+            })
+            .collect();
         let paths: Vec<String> = routes
             .iter()
             .map(|(prefix, rest)| {
@@ -317,9 +333,9 @@
             "{{\"version\":\"{version}\",\"services\":[{{\"name\":\"{SERVICE}\",\"health_check_path\":\"/health\",\
              \"max_connections\":390,\"protocol\":\"h1\",\"tls\":false,\"cold_start\":\"3s\",\"cold_per_s\":7.0}}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\
-             \"idle_timeout\":\"15000ms\"}},\"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[\"{KEY}\"],\
-             \"priority\":1,\"rate_per_s\":1000,\"burst\":1000,\"allowed_regions\":[]}}],\
+             \"idle_timeout\":\"15000ms\"}},\"tenants\":[{}],\
              \"virtual_hosts\":[{{\"host\":\"{HOST}\",\"paths\":[{}]}}]}}",
+            tenants.join(","),
             paths.join(",")
         );
         self.store.put("config", "main", &spec);
@@ -372,11 +388,16 @@
 
 /// Returns the bytes of a client's request with a fresh connection.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u32, body: &[u8]) -> Vec<u8> {
+    request_with_key(KEY, method, path, id, deadline_ms, body)
+}
+
+/// Returns the bytes of a client's request with this key.
+pub fn request_with_key(key: &str, method: &str, path: &str, id: &str, deadline_ms: u32, body: &[u8]) -> Vec<u8> {
     let headers = [
         ("Host", HOST.to_owned()),
         ("Request-Id", id.to_owned()),
         ("Deadline-Ms", deadline_ms.to_string()),
-        ("X-Api-Key", KEY.to_owned()),
+        ("X-Api-Key", key.to_owned()),
         ("Connection", "close".to_owned()),
     ];
     http::format(&format!("{method} {path} HTTP/1.1"), &headers, body)
