--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -400,7 +400,7 @@
         return 2;
     }
     thread::sleep(secs(2.0));
-    let reads = Traffic::start(&fleet, "look", 40.0, "GET", "/lohu930/2f/work-2000", 5000, b"");
+    let reads = Traffic::start(&fleet, "look", 40.0, "GET", "/lohu930/2f/takes-2000", 5000, b"");
     let orders = Traffic::start(&fleet, "order", 160.0, "POST", "/pufi791/2f", 3000, b"{\"visit\":1}");
     thread::sleep(secs(6.0));
     let crash = fleet.record.line("three servers crash");
--- a/review/stand/server.rs
+++ b/review/stand/server.rs
@@ -76,8 +76,8 @@
         if !self.poison.is_empty() && req.word(1).contains(&self.poison) {
             exit(3);
         }
-        // The path may name the work's length: a segment `work-MS`.
-        let own = req.word(1).split('/').find_map(|s| s.strip_prefix("work-")?.parse().ok());
+        // The path may name the work's length: a segment `takes-MS`.
+        let own = req.word(1).split('/').find_map(|s| s.strip_prefix("takes-")?.parse().ok());
         thread::sleep(own.map_or(self.work, Duration::from_millis));
         let running = self.running.fetch_sub(1, Ordering::SeqCst);
         headers.push(("Server-Stamp", format!("{}.{id}", self.id)));
