--- a/src/connection.rs
+++ b/src/connection.rs
@@ -12,7 +12,9 @@
     net::SocketAddr,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     time::Duration,
 };
@@ -49,7 +51,10 @@
     LimitedStream,
     ReadLimit, //
 };
-use crate::body::ProxyBody;
+use crate::{
+    body::ProxyBody,
+    util::time::SaturatingAdd, //
+};
 
 /// The most idle connections kept for one address.
 const IDLE_PER_ADDRESS_MAX: usize = 64;
@@ -159,16 +164,14 @@
         if self.sender.requests.is_closed() {
             return;
         }
-        let Ok(mut pools) = self.connections.pools.lock() else {
-            return;
-        };
+        let mut pools = self.connections.lock_pools();
         let idle = &mut pools.entry(self.address).or_default().idle;
         if idle.len() < IDLE_PER_ADDRESS_MAX {
             let idle_since = Instant::now();
             idle.push(Idle {
                 sender: self.sender,
                 idle_since,
-                usable_until: idle_since + idle_max,
+                usable_until: idle_since.saturating_add(idle_max),
             });
         }
     }
@@ -180,11 +183,21 @@
         Self::default()
     }
 
+    /// Locks the pools. A panic of another task leaves them usable: every change of a pool is a
+    /// single insertion or removal.
+    fn lock_pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_idle_resets(&self) -> MutexGuard<'_, IdleResetDetector> {
+        self.idle_resets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
-        if let Ok(mut pools) = self.pools.lock() {
-            pools.remove(&address);
-        }
+        self.lock_pools().remove(&address);
     }
 
     /// Sends a request on an idle or a new connection.
@@ -207,9 +220,7 @@
                     return Err(e);
                 }
                 Ok(exchange) => {
-                    if let Ok(mut idle_resets) = self.idle_resets.lock() {
-                        idle_resets.record_answer(idle_time);
-                    }
+                    self.lock_idle_resets().record_answer(idle_time);
                     return Ok(exchange);
                 }
             }
@@ -230,21 +241,19 @@
     }
 
     fn record_connect_time(&self, address: SocketAddr, took: Duration) {
-        if let Ok(mut pools) = self.pools.lock() {
-            let round_trip = &mut pools.entry(address).or_default().round_trip;
-            *round_trip = Some(round_trip.map_or(took, |shortest| shortest.min(took)));
-        }
+        let mut pools = self.lock_pools();
+        let round_trip = &mut pools.entry(address).or_default().round_trip;
+        *round_trip = Some(round_trip.map_or(took, |shortest| shortest.min(took)));
     }
 
     /// Records that a request on a connection that had been idle for `idle_time` failed without
     /// an answer, after `waited`.
     fn record_idle_loss(&self, address: SocketAddr, idle_time: Duration, waited: Duration) {
-        let round_trip = match self.pools.lock() {
-            Ok(pools) => pools.get(&address).and_then(|p| p.round_trip),
-            Err(_) => None,
-        };
-        if let (Some(round_trip), Ok(mut idle_resets)) = (round_trip, self.idle_resets.lock()) {
-            idle_resets.record_loss(Instant::now(), idle_time, waited, round_trip);
+        let round_trip = self.lock_pools().get(&address).and_then(|p| p.round_trip);
+        if let Some(round_trip) = round_trip {
+            let now = Instant::now();
+            self.lock_idle_resets()
+                .record_loss(now, idle_time, waited, round_trip);
         }
     }
 
@@ -271,8 +280,8 @@
     /// Takes the reusable connection that was idle for the shortest time, and returns it with
     /// that time.
     fn take_idle(&self, address: SocketAddr) -> Option<(Sender, Duration)> {
-        let idle_resets = *self.idle_resets.lock().ok()?;
-        let mut pools = self.pools.lock().ok()?;
+        let idle_resets = *self.lock_idle_resets();
+        let mut pools = self.lock_pools();
         let idle = &mut pools.get_mut(&address)?.idle;
         let now = Instant::now();
         while let Some(Idle {
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -59,6 +59,13 @@
     pub waiting: u32,
 }
 
+impl LoadReport {
+    /// Returns the number of requests that run or wait at the upstream.
+    pub fn total(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// The relevant headers of an upstream's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -85,8 +85,12 @@
                 && w.job.priority <= waiting.job.priority
         };
         let ahead = self.queue.iter().filter(is_ahead).count();
-        let slots: u32 = waiting.zones.iter().map(|z| pool.slots_in(*z)).sum();
-        let wait = ahead as f64 * pool.work() / f64::from(slots.max(1));
+        let slots: f64 = waiting
+            .zones
+            .iter()
+            .map(|z| f64::from(pool.slots_in(*z)))
+            .sum();
+        let wait = ahead as f64 * pool.work() / slots.max(1.0);
         Duration::from_secs_f64(wait) > waiting.expires_at.saturating_duration_since(now)
     }
 
@@ -189,8 +193,11 @@
         let (job, pool) = (&waiting.job, self.upstreams.pool(&waiting.job.service));
         let in_zones = |u: &&Upstream| waiting.zones.contains(&u.zone_hash);
         let usable = pool.iter().flat_map(|p| &p.upstreams).filter(in_zones);
-        let (slots, free) = usable.fold((0, 0), |(slots, free), u| {
-            (slots + u.registration.slots, free + u.free(now))
+        let (slots, free) = usable.fold((0_u64, 0_u64), |(slots, free), u| {
+            (
+                slots + u64::from(u.registration.slots),
+                free + u64::from(u.free(now)),
+            )
         });
         let domain = waiting.domain.as_ref();
         log::info!(
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -47,9 +47,12 @@
             UpstreamKey, //
         },
     },
-    util::id::{
-        RegionName,
-        ServiceName, //
+    util::{
+        id::{
+            RegionName,
+            ServiceName, //
+        },
+        time::SaturatingAdd,
     },
 };
 
@@ -129,7 +132,7 @@
         let work = Duration::from_secs_f64(work) + RESPONSE_MARGIN;
         let in_time = job.latency_target.saturating_sub(job.lost_time + work);
         let wait = in_time.max(job.latency_target / WAIT_MIN_AIM_DIVISOR);
-        (job.received + wait).min(job.deadline)
+        job.received.saturating_add(wait).min(job.deadline)
     }
 
     /// Returns the region in which a request runs.
@@ -223,8 +226,8 @@
             waiting.has_token = true;
             return Some(waiting);
         };
-        let token_deadline =
-            waiting.job.received + waiting.job.latency_target / TOKEN_WAIT_AIM_DIVISOR;
+        let token_wait = waiting.job.latency_target / TOKEN_WAIT_AIM_DIVISOR;
+        let token_deadline = waiting.job.received.saturating_add(token_wait);
         match self.quotas.debit(now, organisation) {
             Debit::Paid => waiting.has_token = true,
             Debit::Pending if now < token_deadline => {}
@@ -390,8 +393,11 @@
             job.regions.is_empty() || region.is_some_and(|r| job.regions.contains(r))
         };
         let usable = pool.iter().flat_map(|p| &p.upstreams).filter(in_regions);
-        let (slots, free) = usable.fold((0, 0), |(slots, free), u| {
-            (slots + u.registration.slots, free + u.free(now))
+        let (slots, free) = usable.fold((0_u64, 0_u64), |(slots, free), u| {
+            (
+                slots + u64::from(u.registration.slots),
+                free + u64::from(u.free(now)),
+            )
         });
         let organisation = job.organisation.as_ref();
         let share = match reason {
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -9,6 +9,7 @@
     sync::{
         Arc,
         Mutex,
+        PoisonError,
         atomic::AtomicU64, //
     },
     time::Duration,
@@ -94,7 +95,10 @@
     },
     post::post,
     quarantine::Suspect,
-    util::id::KeyDigest,
+    util::{
+        id::KeyDigest,
+        time::SaturatingAdd, //
+    },
 };
 
 /// How long after the deadline an upstream's answer is still accepted; it may be in
@@ -233,7 +237,7 @@
         }
         let routed = routed?;
         let caller_timeout = head.caller_timeout.unwrap_or(routed.route.timeout);
-        let deadline = received + caller_timeout.min(routed.route.timeout);
+        let deadline = received.saturating_add(caller_timeout.min(routed.route.timeout));
         let mut job = job(&routed, &head, &id, received, deadline).ok_or(RequestError::NotRun(
             RefusalReason::NoUpstream,
             BUSY_RETRY_AFTER,
@@ -261,9 +265,8 @@
 
     /// Estimates the time that the caller already lost with earlier attempts.
     fn time_lost(&self, route: &Bytes, caller_timeout: Duration) -> Duration {
-        let Ok(mut timeouts) = self.caller_timeouts.lock() else {
-            return Duration::ZERO;
-        };
+        let timeouts = self.caller_timeouts.lock();
+        let mut timeouts = timeouts.unwrap_or_else(PoisonError::into_inner);
         let timeouts = timeouts.entry(route.clone()).or_default();
         timeouts.record(caller_timeout)
     }
@@ -366,7 +369,7 @@
         };
         self.dialect.set_upstream_head(req.headers_mut(), &head);
         let send = self.connections.send(placed.address, req);
-        let until = call.job.deadline + LATE_ANSWER_GRACE;
+        let until = call.job.deadline.saturating_add(LATE_ANSWER_GRACE);
         let exchange = match timeout_at(until, send).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(SendError::NotSent { cause, .. })) => {
@@ -436,7 +439,7 @@
         lease: ConnectionLease,
     ) -> TryOutcome {
         remove_hop_by_hop(&mut parts.headers);
-        let until = call.job.deadline + LATE_ANSWER_GRACE;
+        let until = call.job.deadline.saturating_add(LATE_ANSWER_GRACE);
         let bytes = match collect(body, until).await {
             Collected::Whole(bytes) => bytes,
             Collected::Partial(read, rest) if is_usable(&parts, &head) => {
--- a/src/edge/log_limit.rs
+++ b/src/edge/log_limit.rs
@@ -2,7 +2,10 @@
 
 use std::{
     fmt::Display,
-    sync::Mutex,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -36,9 +39,7 @@
     /// Returns whether a line may be written now. The first call in a new window
     /// logs how many lines were dropped before it.
     pub fn allows(&self, kind: &'static str) -> bool {
-        let Ok(mut window) = self.window.lock() else {
-            return false;
-        };
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let is_new = window
             .started_at
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -263,7 +263,7 @@
 
 /// Returns whether enough slots are free that an uncached object evicts none that is in use.
 fn is_idle(u: &Upstream, now: Instant) -> bool {
-    u.free(now) * IDLE_SLOTS_DIVISOR >= u.registration.slots
+    u.free(now).saturating_mul(IDLE_SLOTS_DIVISOR) >= u.registration.slots
 }
 
 /// Returns whether the upstream has a free slot and, if it is cold, may take another request from
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -47,7 +47,10 @@
         Topic, //
     },
 };
-use crate::post::post;
+use crate::{
+    post::post,
+    util::time::SaturatingAdd, //
+};
 
 /// Changes of a topic that are kept for followers.
 const CHANGE_LOG_MAX: usize = 2048;
@@ -348,7 +351,7 @@
     pub async fn answer(&self, query: &RelayQuery) -> RelayAnswer {
         let received_at = SuspendAwareInstant::now();
         let mut changed = self.changed.subscribe();
-        let end = Instant::now() + Duration::from_millis(query.wait_ms);
+        let end = Instant::now().saturating_add(Duration::from_millis(query.wait_ms));
         loop {
             let (answer, is_new) = self.current_answer(query, received_at);
             if is_new || Instant::now() >= end {
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -29,10 +29,13 @@
     object_recency::WorkByPosition,
     remote_runs::RunChange, //
 };
-use crate::util::id::{
-    ServiceName,
-    UpstreamId,
-    ZoneName, //
+use crate::util::{
+    id::{
+        ServiceName,
+        UpstreamId,
+        ZoneName, //
+    },
+    time::SaturatingAdd,
 };
 
 /// Weight of a new sample in the moving average of a service's work. It is small because the
@@ -71,7 +74,8 @@
     }
 
     fn push(&mut self, u: Upstream) {
-        *self.slots.entry(u.zone_hash).or_default() += u.ready_slots();
+        let slots = self.slots.entry(u.zone_hash).or_default();
+        *slots = slots.saturating_add(u.ready_slots());
         self.index.insert(u.key, self.upstreams.len());
         self.upstreams.push(u);
     }
@@ -136,7 +140,7 @@
         registration: Registration,
         service: Option<&Service>,
     ) {
-        let mut cold_until = now + registration.cold_for;
+        let mut cold_until = now.saturating_add(registration.cold_for);
         let known = self.remove_entry(&registration.id);
         let Some(mut u) = known else {
             let u = Upstream::new(registration, cold_until, now);
@@ -153,7 +157,7 @@
         };
         if u.registration.born != registration.born {
             let cold_time = service.map_or(Duration::ZERO, |s| s.cold_time);
-            cold_until = cold_until.max(now + cold_time);
+            cold_until = cold_until.max(now.saturating_add(cold_time));
             u.failures = 0;
             u.replaced = false;
             u.recent.clear();
@@ -202,7 +206,7 @@
         now: Instant,
     ) {
         for (service, pool) in &mut self.pools {
-            let until = now + cold_time(service);
+            let until = now.saturating_add(cold_time(service));
             for u in &mut pool.upstreams {
                 if u.registration.zone == *zone {
                     u.cold_until = u.cold_until.max(until);
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -137,7 +137,7 @@
             }
             _ => self.remote_running,
         };
-        self.running + remote_running
+        self.running.saturating_add(remote_running)
     }
 
     /// Returns whether the upstream may get new requests: it is ready, and neither replaced,
@@ -192,14 +192,14 @@
     }
 
     pub(super) fn report(&mut self, now: Instant, load: LoadReport) {
-        let remote_running = (load.running + load.waiting).saturating_sub(self.running + 1);
+        let remote_running = load.total().saturating_sub(self.running + 1);
         self.reported = Some((remote_running, now));
     }
 
     /// Records the outcome of a run and the load that the upstream reported with it.
     pub(super) fn finish(&mut self, now: Instant, end: TryEnd, load: Option<LoadReport>) {
         // Shedding with free slots says nothing about whether the next request would be shed too.
-        let has_room = load.is_some_and(|l| l.running + l.waiting < self.registration.slots);
+        let has_room = load.is_some_and(|l| l.total() < self.registration.slots);
         match end {
             TryEnd::Whole => {
                 self.failures = 0;
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,6 +1,7 @@
-//! Shared types and helpers: names, ids, sizes, rates, duration texts and the log writer.
+//! Shared types and helpers: names, ids, sizes, rates, duration texts, time arithmetic and the log writer.
 
 pub mod duration_text;
 pub mod id;
 pub mod log_writer;
+pub mod time;
 pub mod units;
