End the process when a task that it cannot serve without has failed

Change: `edge::tasks::Tasks` holds the dispatcher, the followers of the topics and of the relay, the registration, the messages, the tick, the listeners and the reload of settings. The first one that ends makes the host not ready, closes its listeners, completes the requests in progress and ends the process with status 1, so that the platform starts it again.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -31,6 +31,7 @@
 pub mod routing;
 pub mod serve;
 pub mod settings;
+pub mod tasks;
 pub mod topic;
 pub mod topic_watch;
 pub mod upstreams;
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -64,6 +64,10 @@
     metrics::EdgeMetrics,
     relay::TopicCaches,
     settings::Settings,
+    tasks::{
+        TaskEnded,
+        Tasks, //
+    },
     topic::{
         Source,
         Topic, //
@@ -121,6 +125,9 @@
     /// A signal handler could not be installed.
     #[error("the process could not be set up: {0}")]
     Process(#[from] io::Error),
+    /// A task that the process cannot serve without has ended.
+    #[error(transparent)]
+    Task(#[from] TaskEnded),
 }
 
 /// Runs an entry host until it receives a stop signal. `load` reads the settings
@@ -128,7 +135,9 @@
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound or the process cannot be set up.
+/// Fails when an address cannot be bound, the process cannot be set up, or a task that it cannot
+/// serve without ends. In the last case the requests that upstreams are working on are completed
+/// first.
 pub async fn run<S, D, L>(
     settings: Settings,
     source: S,
@@ -161,7 +170,10 @@
         metrics.clone(),
         rand::random(),
     );
-    let dispatcher = xtra::spawn_tokio(dispatcher, Mailbox::unbounded());
+    let mut tasks = Tasks::new();
+    let (address, mailbox) = Mailbox::unbounded();
+    tasks.spawn("dispatcher", xtra::run(mailbox, dispatcher));
+    let dispatcher: Address<Dispatcher> = address;
     let gw = Arc::new(Gateway {
         dispatcher: dispatcher.clone(),
         configuration,
@@ -176,7 +188,7 @@
     });
     let caches = TopicCaches::new(dispatcher.clone());
     for topic in Topic::ALL {
-        tokio::spawn(follow_store(
+        let follower = follow_store(
             source.clone(),
             topic,
             caches.clone(),
@@ -184,31 +196,33 @@
             news_path_rx.clone(),
             FollowTimings::new(topic, &settings.bounds),
             settings.is_first_start,
-        ));
+        );
+        tasks.spawn(topic.follower_name(), follower);
     }
     let timings = FollowTimings::new(Topic::Hosts, &settings.bounds);
-    tokio::spawn(follow_relay(
-        news_path_rx,
-        caches.clone(),
-        metrics.clone(),
-        timings,
-    ));
-    tokio::spawn(register(source, settings.clone()));
-    spawn_peer_tasks(&dispatcher, socket, outgoing_rx);
+    let follower = follow_relay(news_path_rx, caches.clone(), metrics.clone(), timings);
+    tasks.spawn("relay follower", follower);
+    tasks.spawn_finite("registration", register(source, settings.clone()));
+    spawn_peer_tasks(&mut tasks, &dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
     let (_open_tx, open) = watch::channel(false);
-    tokio::spawn(listener::serve(relaying, open.clone(), move |req, _| {
+    let listener = listener::serve(relaying, open.clone(), move |req, _| {
         serve_peer(caches.clone(), metrics.clone(), req)
-    }));
-    for listener in [readiness, lookups] {
+    });
+    tasks.spawn("followers' listener", listener);
+    for (name, listener) in [
+        ("readiness listener", readiness),
+        ("look-ups' listener", lookups),
+    ] {
         let gw = gw.clone();
-        tokio::spawn(listener::serve(listener, open.clone(), move |req, _| {
+        let listener = listener::serve(listener, open.clone(), move |req, _| {
             serve_platform(gw.clone(), req, ttl)
-        }));
+        });
+        tasks.spawn(name, listener);
     }
     let (stop, stopped) = watch::channel(false);
-    let serving = tokio::spawn(listener::serve(callers, stopped, {
+    let mut serving = tokio::spawn(listener::serve(callers, stopped, {
         let gw = gw.clone();
         move |req, _| {
             let gw = gw.clone();
@@ -222,33 +236,61 @@
         incarnation:%;
         ""
     );
-    tokio::spawn(reload(settings.clone(), dispatcher.clone(), load));
-    wait_for_stop_signal().await?;
-    log::info!(event = "stopping", host:% = settings.host; "");
+    tasks.spawn(
+        "settings reload",
+        reload(settings.clone(), dispatcher.clone(), load),
+    );
+    let failure = tokio::select! {
+        signal = wait_for_stop_signal() => {
+            signal?;
+            None
+        }
+        ended = tasks.first_end() => Some(ended),
+        _ = &mut serving => Some(TaskEnded {
+            task: "callers' listener",
+            cause: "it ended before the process was stopped".to_owned(),
+        }),
+    };
+    match &failure {
+        None => log::info!(event = "stopping", host:% = settings.host; ""),
+        Some(ended) => {
+            log::error!(event = "task-ended", task = ended.task, cause = ended.cause.as_str(); "");
+        }
+    }
     if dispatcher.send(BeginShutdown).await.is_err() {
         log::error!(event = "actor-gone"; "");
     }
     let grace = settings.bounds.grace;
-    let linger = (ttl * LOOKUP_TTL_OVERRUN).min(grace / LINGER_DIVISOR);
+    // A process that cannot place requests takes no more connections.
+    let linger = match failure {
+        None => (ttl * LOOKUP_TTL_OVERRUN).min(grace / LINGER_DIVISOR),
+        Some(_) => Duration::ZERO,
+    };
     sleep(linger).await;
     stop.send_replace(true);
     let drain_time = grace.saturating_sub(linger + EXIT_MARGIN);
-    match timeout(drain_time, serving).await {
-        Ok(_) => log::info!(event = "stopped", host:% = settings.host; ""),
-        Err(_) => log::warn!(event = "stopped-busy", host:% = settings.host; ""),
+    if !serving.is_finished() {
+        match timeout(drain_time, serving).await {
+            Ok(_) => log::info!(event = "stopped", host:% = settings.host; ""),
+            Err(_) => log::warn!(event = "stopped-busy", host:% = settings.host; ""),
+        }
     }
-    Ok(())
+    failure.map_or(Ok(()), |ended| Err(ended.into()))
 }
 
 fn spawn_peer_tasks(
+    tasks: &mut Tasks,
     dispatcher: &Address<Dispatcher>,
     socket: UdpSocket,
     outgoing: mpsc::Receiver<Outgoing>,
 ) {
     let socket = Arc::new(socket);
-    tokio::spawn(send_messages(socket.clone(), outgoing));
-    tokio::spawn(receive_messages(socket, dispatcher.clone()));
-    tokio::spawn(tick(dispatcher.clone()));
+    tasks.spawn("message sender", send_messages(socket.clone(), outgoing));
+    tasks.spawn(
+        "message receiver",
+        receive_messages(socket, dispatcher.clone()),
+    );
+    tasks.spawn("tick", tick(dispatcher.clone()));
 }
 
 /// Registers this host, retrying until the platform accepts it.
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -53,6 +53,18 @@
     }
 }
 
+impl Topic {
+    /// Returns the name of the task that follows the topic.
+    pub fn follower_name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration follower",
+            Self::Upstreams => "upstreams follower",
+            Self::Evacuations => "evacuations follower",
+            Self::Hosts => "hosts follower",
+        }
+    }
+}
+
 impl fmt::Display for Topic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
