Accept every name of the platform that can stand in a header

One other name made the whole configuration unreadable.

The same cause elsewhere: names of services and regions, ids of servers (such a server was never used), names of hosts and zones in the settings (the process did not start), zones in look-ups, and names in URLs of the store (a name with a space at the end of a page of a list ended each read of the list). A tenant's name outside ASCII could not be written to the `Tenant` header, and the request was sent without it.

The project's own configuration keeps its rules.

--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -126,7 +126,7 @@
         match topic {
             Topic::Configuration => {}
             Topic::Upstreams => {
-                let Ok(id) = name.parse::<UpstreamId>() else {
+                let Ok(id) = UpstreamId::from_external(name) else {
                     return;
                 };
                 match self.outage.ended_at {
@@ -142,7 +142,7 @@
             }
             Topic::Evacuations => self.end_evacuation(now, name),
             Topic::Hosts => {
-                if let Ok(host) = name.parse::<HostName>() {
+                if let Ok(host) = HostName::from_external(name) {
                     self.peers.remove(&host);
                 }
             }
@@ -150,7 +150,7 @@
     }
 
     pub(super) fn end_evacuation(&mut self, now: Instant, name: &str) {
-        let Ok(zone) = name.parse::<ZoneName>() else {
+        let Ok(zone) = ZoneName::from_external(name) else {
             return;
         };
         if !self.evacuated_zones.remove(&zone) {
--- a/src/util/id.rs
+++ b/src/util/id.rs
@@ -1,6 +1,8 @@
 //! Newtypes for names and ids.
 //!
-//! Names are stored as [`Bytes`], which are cheap to clone.
+//! Names are stored as [`Bytes`], which are cheap to clone. Names of the project's own configuration
+//! are restricted to [`NAME_MAX_BYTES`] bytes of `a-z`, `0-9`, `-` and `.`. Names that a platform
+//! has given need only be suitable as the value of a header, see `from_external`.
 
 use std::{
     cell::RefCell,
@@ -25,6 +27,8 @@
 
 /// The longest name that the configuration accepts, in bytes.
 pub const NAME_MAX_BYTES: usize = 63;
+/// The longest name that is accepted from a platform, in bytes.
+pub const EXTERNAL_NAME_MAX_BYTES: usize = 1024;
 
 /// A failure to parse a name, an id or a digest.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -36,6 +40,12 @@
     /// hyphen or a dot.
     #[error("name {0:?} may hold only a-z, 0-9, '-' and '.', and starts with a letter or digit")]
     Character(String),
+    /// The name of a platform is not suitable as the value of a header.
+    #[error(
+        "name {0:?} must have 1 to {EXTERNAL_NAME_MAX_BYTES} bytes, without control characters and \
+         without spaces at its ends"
+    )]
+    External(String),
     /// The text does not parse as the kind of id that the second field describes.
     #[error("{0:?} is not {1}")]
     Malformed(String, &'static str),
@@ -53,6 +63,17 @@
     Ok(())
 }
 
+fn check_external_name(text: &str) -> Result<(), IdError> {
+    let is_valid = !text.is_empty()
+        && text.len() <= EXTERNAL_NAME_MAX_BYTES
+        && text.trim() == text
+        && !text.chars().any(char::is_control);
+    match is_valid {
+        true => Ok(()),
+        false => Err(IdError::External(text.to_owned())),
+    }
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
         $(#[$doc])*
@@ -60,6 +81,17 @@
         pub struct $type(Bytes);
 
         impl $type {
+            /// Accepts a name that a platform has given.
+            ///
+            /// # Errors
+            ///
+            /// Fails if the name is empty, longer than [`EXTERNAL_NAME_MAX_BYTES`], has a control
+            /// character, or begins or ends with a space.
+            pub fn from_external(text: &str) -> Result<Self, IdError> {
+                check_external_name(text)?;
+                Ok(Self(Bytes::copy_from_slice(text.as_bytes())))
+            }
+
             /// Returns the name as a string slice.
             pub fn as_str(&self) -> &str {
                 std::str::from_utf8(&self.0).unwrap_or_default()
@@ -95,14 +127,22 @@
 
         impl<'de> Deserialize<'de> for $type {
             fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-                d.deserialize_str(NameVisitor).map(Self)
+                // Text formats hold the project's own configuration. Binary ones are used between
+                // hosts, which pass on names of the platform too.
+                let check = match d.is_human_readable() {
+                    true => check_name,
+                    false => check_external_name,
+                };
+                d.deserialize_str(NameVisitor { check }).map(Self)
             }
         }
     };
 }
 
 /// Deserialises a name. Equal names share one buffer while the thread's cache holds it.
-struct NameVisitor;
+struct NameVisitor {
+    check: fn(&str) -> Result<(), IdError>,
+}
 
 impl Visitor<'_> for NameVisitor {
     type Value = Bytes;
@@ -112,11 +152,11 @@
     }
 
     fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Bytes, E> {
+        (self.check)(text).map_err(E::custom)?;
         INTERNED_NAMES.with_borrow_mut(|names| {
             if let Some(name) = names.get(text.as_bytes()) {
                 return Ok(name.clone());
             }
-            check_name(text).map_err(E::custom)?;
             if names.len() >= INTERNED_NAMES_MAX {
                 names.clear();
             }
