An unreadable configuration confirms no keys, and an odd part costs only itself

Second cause: a configuration that could not be decoded counted as absent, and each read of the topic, whatever it returned, confirmed that the keys in force were current. So whatever makes a configuration unreadable kept withdrawn keys valid for good, at hosts that counted as ready.

Change: `Record::UnreadableConfiguration` goes to the dispatcher and to followers. A read confirms the keys only if the configuration in force is the one that was published last: not after an unreadable one, not if the topic is empty or has an older version. `cardamomroad_configuration_current` and `event=configuration-unreadable` show it. Parts of a configuration are decoded one by one; one that cannot be decoded is left out, logged and counted, and requests that may belong to it get 503 instead of 404 or 401. A route of which only the prefix is known refuses its requests, so that they do not fall to a shorter prefix and another service.

The messages between hosts change: a configuration has two more fields, so a host of an older build rejects relayed configurations of a newer one and reads the store itself.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -162,6 +162,9 @@
     next_run: u32,
     quotas: Quotas,
     freshness: Freshness,
+    /// Whether the configuration in force is the one that the platform published last. If it is
+    /// not, a read of the store does not confirm the keys.
+    is_configuration_current: bool,
     demand: HashMap<ServiceName, Demand>,
     queue: Vec<WaitingRequest>,
     /// State of the last outage of the upstreams topic.
@@ -225,6 +228,7 @@
             local_runs: HashMap::new(),
             next_run: 0,
             quotas: Quotas::default(),
+            is_configuration_current: false,
             demand: HashMap::new(),
             queue: Vec::new(),
             outage: Outage::default(),
@@ -309,6 +313,9 @@
                 .configuration
                 .set(number(u128::from(cfg.version.0)));
         }
+        self.metrics
+            .configuration_current
+            .set(i64::from(self.is_configuration_current));
     }
 
     fn log_freshness_change(&mut self, was_fresh: bool, is_fresh: bool) {
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -19,7 +19,10 @@
             TopicUpdate,
             UpdateOrigin, //
         },
-        model::Configuration,
+        model::{
+            ConfigVersion,
+            Configuration, //
+        },
         topic::{
             Change,
             Record,
@@ -61,7 +64,7 @@
         for change in changes {
             self.apply(now, msg.topic, change);
         }
-        if msg.topic == Topic::Configuration {
+        if msg.topic == Topic::Configuration && self.is_configuration_current {
             self.freshness.confirm(msg.read_sent_at, msg.suspended);
         }
         if msg.topic == Topic::Hosts {
@@ -87,7 +90,10 @@
     pub(super) fn remove_missing(&mut self, now: Instant, topic: Topic, changes: &[Change]) {
         let listed_names: BTreeSet<&str> = changes.iter().map(|c| c.name.as_str()).collect();
         let known_names: Vec<String> = match topic {
-            Topic::Configuration => Vec::new(),
+            Topic::Configuration => {
+                self.is_configuration_current = false;
+                Vec::new()
+            }
             Topic::Upstreams => names_of(self.upstreams.ids()),
             Topic::Evacuations => names_of(self.evacuated_zones.iter()),
             Topic::Hosts => names_of(self.peers.names()),
@@ -102,6 +108,14 @@
     pub(super) fn apply(&mut self, now: Instant, topic: Topic, change: Change) {
         match change.record {
             Some(Record::Configuration(cfg)) => self.adopt(now, cfg),
+            Some(Record::UnreadableConfiguration) => {
+                log::error!(
+                    event = "configuration-unreadable",
+                    in_force:% = self.version_in_force().unwrap_or_default();
+                    ""
+                );
+                self.is_configuration_current = false;
+            }
             Some(Record::Upstream(entry)) => {
                 self.pending_removals.remove(&entry.id);
                 let cfg = self.configuration.load_full();
@@ -124,7 +138,7 @@
 
     pub(super) fn remove(&mut self, now: Instant, topic: Topic, name: &str) {
         match topic {
-            Topic::Configuration => {}
+            Topic::Configuration => self.is_configuration_current = false,
             Topic::Upstreams => {
                 let Ok(id) = UpstreamId::from_external(name) else {
                     return;
@@ -166,15 +180,21 @@
         self.upstreams.mark_zone_cold(&zone, cold_time, now);
     }
 
+    fn version_in_force(&self) -> Option<ConfigVersion> {
+        self.configuration.load().as_ref().map(|c| c.version)
+    }
+
     pub(super) fn adopt(&mut self, now: Instant, cfg: Arc<Configuration>) {
-        let current = self.configuration.load_full();
-        if current.as_ref().is_some_and(|c| c.version >= cfg.version) {
+        let in_force = self.version_in_force();
+        self.is_configuration_current = in_force <= Some(cfg.version);
+        if in_force >= Some(cfg.version) {
             return;
         }
         log::info!(
             event = "configuration-adopted",
             version:% = cfg.version,
-            organisations = cfg.organisations.len();
+            organisations = cfg.organisations.len(),
+            unreadable_parts = cfg.unreadable_parts;
             ""
         );
         let rates = cfg.organisations.iter().map(|o| (&o.name, o.rate));
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -333,7 +333,10 @@
         let index = cfg.keys.get(key);
         let organisation = index.and_then(|&index| cfg.organisations.get(index));
         if organisation.map(|o| &o.name) != call.job.organisation.as_ref() {
-            return Err(RequestError::Key);
+            return Err(match cfg.unreadable_parts {
+                0 => RequestError::Key,
+                _ => RequestError::NotReady,
+            });
         }
         call.key_checked_at = key_checked_at;
         Ok(())
--- a/src/edge/forward/job.rs
+++ b/src/edge/forward/job.rs
@@ -53,6 +53,7 @@
     routing::find(cfg, host, path, head.key.as_deref()).map_err(|e| match e {
         NoRoute::Unknown => RequestError::NoRoute,
         NoRoute::Key => RequestError::Key,
+        NoRoute::Undecided => RequestError::NotReady,
     })
 }
 
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -83,6 +83,8 @@
     pub in_flight: Gauge,
     /// Version number of the configuration in force.
     pub configuration: Gauge,
+    /// 1 if the configuration in force is the one that the platform published last, otherwise 0.
+    pub configuration_current: Gauge,
     /// Age of the read that last confirmed the configuration's keys, in milliseconds.
     pub key_age: Gauge,
     /// Registered upstreams that this host knows.
@@ -105,6 +107,7 @@
             reads: Family::default(),
             in_flight: Gauge::default(),
             configuration: Gauge::default(),
+            configuration_current: Gauge::default(),
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
@@ -151,6 +154,11 @@
             "Number of the configuration in force",
             self.configuration.clone(),
         );
+        r.register(
+            "configuration_current",
+            "Whether the configuration in force is the last published one",
+            self.configuration_current.clone(),
+        );
         r.register(
             "key_age_milliseconds",
             "Age of the read that the trust in keys rests on",
--- a/src/edge/model.rs
+++ b/src/edge/model.rs
@@ -49,7 +49,8 @@
 pub struct Route {
     /// Path prefix, which begins and ends with a slash.
     pub prefix: Bytes,
-    /// Services among which the requests are split, with their weights.
+    /// Services among which the requests are split, with their weights. Empty if the platform's
+    /// route could not be decoded; its requests are refused.
     pub services: SmallVec<[(ServiceName, u32); 1]>,
     /// Whether it is safe to run a request more than once.
     pub idempotent: bool,
@@ -70,6 +71,24 @@
     pub regions: Regions,
 }
 
+impl Route {
+    /// Creates a route that refuses all requests with the prefix, since no more of it is known.
+    pub fn unusable(prefix: Bytes) -> Self {
+        Self {
+            prefix,
+            services: SmallVec::new(),
+            idempotent: false,
+            timeout: Duration::ZERO,
+            latency_target: Duration::ZERO,
+            tries: 1,
+            priority: Priority::default(),
+            open: false,
+            affinity: false,
+            regions: Regions::new(),
+        }
+    }
+}
+
 /// An organisation and its limits.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
@@ -118,6 +137,12 @@
     pub keys: HashMap<KeyDigest, usize>,
     /// Maximum size of a request body, in bytes.
     pub body_bytes_max: u64,
+    /// Number of routes, organisations and other parts that the platform has published and that
+    /// could not be decoded. If there are any, a missing route or key may be one of them.
+    pub unreadable_parts: u32,
+    /// Whether the platform has published organisations, so that routes that are not open need a
+    /// key.
+    pub requires_keys: bool,
 }
 
 /// Whether an upstream accepts new requests.
--- a/src/edge/routing.rs
+++ b/src/edge/routing.rs
@@ -14,6 +14,8 @@
     Unknown,
     /// The route requires an API key, and the request has none or an unknown one.
     Key,
+    /// The route or the key may belong to a part of the configuration that could not be decoded.
+    Undecided,
 }
 
 /// The route of a request and the organisation that sent it.
@@ -29,21 +31,29 @@
 ///
 /// # Errors
 ///
-/// Fails if no route matches, or if the route requires a key and `key` is missing or unknown.
+/// Fails if no route matches, if the route requires a key and `key` is missing or unknown, or if
+/// this cannot be decided.
 pub fn find<'a>(
     cfg: &'a Configuration,
     host: &[u8],
     path: &[u8],
     key: Option<&[u8]>,
 ) -> Result<Routed<'a>, NoRoute> {
+    let not_found = |cause| match cfg.unreadable_parts {
+        0 => cause,
+        _ => NoRoute::Undecided,
+    };
     let routes = cfg.routes.get(host).map_or(&[][..], Vec::as_slice);
     let is_prefix = |r: &&Route| path.starts_with(&r.prefix);
     let route = routes
         .iter()
         .filter(is_prefix)
         .max_by_key(|r| r.prefix.len())
-        .ok_or(NoRoute::Unknown)?;
-    if cfg.organisations.is_empty() {
+        .ok_or_else(|| not_found(NoRoute::Unknown))?;
+    if route.services.is_empty() {
+        return Err(NoRoute::Undecided);
+    }
+    if !cfg.requires_keys {
         return Ok(Routed {
             route,
             organisation: None,
@@ -60,7 +70,8 @@
             route,
             organisation,
         }),
-        (None, false) => Err(NoRoute::Key),
+        (None, false) if key.is_none() => Err(NoRoute::Key),
+        (None, false) => Err(not_found(NoRoute::Key)),
     }
 }
 
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -87,6 +87,8 @@
     Evacuation(ZoneName),
     /// The registration of an entry host.
     Host(Box<HostRegistration>),
+    /// A configuration that exists and cannot be decoded. The one in force may be outdated.
+    UnreadableConfiguration,
 }
 
 /// The new state of one record.
@@ -94,7 +96,7 @@
 pub struct Change {
     /// Name of the record, unique within its topic.
     pub name: String,
-    /// The record; `None` if it was removed or cannot be decoded.
+    /// The record; `None` if it was removed, or if it cannot be decoded and is no configuration.
     pub record: Option<Record>,
 }
 
