Count crashes by start of an upstream; complete answers forgive them

Cause: deaths were kept by address and reporting host, and of several hosts' counts for an address only the largest was used. Crashes of one address that different hosts saw counted once.

Change: a death belongs to one start of an upstream (id and start time); hosts that see the same crash record the same death, all others add up. Where starts can't be told apart (the product's own mode) deaths are numbered.

The same end on other paths: a message lists 8 suspects, always the latest, so that a crash with many requests in flight could hide its cause (half of 16 now take turns); a crash in the middle of an answer was not counted; a request that waits in the queue or for another host's slot was not checked again.

Complete answers are reported and forgive. A fingerprint that this host has seen answered gets one death for all crashes within 2 s. A refusal lasts 60 s, doubled by each further death, at most 600 s. The fingerprint in `edge` covers the whole body.

Messages between hosts: a death has other fields, so that a host of an older build drops a report or digest that lists suspects.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -236,7 +236,7 @@
             last_logged_fresh: None,
             outgoing,
             path,
-            quarantine: Quarantine::new(&settings.host, incarnation),
+            quarantine: Quarantine::new(),
             metrics,
             placed_log_budget: LogRateLimit::default(),
             refused_log_budget: LogRateLimit::default(),
@@ -369,13 +369,14 @@
 
     async fn handle(&mut self, msg: UpstreamCrashed, _: &mut Context<Self>) {
         let now = Instant::now();
+        self.quarantine.on_death(now, msg.upstream, &[msg.suspect]);
         log::warn!(
             event = "upstream-crashed",
-            upstream:% = msg.upstream,
-            suspect:% = msg.suspect;
+            upstream:% = msg.upstream.address,
+            suspect:% = msg.suspect,
+            deaths = self.quarantine.deaths(now, msg.suspect);
             ""
         );
-        self.quarantine.on_death(now, msg.upstream, &[msg.suspect]);
     }
 }
 
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -191,7 +191,7 @@
             } => {
                 // If this host was paused, the scheduler may have reassigned the slot since.
                 let is_overdue = now >= pending.overdue_at;
-                if is_overdue || !self.may_send(upstream, &pending.waiting) {
+                if is_overdue || !self.may_send(now, upstream, &pending.waiting) {
                     self.release_slot(msg.from.host.clone(), msg.run, upstream);
                     return self.try_next_domain(now, pending.waiting);
                 }
@@ -203,7 +203,7 @@
 
     /// Returns whether a granted request is still wanted and the upstream is usable according to
     /// this host's own state.
-    fn may_send(&self, key: UpstreamKey, waiting: &WaitingRequest) -> bool {
+    fn may_send(&self, now: Instant, key: UpstreamKey, waiting: &WaitingRequest) -> bool {
         let Some(u) = self.upstreams.find(key) else {
             return false;
         };
@@ -216,6 +216,7 @@
             && !u.is_replaced()
             && !self.evacuated_zones.contains(&u.registration.zone)
             && !waiting.job.tried.contains(&key)
+            && !self.quarantine.is_refused(now, waiting.job.suspect)
     }
 
     /// Releases a slot, or cancels a queued claim, by reporting the run as abandoned.
@@ -292,6 +293,9 @@
         let settings = self.settings.clone();
         let is_own_region = |zone: &_| settings.region_of(zone) == Some(&settings.region);
         self.upstreams.record_end(now, msg, is_own_region);
+        if let Some(suspect) = msg.answered {
+            self.quarantine.on_answer(now, suspect);
+        }
         let labels = TryLabels {
             end: msg.end.as_str(),
         };
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -40,7 +40,7 @@
 };
 
 /// Maximum number of suspect requests listed in one message.
-const SUSPECTS_PER_MESSAGE: usize = 8;
+const SUSPECTS_PER_MESSAGE: usize = 16;
 /// Beats between two [`Holding`](crate::edge::datagram::Holding) messages, which list all runs of
 /// this host.
 const HOLDING_INTERVAL_BEATS: u32 = 2;
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -66,8 +66,6 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// Maximum random delay added to [`RETRY_AFTER_MIN`] to spread out retries.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
-/// Retry delay given to a caller whose request is quarantined for crashing upstreams.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// Maximum number of domains in a region that a request tries.
 const DOMAINS_PER_REGION_MAX: usize = 2;
@@ -76,9 +74,9 @@
     pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
         let mut has_token = true;
-        if self.quarantine.is_refused(now, job.suspect) {
+        if let Some(verdict) = self.quarantine_refusal(now, &job) {
             self.refund_retry(now, &job);
-            send_verdict(reply, self.quarantine_refusal());
+            send_verdict(reply, verdict);
             return;
         }
         if job.tried.is_empty() {
@@ -157,7 +155,10 @@
 
     /// Looks for a slot in the next domain that may have one. Refuses the request if no domain is
     /// left.
-    pub(super) fn find_slot(&mut self, now: Instant, mut waiting: WaitingRequest) {
+    pub(super) fn find_slot(&mut self, now: Instant, waiting: WaitingRequest) {
+        let Some(mut waiting) = self.refuse_quarantined(now, waiting) else {
+            return;
+        };
         let Some(domain) = self.next_domain(now, &mut waiting) else {
             let reason = match waiting.declined.is_empty() {
                 true => RefusalReason::NoUpstream,
@@ -266,7 +267,7 @@
             let verdict = self.refusal(now, &job, RefusalReason::NoUpstream);
             return send_verdict(reply, verdict);
         };
-        let (address, id) = (u.registration.address, u.registration.id.clone());
+        let registration = u.registration.clone();
         let domain = self.peers.domain_of(&u.registration.zone);
         let (list_index, load) = from_scheduler.unwrap_or((local_list_index, u.load(now)));
         if from_scheduler.is_none() {
@@ -291,10 +292,11 @@
             end: TryEnd::Abandoned,
             held: Duration::ZERO,
             load: None,
+            answered: None,
         };
-        let placed = ReservedSlot::new(address, id, ended, self.actor_address.clone());
+        let placed = ReservedSlot::new(&registration, ended, self.actor_address.clone());
         // If the caller disconnected, `ReservedSlot` is dropped here, which releases the slot.
-        send_verdict(reply, PlacementDecision::Send(placed));
+        send_verdict(reply, PlacementDecision::Send(Box::new(placed)));
     }
 
     /// Returns the request rate that a cold upstream may receive and the number of hosts that
@@ -428,11 +430,32 @@
         }
     }
 
-    pub(super) fn quarantine_refusal(&self) -> PlacementDecision {
-        PlacementDecision::Refused(Refused {
+    /// Returns the refusal of a request whose fingerprint has crashed too many upstreams; `None` if
+    /// the request may run.
+    fn quarantine_refusal(&self, now: Instant, job: &Job) -> Option<PlacementDecision> {
+        let retry_after = self.quarantine.refused_for(now, job.suspect)?;
+        self.log_refused(now, job, RefusalReason::Quarantine);
+        Some(PlacementDecision::Refused(Refused {
             reason: RefusalReason::Quarantine,
-            retry_after: QUARANTINE_RETRY_AFTER,
-        })
+            retry_after,
+        }))
+    }
+
+    /// Refuses a request of this host whose fingerprint has crashed too many upstreams since it
+    /// began to wait. Returns the request if it may run.
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: Instant,
+        waiting: WaitingRequest,
+    ) -> Option<WaitingRequest> {
+        let Some(verdict) = self.quarantine_refusal(now, &waiting.job) else {
+            return Some(waiting);
+        };
+        if waiting.has_token {
+            self.refund(now, &waiting.job);
+        }
+        finish_waiting(waiting, verdict);
+        None
     }
 
     /// Drops a request whose caller disconnected before it was sent, and refunds its token.
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -276,7 +276,7 @@
         let mut timed_out = false;
         loop {
             let placed = match self.choose_upstream(call).await {
-                PlacementDecision::Send(placed) => placed,
+                PlacementDecision::Send(placed) => *placed,
                 PlacementDecision::Refused(refused) => {
                     return Err(unanswered(call, timed_out, refused));
                 }
@@ -422,10 +422,10 @@
 
     /// Checks whether an upstream that lost a request has crashed, and reports it.
     fn report_if_crashed(&self, placed: &ReservedSlot, suspect: Suspect) {
-        let (dispatcher, upstream) = (self.dispatcher.clone(), placed.address);
+        let (dispatcher, upstream) = (self.dispatcher.clone(), placed.start);
         tokio::spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
-            if connection::is_refused(upstream).await {
+            if connection::is_refused(upstream.address).await {
                 post(&dispatcher, UpstreamCrashed { upstream, suspect });
             }
         });
@@ -446,12 +446,14 @@
         let bytes = match collect(body, until).await {
             Collected::Whole(bytes) => bytes,
             Collected::Partial(read, rest) if is_usable(&parts, &head) => {
-                let body = streamed_body(read, rest, until, placed, lease, head);
+                let suspect = call.job.suspect;
+                let body = streamed_body(read, rest, until, placed, suspect, lease, head);
                 return TryOutcome::Answer(Response::from_parts(parts, body));
             }
             Collected::Partial(..) | Collected::Broken => {
                 log::info!(event = "answer-broken", id:% = call.job.id, upstream:% = placed.id; "");
                 placed.ended(TryEnd::Lost);
+                self.report_if_crashed(&placed, call.job.suspect);
                 return TryOutcome::Lost;
             }
         };
@@ -467,6 +469,9 @@
             );
             return TryOutcome::Lost;
         }
+        if head.has_server_stamp {
+            placed.answered(call.job.suspect);
+        }
         TryOutcome::Answer(Response::from_parts(parts, full(bytes)))
     }
 }
--- a/src/edge/forward/answer_body.rs
+++ b/src/edge/forward/answer_body.rs
@@ -42,6 +42,7 @@
         message::ReservedSlot,
         upstreams::TryEnd, //
     },
+    quarantine::Suspect,
 };
 
 /// The longest answer that is buffered whole before it is forwarded, in bytes. Longer ones
@@ -113,6 +114,7 @@
     rest: Incoming,
     until: Instant,
     mut placed: ReservedSlot,
+    suspect: Suspect,
     lease: ConnectionLease,
     head: AnswerHead,
 ) -> ProxyBody {
@@ -122,6 +124,9 @@
             false => TryEnd::Lost,
         });
         if whole {
+            if head.has_server_stamp {
+                placed.answered(suspect);
+            }
             return_connection(lease, &head);
         }
     };
--- a/src/edge/forward/job.rs
+++ b/src/edge/forward/job.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{
     xxh3_64,
-    xxh3_64_with_seed, //
+    xxh3_64_with_seed,
+    xxh3_128, //
 };
 
 use crate::{
@@ -30,10 +31,7 @@
             Routed, //
         },
     },
-    quarantine::{
-        BODY_PREFIX_BYTES,
-        Suspect, //
-    },
+    quarantine::Suspect,
     util::id::ServiceName,
 };
 
@@ -106,13 +104,14 @@
 /// Returns the fingerprint by which repeats of a request are recognised.
 pub(super) fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
     let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
-    let prefix = &body[..body.len().min(BODY_PREFIX_BYTES)];
+    // The whole body counts: bodies of uploads often begin alike.
+    let body_hash = xxh3_128(body).to_le_bytes();
     Suspect::of(
         job.organisation.as_ref(),
         parts.method.as_str(),
         target,
         Some(body.len() as u64),
-        prefix,
+        &body_hash,
     )
 }
 
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -29,7 +29,8 @@
     dispatcher::Dispatcher,
     model::{
         Priority,
-        Regions, //
+        Regions,
+        Registration, //
     },
     settings::Settings,
     topic::{
@@ -43,7 +44,10 @@
 };
 use crate::{
     post::post,
-    quarantine::Suspect,
+    quarantine::{
+        Suspect,
+        UpstreamStart, //
+    },
     util::id::{
         OrganisationName,
         ServiceName,
@@ -160,7 +164,7 @@
 #[derive(Debug)]
 pub enum PlacementDecision {
     /// The request may be sent to an upstream.
-    Send(ReservedSlot),
+    Send(Box<ReservedSlot>),
     /// The request is refused and does not run.
     Refused(Refused),
 }
@@ -219,6 +223,8 @@
     pub id: UpstreamId,
     /// Short key of the upstream in messages between hosts.
     pub key: UpstreamKey,
+    /// The start of the upstream that the slot belongs to.
+    pub start: UpstreamStart,
     started_at: Instant,
     ended: Option<AttemptEnded>,
     dispatcher: Option<Address<Dispatcher>>,
@@ -227,13 +233,14 @@
 impl ReservedSlot {
     /// Returns a reserved slot. When it is dropped, `ended` is sent to the dispatcher.
     pub fn new(
-        address: SocketAddr,
-        id: UpstreamId,
+        upstream: &Registration,
         ended: AttemptEnded,
         dispatcher: Option<Address<Dispatcher>>,
     ) -> Self {
+        let (address, id) = (upstream.address, upstream.id.clone());
         Self {
             address,
+            start: UpstreamStart::new(address, &id, upstream.born),
             id,
             key: ended.key,
             started_at: Instant::now(),
@@ -249,6 +256,13 @@
         }
     }
 
+    /// Records that the upstream itself has answered the request with this fingerprint completely.
+    pub fn answered(&mut self, suspect: Suspect) {
+        if let Some(ended) = &mut self.ended {
+            ended.answered = Some(suspect);
+        }
+    }
+
     /// Records the load that the upstream reported with its answer.
     pub fn reported(&mut self, load: Option<LoadReport>) {
         if let Some(ended) = &mut self.ended {
@@ -287,13 +301,15 @@
     pub held: Duration,
     /// The load that the upstream reported with its answer, if any.
     pub load: Option<LoadReport>,
+    /// Fingerprint of the request, if the upstream itself answered it completely.
+    pub answered: Option<Suspect>,
 }
 
 /// Reports that an upstream crashed while it ran a request.
 #[derive(Debug)]
 pub struct UpstreamCrashed {
-    /// The address at which the upstream listened.
-    pub upstream: SocketAddr,
+    /// The start of the upstream that crashed.
+    pub upstream: UpstreamStart,
     /// Fingerprint of the request.
     pub suspect: Suspect,
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -224,7 +224,7 @@
             adoption: Adoption::new(),
             deltas: Vec::new(),
             once: StartedIds::new(name.clone(), incarnation, now),
-            quarantine: Quarantine::new(&name, incarnation),
+            quarantine: Quarantine::new(),
             isolated_suspects: HashMap::new(),
             budgets: Budgets::new(name, incarnation, now),
             links: Links::new(),
--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -293,7 +293,7 @@
             self.quarantine.end_alone(address);
         }
         match msg.end {
-            TryEnd::Whole => self.quarantine.on_answer(msg.suspect),
+            TryEnd::Whole => self.quarantine.on_answer(now, msg.suspect),
             TryEnd::Lost | TryEnd::Broken => {
                 self.quarantine.on_death(now, address, &[msg.suspect]);
                 self.send_suspects(now);
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,11 +1,19 @@
 //! Quarantine of requests that were in flight when their upstream crashed.
 //!
-//! Crashes ("deaths") are counted for each request fingerprint, upstream and reporting
-//! host. The counters only grow, so that hosts merge them by maximum and a repeated report
-//! counts once. Of several reports on one upstream only the largest counts, because two
-//! hosts may have seen the same crash. A fingerprint with deaths runs on an upstream only
-//! while no other suspect runs there; at [`DEATHS_TO_REFUSE`] it is refused. A complete
-//! answer forgives all deaths counted so far.
+//! Crashes ("deaths") are counted for each request fingerprint and start of an upstream, since one
+//! start can crash only once. Two hosts that see the same crash therefore record the same death,
+//! and crashes of one address add up whoever sees them. If the starts at an address cannot be told
+//! apart, its deaths are numbered instead: a crash that comes later than [`SAME_DEATH_WINDOW`]
+//! after the last known one gets the next number.
+//!
+//! Both counts of a death only grow, so that hosts merge them by maximum and a repeated report
+//! counts once. A fingerprint with deaths runs on an upstream only while no other suspect runs
+//! there; from [`DEATHS_TO_REFUSE`] on it is refused for a while. A complete answer forgives all
+//! deaths counted so far.
+//!
+//! A frequent request is in flight on many upstreams at once, so that it gets many deaths if several
+//! of them crash together for another reason. If this host has seen it answered before, deaths that
+//! lie close together therefore count as one.
 
 use std::{
     collections::BTreeMap,
@@ -23,26 +31,34 @@
 };
 use smallvec::SmallVec;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use crate::{
     membership::SetSummary,
     util::id::{
-        HostName,
-        Incarnation,
-        OrganisationName, //
+        OrganisationName,
+        UpstreamId, //
     },
 };
 
 /// The number of deaths at which a fingerprint is refused.
 pub const DEATHS_TO_REFUSE: u32 = 3;
+/// How long a fingerprint is refused after the death that reached [`DEATHS_TO_REFUSE`]; the time
+/// doubles with each further death.
+pub const REFUSAL_FIRST: Duration = Duration::from_secs(60);
+/// The largest number of times that [`REFUSAL_FIRST`] is doubled.
+const REFUSAL_DOUBLINGS_MAX: u32 = 8;
 /// How long a fingerprint is kept after its last death.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// The largest number of fingerprints in the table.
 pub const SUSPECTS_MAX: usize = 1024;
-/// How long after counting a death a host treats further failures of the same upstream as
-/// part of that death.
+/// How long after a death further failures of the same start of an upstream count as part of it.
 pub const SAME_DEATH_WINDOW: Duration = Duration::from_secs(2);
+/// The number of fingerprints whose answers are remembered; each new one replaces one other.
+const ANSWERS_MAX: usize = 1024;
 /// The largest number of marks that a fingerprint keeps.
 const MARKS_MAX: usize = 16;
 /// How many bytes of the body the fingerprint covers.
@@ -60,7 +76,7 @@
 
 impl Suspect {
     /// Computes the fingerprint; `prefix` is the first [`BODY_PREFIX_BYTES`] bytes of the
-    /// body, or all of a shorter body.
+    /// body, or all of a shorter body, or a hash of the whole body.
     pub fn of(
         organisation: Option<&OrganisationName>,
         method: &str,
@@ -87,21 +103,49 @@
     }
 }
 
-/// The deaths of one fingerprint on one upstream, as one host counted them.
+/// One start of an upstream's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamStart {
+    /// The address at which the upstream listened.
+    pub address: SocketAddr,
+    /// A hash that differs between the starts at an address; 0 if they cannot be told apart.
+    pub start: u64,
+}
+
+impl UpstreamStart {
+    /// Returns the start of an upstream with this id. An upstream that keeps its id over a restart
+    /// has another start time, in milliseconds of its own clock.
+    pub fn new(address: SocketAddr, id: &UpstreamId, born: Option<u64>) -> Self {
+        let start = xxh3_64_with_seed(id.as_str().as_bytes(), born.unwrap_or_default());
+        Self { address, start }
+    }
+}
+
+impl From<SocketAddr> for UpstreamStart {
+    fn from(address: SocketAddr) -> Self {
+        Self { address, start: 0 }
+    }
+}
+
+/// The deaths of one fingerprint on one start of an upstream.
 ///
 /// Both counts only grow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
-    /// The address of the upstream that crashed.
-    pub upstream: SocketAddr,
-    /// The low 32 bits of a hash of the reporting host's name and incarnation.
-    pub reporter: u32,
-    /// The number of deaths that the reporter counted.
+    /// The start of an upstream that crashed.
+    pub upstream: UpstreamStart,
+    /// The number of its deaths; more than one only if starts cannot be told apart.
     pub deaths: u8,
     /// How many of these deaths a later complete answer has forgiven.
     pub forgiven: u8,
 }
 
+impl Mark {
+    fn unforgiven(&self) -> u8 {
+        self.deaths.saturating_sub(self.forgiven)
+    }
+}
+
 /// A suspect in the form in which hosts exchange it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
@@ -109,7 +153,7 @@
     pub suspect: Suspect,
     /// Seconds since the last death, rounded up.
     pub age_seconds: u16,
-    /// The deaths by upstream and reporter.
+    /// The deaths by upstream.
     pub marks: SmallVec<[Mark; 4]>,
 }
 
@@ -124,81 +168,151 @@
     /// The request is suspect and a suspect already runs on the upstream. Choose another
     /// upstream or wait.
     Busy,
-    /// The request has reached [`DEATHS_TO_REFUSE`]; refuse it.
+    /// The request is refused because of its deaths.
     Refused,
 }
 
+/// A mark, and when this host estimates that the upstream last died.
+#[derive(Clone, Copy, Debug)]
+struct KnownMark {
+    mark: Mark,
+    died_at: Instant,
+}
+
 /// The deaths of one suspect, as known to this host.
 #[derive(Clone, Debug)]
 struct SuspectRecord {
     last_death: Instant,
-    /// The upstream and time of the last death that this host counted itself.
-    last_counted: Option<(SocketAddr, Instant)>,
-    marks: SmallVec<[Mark; 4]>,
+    marks: SmallVec<[KnownMark; 4]>,
 }
 
 impl SuspectRecord {
-    /// Returns the sum over all upstreams of the largest number of unforgiven deaths that
-    /// any reporter counted.
+    /// Returns the number of unforgiven deaths on all upstreams.
     fn deaths(&self) -> u32 {
-        let mut by_upstream: SmallVec<[(SocketAddr, u8); 4]> = SmallVec::new();
-        for mark in &self.marks {
-            let unforgiven = mark.deaths.saturating_sub(mark.forgiven);
-            match by_upstream.iter_mut().find(|(u, _)| *u == mark.upstream) {
-                Some((_, most)) => *most = unforgiven.max(*most),
-                None => by_upstream.push((mark.upstream, unforgiven)),
+        let unforgiven = |m: &KnownMark| u32::from(m.mark.unforgiven());
+        self.marks.iter().map(unforgiven).sum()
+    }
+
+    /// Returns the number of unforgiven deaths, of which those that lie within
+    /// [`SAME_DEATH_WINDOW`] count as one.
+    fn deaths_apart(&self) -> u32 {
+        let unforgiven = self.marks.iter().filter(|m| m.mark.unforgiven() > 0);
+        let mut died_at: SmallVec<[Instant; 4]> = unforgiven.map(|m| m.died_at).collect();
+        died_at.sort_unstable();
+        let mut deaths = 0;
+        let mut window_end: Option<Instant> = None;
+        for at in died_at {
+            if window_end.is_none_or(|end| at >= end) {
+                deaths += 1;
+                window_end = Some(at + SAME_DEATH_WINDOW);
             }
         }
-        by_upstream
-            .iter()
-            .map(|(_, unforgiven)| u32::from(*unforgiven))
-            .sum()
+        deaths
+    }
+
+    /// Returns until when the suspect is refused; `None` if it has too few deaths.
+    fn refused_until(&self, was_answered: bool) -> Option<Instant> {
+        let deaths = match was_answered {
+            true => self.deaths_apart(),
+            false => self.deaths(),
+        };
+        let doublings = deaths.checked_sub(DEATHS_TO_REFUSE)?;
+        let factor = 1 << doublings.min(REFUSAL_DOUBLINGS_MAX);
+        Some(self.last_death + (REFUSAL_FIRST * factor).min(SUSPECT_TTL))
     }
 
     /// Merges a mark by taking the maximum of each count.
-    fn merge(&mut self, mark: Mark) {
-        let same = |m: &&mut Mark| m.upstream == mark.upstream && m.reporter == mark.reporter;
-        if let Some(known) = self.marks.iter_mut().find(same) {
-            known.deaths = known.deaths.max(mark.deaths);
-            known.forgiven = known.forgiven.max(mark.forgiven);
+    fn merge(&mut self, mark: Mark, died_at: Instant) {
+        let known = self
+            .marks
+            .iter_mut()
+            .find(|m| m.mark.upstream == mark.upstream);
+        if let Some(known) = known {
+            if known.mark.deaths < mark.deaths {
+                known.mark.deaths = mark.deaths;
+                known.died_at = died_at;
+            }
+            known.mark.forgiven = known.mark.forgiven.max(mark.forgiven);
             return;
         }
-        if self.marks.len() < MARKS_MAX {
-            self.marks.push(mark);
+        if self.marks.len() == MARKS_MAX {
+            // Forgiven deaths do not count, and the record is refused if all others are not.
+            let is_forgiven = |m: &KnownMark| m.mark.unforgiven() == 0;
+            let Some(i) = self.marks.iter().position(is_forgiven) else {
+                return;
+            };
+            self.marks.remove(i);
         }
+        self.marks.push(KnownMark { mark, died_at });
     }
 }
 
 /// The table of suspect requests of one host.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    reporter: u32,
     records: BTreeMap<Suspect, SuspectRecord>,
     /// The suspect that this host currently runs on each upstream.
     alone: BTreeMap<SocketAddr, Suspect>,
+    /// Fingerprints that were answered completely, and when last.
+    answers: RecentAnswers,
+    /// The number of less dangerous suspects that were sent to other hosts so far.
+    sent: usize,
+}
+
+/// A table of answered fingerprints in which each has one possible place.
+#[derive(Clone, Debug)]
+struct RecentAnswers(Vec<Option<(Suspect, Instant)>>);
+
+impl Default for RecentAnswers {
+    fn default() -> Self {
+        Self(vec![None; ANSWERS_MAX])
+    }
+}
+
+impl RecentAnswers {
+    fn index(suspect: Suspect) -> usize {
+        let places = ANSWERS_MAX as u128;
+        usize::try_from(suspect.0 % places).unwrap_or_default()
+    }
+
+    fn record(&mut self, now: Instant, suspect: Suspect) {
+        self.0[Self::index(suspect)] = Some((suspect, now));
+    }
+
+    fn contains(&self, now: Instant, suspect: Suspect) -> bool {
+        self.0[Self::index(suspect)].is_some_and(|(answered, at)| {
+            answered == suspect && now.saturating_duration_since(at) < SUSPECT_TTL
+        })
+    }
 }
 
 impl Quarantine {
-    /// Creates an empty table. The host name and incarnation identify it as a reporter.
-    pub fn new(host: &HostName, incarnation: Incarnation) -> Self {
-        let low = xxh3_64(format!("{host}/{incarnation}").as_bytes()) & u64::from(u32::MAX);
-        Self {
-            reporter: u32::try_from(low).unwrap_or_default(),
-            records: BTreeMap::new(),
-            alone: BTreeMap::new(),
-        }
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Returns whether a request is refused on every upstream.
     pub fn is_refused(&self, now: Instant, suspect: Suspect) -> bool {
-        self.deaths(now, suspect) >= DEATHS_TO_REFUSE
+        self.refused_for(now, suspect).is_some()
+    }
+
+    /// Returns how much longer a request is refused on every upstream; `None` if it may run.
+    pub fn refused_for(&self, now: Instant, suspect: Suspect) -> Option<Duration> {
+        let was_answered = self.answers.contains(now, suspect);
+        let until = self.records.get(&suspect)?.refused_until(was_answered)?;
+        until
+            .checked_duration_since(now)
+            .filter(|left| !left.is_zero())
     }
 
     /// Decides whether a request may run on an upstream.
     pub fn admit(&mut self, now: Instant, suspect: Suspect, upstream: SocketAddr) -> Admission {
+        if self.is_refused(now, suspect) {
+            return Admission::Refused;
+        }
         match self.deaths(now, suspect) {
             0 => Admission::Run,
-            DEATHS_TO_REFUSE.. => Admission::Refused,
             _ if self.alone.contains_key(&upstream) => Admission::Busy,
             _ => {
                 self.alone.insert(upstream, suspect);
@@ -225,19 +339,26 @@
     /// All of them get a death, because the request that caused the crash may be new.
     /// Suspects run one at a time on an upstream, so that a harmless request seldom gets a
     /// second death before a complete answer forgives the first.
-    pub fn on_death(&mut self, now: Instant, upstream: SocketAddr, in_flight: &[Suspect]) {
+    pub fn on_death(
+        &mut self,
+        now: Instant,
+        upstream: impl Into<UpstreamStart>,
+        in_flight: &[Suspect],
+    ) {
+        let upstream = upstream.into();
         for suspect in in_flight {
             self.add_death(now, upstream, *suspect);
         }
     }
 
     /// Records a complete answer, which forgives all deaths of the request so far.
-    pub fn on_answer(&mut self, suspect: Suspect) {
+    pub fn on_answer(&mut self, now: Instant, suspect: Suspect) {
+        self.answers.record(now, suspect);
         let Some(record) = self.records.get_mut(&suspect) else {
             return;
         };
-        for mark in &mut record.marks {
-            mark.forgiven = mark.deaths;
+        for known in &mut record.marks {
+            known.mark.forgiven = known.mark.deaths;
         }
     }
 
@@ -255,11 +376,17 @@
         }
     }
 
-    /// Returns at most `limit` entries to send to other hosts, latest death first.
-    pub fn entries(&self, now: Instant, limit: usize) -> Vec<SuspectEntry> {
+    /// Returns at most `limit` entries to send to other hosts. Half of them are those with the most
+    /// deaths; the others take turns, so that none is left out for good.
+    pub fn entries(&mut self, now: Instant, limit: usize) -> Vec<SuspectEntry> {
         let live = |r: &SuspectRecord| now < r.last_death + SUSPECT_TTL;
         let mut records: Vec<_> = self.records.iter().filter(|(_, r)| live(r)).collect();
-        records.sort_by_key(|(_, r)| std::cmp::Reverse(r.last_death));
+        if records.len() > limit {
+            records.sort_by_key(|(_, r)| std::cmp::Reverse((r.deaths(), r.last_death)));
+            let by_turns = &mut records[limit.div_ceil(2)..];
+            by_turns.rotate_left(self.sent % by_turns.len());
+            self.sent = self.sent.wrapping_add(limit / 2);
+        }
         let mut entries = Vec::new();
         for (suspect, record) in records.into_iter().take(limit) {
             let age = now.saturating_duration_since(record.last_death);
@@ -267,7 +394,7 @@
             entries.push(SuspectEntry {
                 suspect: *suspect,
                 age_seconds: u16::try_from(seconds).unwrap_or(u16::MAX),
-                marks: record.marks.clone(),
+                marks: record.marks.iter().map(|m| m.mark).collect(),
             });
         }
         entries
@@ -278,7 +405,7 @@
     pub fn summary(&self) -> SetSummary {
         let mut summary = SetSummary::default();
         for (suspect, record) in &self.records {
-            for mark in &record.marks {
+            for KnownMark { mark, .. } in &record.marks {
                 let text = format!("{suspect:?}{mark:?}");
                 summary.sum = summary.sum.wrapping_add(xxh3_64(text.as_bytes()));
             }
@@ -292,27 +419,24 @@
         self.records.retain(|_, r| now < r.last_death + SUSPECT_TTL);
     }
 
-    fn add_death(&mut self, now: Instant, upstream: SocketAddr, suspect: Suspect) {
+    fn add_death(&mut self, now: Instant, upstream: UpstreamStart, suspect: Suspect) {
         self.remove_expired(now, suspect);
-        let mut own = Mark {
+        let marks = self.records.get(&suspect).map(|r| r.marks.as_slice());
+        let known = marks
+            .unwrap_or_default()
+            .iter()
+            .find(|m| m.mark.upstream == upstream);
+        let deaths = match known {
+            Some(m) if now < m.died_at + SAME_DEATH_WINDOW => return,
+            Some(m) => m.mark.deaths.saturating_add(1),
+            None => 1,
+        };
+        let mark = Mark {
             upstream,
-            reporter: self.reporter,
-            deaths: 0,
+            deaths,
             forgiven: 0,
         };
-        if let Some(record) = self.records.get(&suspect) {
-            let same = |(u, t): (SocketAddr, Instant)| u == upstream && now < t + SAME_DEATH_WINDOW;
-            if record.last_counted.is_some_and(same) {
-                return;
-            }
-            let is_own = |m: &&Mark| m.upstream == upstream && m.reporter == self.reporter;
-            own = record.marks.iter().find(is_own).copied().unwrap_or(own);
-        }
-        own.deaths = own.deaths.saturating_add(1);
-        self.merge_mark(now, now, suspect, own);
-        if let Some(record) = self.records.get_mut(&suspect) {
-            record.last_counted = Some((upstream, now));
-        }
+        self.merge_mark(now, now, suspect, mark);
     }
 
     /// Merges a mark of a suspect whose last death was at `died_at`.
@@ -325,10 +449,9 @@
             .entry(suspect)
             .or_insert_with(|| SuspectRecord {
                 last_death: died_at,
-                last_counted: None,
                 marks: SmallVec::new(),
             });
-        record.merge(mark);
+        record.merge(mark, died_at);
         record.last_death = record.last_death.max(died_at);
     }
 
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -120,6 +120,7 @@
             end: TryEnd::Whole,
             held,
             load: None,
+            answered: None,
         };
         self.upstreams.record_end(self.now, &ended, |_| true);
     }
@@ -369,6 +370,7 @@
                     end: TryEnd::Abandoned,
                     held: Duration::ZERO,
                     load: None,
+                    answered: None,
                 },
                 |_| true,
             );
@@ -408,6 +410,7 @@
             end: TryEnd::Whole,
             held,
             load: None,
+            answered: None,
         };
         world.upstreams.record_end(world.now, &ended, |_| true);
         world.now += Duration::from_millis(10);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -9,16 +9,15 @@
         DEATHS_TO_REFUSE,
         Mark,
         Quarantine,
+        REFUSAL_FIRST,
         SAME_DEATH_WINDOW,
         SUSPECT_TTL,
         SUSPECTS_MAX,
         Suspect,
-        SuspectEntry, //
-    },
-    util::id::{
-        Incarnation,
-        OrganisationName, //
+        SuspectEntry,
+        UpstreamStart, //
     },
+    util::id::OrganisationName,
 };
 use proptest::{
     prelude::*,
@@ -41,11 +40,7 @@
     SocketAddr::from(([127, 0, 0, 1], n))
 }
 
-fn host(n: u16) -> Quarantine {
-    Quarantine::new(&format!("host-{n}").parse().expect("host"), Incarnation(1))
-}
-
-fn send_entries(now: Instant, from: &Quarantine, to: &mut Quarantine) {
+fn send_entries(now: Instant, from: &mut Quarantine, to: &mut Quarantine) {
     to.merge(now, &from.entries(now, usize::MAX));
 }
 
@@ -54,7 +49,7 @@
 #[test]
 fn a_killer_is_refused_everywhere_after_few_deaths() {
     let t0 = Instant::now();
-    let mut hosts: Vec<_> = (0..12).map(host).collect();
+    let mut hosts: Vec<_> = (0..12).map(|_| Quarantine::new()).collect();
     let mut crashes = 0;
     for turn in 0..60_u16 {
         let now = t0 + SECOND * u32::from(turn);
@@ -77,7 +72,7 @@
 #[test]
 fn one_upstreams_death_refuses_no_request() {
     let now = Instant::now();
-    let mut host = host(0);
+    let mut host = Quarantine::new();
     let in_flight: Vec<_> = (0..400).map(Suspect).collect();
     // The connections to the upstream fail one by one, and one request is in flight on many
     // of them.
@@ -92,19 +87,21 @@
 #[test]
 fn a_death_that_several_hosts_report_counts_once() {
     let now = Instant::now();
-    let mut hosts: Vec<_> = (0..5).map(host).collect();
+    let mut hosts: Vec<_> = (0..5).map(|_| Quarantine::new()).collect();
     for host in &mut hosts {
         host.on_death(now, upstream(1), &[HARMLESS_REQUEST]);
     }
-    let mut all = host(9);
+    let mut all = Quarantine::new();
     for _ in 0..3 {
-        hosts.iter().for_each(|h| send_entries(now, h, &mut all));
+        hosts
+            .iter_mut()
+            .for_each(|h| send_entries(now, h, &mut all));
     }
     assert_eq!(all.deaths(now, HARMLESS_REQUEST), 1);
     // A later crash of the restarted upstream counts as a second death.
     let later = now + SAME_DEATH_WINDOW;
     hosts[0].on_death(later, upstream(1), &[HARMLESS_REQUEST]);
-    send_entries(later, &hosts[0], &mut all);
+    send_entries(later, &mut hosts[0], &mut all);
     assert_eq!(all.deaths(later, HARMLESS_REQUEST), 2);
 }
 
@@ -113,12 +110,12 @@
 #[test]
 fn an_innocent_request_beside_every_death_is_cleared_by_its_answers() {
     let t0 = Instant::now();
-    let mut host = host(0);
+    let mut host = Quarantine::new();
     for n in 0..10_u16 {
         let now = t0 + SECOND * 5 * u32::from(n);
         host.on_death(now, upstream(n), &[HARMLESS_REQUEST, CRASHING_REQUEST]);
         assert!(!host.is_refused(now, HARMLESS_REQUEST));
-        host.on_answer(HARMLESS_REQUEST);
+        host.on_answer(now, HARMLESS_REQUEST);
         assert_eq!(
             host.admit(now, HARMLESS_REQUEST, upstream(50)),
             Admission::Run
@@ -130,25 +127,25 @@
 #[test]
 fn a_clearing_answer_reaches_the_other_hosts() {
     let now = Instant::now();
-    let (mut a, mut b) = (host(0), host(1));
+    let (mut a, mut b) = (Quarantine::new(), Quarantine::new());
     a.on_death(now, upstream(1), &[HARMLESS_REQUEST]);
-    send_entries(now, &a, &mut b);
+    send_entries(now, &mut a, &mut b);
     assert_eq!(b.deaths(now, HARMLESS_REQUEST), 1);
-    b.on_answer(HARMLESS_REQUEST);
-    send_entries(now, &b, &mut a);
+    b.on_answer(now, HARMLESS_REQUEST);
+    send_entries(now, &mut b, &mut a);
     assert_eq!(a.deaths(now, HARMLESS_REQUEST), 0);
     // An entry from before the answer does not undo the forgiveness.
-    let mut old = host(2);
+    let mut old = Quarantine::new();
     old.on_death(now, upstream(1), &[HARMLESS_REQUEST]);
-    send_entries(now, &a, &mut old);
-    send_entries(now, &old, &mut a);
+    send_entries(now, &mut a, &mut old);
+    send_entries(now, &mut old, &mut a);
     assert!(a.deaths(now, HARMLESS_REQUEST) <= 1);
 }
 
 #[test]
 fn two_suspects_never_run_on_one_upstream() {
     let now = Instant::now();
-    let mut host = host(0);
+    let mut host = Quarantine::new();
     host.on_death(now, upstream(1), &[CRASHING_REQUEST, HARMLESS_REQUEST]);
     assert_eq!(
         host.admit(now, CRASHING_REQUEST, upstream(2)),
@@ -178,7 +175,7 @@
 #[test]
 fn what_lapsed_does_not_come_back() {
     let t0 = Instant::now();
-    let (mut a, mut b) = (host(0), host(1));
+    let (mut a, mut b) = (Quarantine::new(), Quarantine::new());
     for n in 0..3 {
         a.on_death(t0, upstream(n), &[CRASHING_REQUEST]);
     }
@@ -196,8 +193,7 @@
         suspect: CRASHING_REQUEST,
         age_seconds: u16::try_from(SUSPECT_TTL.as_secs()).expect("seconds"),
         marks: SmallVec::from_slice(&[Mark {
-            upstream: upstream(1),
-            reporter: 1,
+            upstream: upstream(1).into(),
             deaths: 9,
             forgiven: 0,
         }]),
@@ -209,7 +205,7 @@
 #[test]
 fn the_table_is_bounded_and_keeps_the_refused() {
     let now = Instant::now();
-    let mut host = host(0);
+    let mut host = Quarantine::new();
     for n in 0..3 {
         host.on_death(now, upstream(n), &[CRASHING_REQUEST]);
     }
@@ -291,7 +287,7 @@
     let histories = proptest::collection::vec(event, 1..60);
     let run = TestRunner::new(config).run(&histories, |events| {
         let t0 = Instant::now();
-        let mut hosts: Vec<_> = (0..4).map(host).collect();
+        let mut hosts: Vec<_> = (0..4).map(|_| Quarantine::new()).collect();
         let mut deaths = [0_u32; 3];
         for (n, event) in (0..).zip(events) {
             let now = t0 + SAME_DEATH_WINDOW * n;
@@ -304,7 +300,7 @@
                     hosts[host].on_death(now, upstream(u), &[Suspect(suspect)]);
                     deaths[usize::try_from(suspect).expect("small")] += 1;
                 }
-                Event::Answer { host, suspect } => hosts[host].on_answer(Suspect(suspect)),
+                Event::Answer { host, suspect } => hosts[host].on_answer(now, Suspect(suspect)),
                 Event::Pass { from, to } => {
                     let entries = hosts[from].entries(now, 9);
                     hosts[to].merge(now, &entries);
@@ -312,7 +308,7 @@
             }
         }
         let now = t0 + SAME_DEATH_WINDOW * 60;
-        let all: Vec<SuspectEntry> = hosts.iter().flat_map(|h| h.entries(now, 9)).collect();
+        let all: Vec<SuspectEntry> = hosts.iter_mut().flat_map(|h| h.entries(now, 9)).collect();
         for host in &mut hosts {
             host.merge(now, &all);
             host.merge(now, &all);
@@ -333,3 +329,140 @@
     });
     run.expect("all hosts have equal counts");
 }
+
+/// A crashing request comes at one host after the other and crashes two upstreams by turns, each of
+/// which is back at its address before the next crash. The deaths at one address were not added up
+/// if different hosts had seen them, so that the request was never refused.
+#[test]
+fn crashes_of_one_address_that_different_hosts_see_add_up() {
+    let t0 = Instant::now();
+    let mut hosts = vec![Quarantine::new(); 10];
+    let mut crashes = 0;
+    for turn in 0..20_usize {
+        let now = t0 + Duration::from_millis(4500) * u32::try_from(turn).expect("small");
+        if hosts[turn % 10].is_refused(now, CRASHING_REQUEST) {
+            break;
+        }
+        crashes += 1;
+        let address = upstream(u16::try_from(turn % 2).expect("small"));
+        hosts[turn % 10].on_death(now, address, &[CRASHING_REQUEST]);
+        let entries = hosts[turn % 10].entries(now, 8);
+        hosts.iter_mut().for_each(|h| h.merge(now, &entries));
+    }
+    assert_eq!(crashes, DEATHS_TO_REFUSE);
+}
+
+/// The same with upstreams whose starts can be told apart: each start counts, however soon after
+/// the last one it crashes, and a crash that two hosts see counts once.
+#[test]
+fn each_start_of_an_upstream_dies_once() {
+    let now = Instant::now();
+    let mut hosts = vec![Quarantine::new(); 3];
+    let start = |n: u64| UpstreamStart {
+        address: upstream(1),
+        start: n,
+    };
+    for n in 1..=DEATHS_TO_REFUSE {
+        for host in &mut hosts {
+            assert_eq!(host.deaths(now, CRASHING_REQUEST), n - 1);
+        }
+        hosts[0].on_death(now, start(n.into()), &[CRASHING_REQUEST]);
+        hosts[1].on_death(now, start(n.into()), &[CRASHING_REQUEST]);
+        let all: Vec<_> = hosts.iter_mut().flat_map(|h| h.entries(now, 9)).collect();
+        hosts.iter_mut().for_each(|h| h.merge(now, &all));
+    }
+    assert!(hosts.iter().all(|h| h.is_refused(now, CRASHING_REQUEST)));
+}
+
+/// Each crash takes many other requests along, so that a message holds only some of the suspects.
+/// If these were always the same ones, no host would learn of the others.
+#[test]
+fn many_suspects_of_one_crash_hide_none() {
+    let t0 = Instant::now();
+    let mut hosts = vec![Quarantine::new(); 10];
+    let mut crashes = 0;
+    for turn in 0..10_u32 {
+        let now = t0 + Duration::from_millis(4500) * turn;
+        let own = usize::try_from(turn).expect("small");
+        if hosts[own].is_refused(now, CRASHING_REQUEST) {
+            break;
+        }
+        crashes += 1;
+        let others = (0..60).map(|n| Suspect(u128::from(turn) * 1000 + n));
+        let in_flight: Vec<_> = others.chain([CRASHING_REQUEST]).collect();
+        hosts[own].on_death(
+            now,
+            upstream(u16::try_from(turn).expect("small")),
+            &in_flight,
+        );
+        // All hosts send a message in each of 15 rounds before the request comes again.
+        for _ in 0..15 {
+            for from in 0..hosts.len() {
+                let entries = hosts[from].entries(now, 16);
+                hosts.iter_mut().for_each(|h| h.merge(now, &entries));
+            }
+        }
+    }
+    assert_eq!(crashes, DEATHS_TO_REFUSE);
+}
+
+/// A refused request may have been harmless, and cannot prove it while it is refused. It may run
+/// again after a while, which doubles if another upstream dies.
+#[test]
+fn a_refusal_ends_and_doubles_with_each_further_death() {
+    let t0 = Instant::now();
+    let mut host = Quarantine::new();
+    for n in 0..3 {
+        host.on_death(t0, upstream(n), &[CRASHING_REQUEST]);
+    }
+    let ms = Duration::from_millis(1);
+    let end = t0 + REFUSAL_FIRST;
+    assert_eq!(host.refused_for(t0, CRASHING_REQUEST), Some(REFUSAL_FIRST));
+    assert!(host.is_refused(end - ms, CRASHING_REQUEST));
+    assert!(!host.is_refused(end, CRASHING_REQUEST));
+    host.on_death(end, upstream(3), &[CRASHING_REQUEST]);
+    assert!(host.is_refused(end + REFUSAL_FIRST * 2 - ms, CRASHING_REQUEST));
+    assert!(!host.is_refused(end + REFUSAL_FIRST * 2, CRASHING_REQUEST));
+    host.on_answer(t0, CRASHING_REQUEST);
+    assert!(!host.is_refused(end, CRASHING_REQUEST));
+}
+
+/// A request is in flight at many upstreams at once, some of which die for other reasons. Each of
+/// the deaths is forgiven once, and the table has room for later ones.
+#[test]
+fn forgiven_deaths_leave_room_for_later_ones() {
+    let t0 = Instant::now();
+    let mut host = Quarantine::new();
+    for n in 0..100_u16 {
+        host.on_death(t0, upstream(n), &[CRASHING_REQUEST]);
+        host.on_answer(t0, CRASHING_REQUEST);
+    }
+    for n in 100..103_u16 {
+        let now = t0 + SAME_DEATH_WINDOW * u32::from(n - 99);
+        assert!(!host.is_refused(now, CRASHING_REQUEST));
+        host.on_death(now, upstream(n), &[CRASHING_REQUEST]);
+    }
+    assert!(host.is_refused(t0 + SAME_DEATH_WINDOW * 3, CRASHING_REQUEST));
+}
+
+/// A whole zone fails while all of its upstreams run requests of one kind. That kind has been
+/// answered before, so the simultaneous deaths count as one; a request that was never answered is
+/// refused after the same deaths, and so is one that goes on to crash upstreams.
+#[test]
+fn simultaneous_deaths_refuse_only_what_was_never_answered() {
+    let t0 = Instant::now();
+    let mut host = Quarantine::new();
+    host.on_answer(t0, HARMLESS_REQUEST);
+    for n in 0..10_u16 {
+        let now = t0 + Duration::from_millis(100) * u32::from(n);
+        host.on_death(now, upstream(n), &[HARMLESS_REQUEST, CRASHING_REQUEST]);
+    }
+    assert!(host.is_refused(t0 + SECOND, CRASHING_REQUEST));
+    assert!(!host.is_refused(t0 + SECOND, HARMLESS_REQUEST));
+    for n in 1..=2_u16 {
+        let now = t0 + SAME_DEATH_WINDOW * u32::from(n);
+        assert!(!host.is_refused(now, HARMLESS_REQUEST));
+        host.on_death(now, upstream(20 + n), &[HARMLESS_REQUEST]);
+    }
+    assert!(host.is_refused(t0 + SAME_DEATH_WINDOW * 2, HARMLESS_REQUEST));
+}
--- a/tests/state_costs.rs
+++ b/tests/state_costs.rs
@@ -106,7 +106,7 @@
         black_box(once.begin(now, id, RequestFingerprint(1)));
     });
 
-    let quarantine = Quarantine::new(&"bac-a-1".parse().expect("host"), Incarnation(5));
+    let quarantine = Quarantine::new();
     let organisation = "thanh".parse().expect("name");
     report("suspect", |_| {
         let suspect = Suspect::of(
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -456,7 +456,7 @@
                     Outcome::Refused(refused.reason, start.elapsed())
                 }
                 PlacementDecision::Send(placed) => {
-                    match run(&plan, &upstreams, &stats, object, placed).await {
+                    match run(&plan, &upstreams, &stats, object, *placed).await {
                         true => Outcome::Answered(start.elapsed()),
                         false => Outcome::Refused(RefusalReason::TriesExhausted, start.elapsed()),
                     }
