Honour what upstreams say in answers: leaving, and pauses

Before, neither header was read: a server that says it leaves got requests for as long as the store listed it, and one that names a pause got requests at once.

Leaving (`Server-Leaving: 1`, any status): from the first such answer to a request of this host, that start of the upstream (id and start time) counts as draining in this process. Whatever the store, an older list or a relay says later changes nothing, also if the entry is removed and comes back; a new start is free. Its idle connections are closed and others are not reused. The host that schedules its domain is told, or it would go on granting its slots. Ignored: another value, a 421 (another server has the address), an answer to another request.

Pause (`Retry-After` of a 503): the longest of overlapping times holds, plus up to a quarter and at most 1 s by chance, so that hosts do not return at once. The upstream is left out of placement and of claims to other hosts' schedulers; afterwards it gets one request at a time until it answers one. Dates, zero, negative and infinite values are ignored, 1e30 counts as a year. If all upstreams that may run a request are paused it is refused at once, not run, with the time at which the first pause ends. There are no health checks or probes in this program.

--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -30,7 +30,10 @@
 };
 use crate::{
     post::post,
-    quarantine::SuspectEntry,
+    quarantine::{
+        SuspectEntry,
+        UpstreamStart, //
+    },
     util::id::{
         HostName,
         Incarnation,
@@ -255,6 +258,17 @@
     pub runs: Vec<(RunId, UpstreamKey)>,
 }
 
+/// Tells a scheduler that an upstream has said in an answer that it leaves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The host that received the answer.
+    pub from: Sender,
+    /// Key of the upstream.
+    pub key: UpstreamKey,
+    /// The start of the upstream that leaves.
+    pub upstream: UpstreamStart,
+}
+
 /// Any message between hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -274,6 +288,8 @@
     Finished(Finished),
     /// All running attempts of a host.
     Holding(Holding),
+    /// An upstream that leaves.
+    Leaving(Leaving),
 }
 
 impl Datagram {
@@ -288,6 +304,7 @@
             Self::Started(msg) => &msg.from,
             Self::Finished(msg) => &msg.from,
             Self::Holding(msg) => &msg.from,
+            Self::Leaving(msg) => &msg.from,
         }
     }
 }
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -83,6 +83,10 @@
     pub keep_alive: Option<Duration>,
     /// Whether the upstream closes the connection after this answer.
     pub closes_connection: bool,
+    /// Whether the upstream is about to stop and accepts no new requests.
+    pub leaving: bool,
+    /// How long the upstream wants no requests from this host. Only refusals have it.
+    pub pause: Option<Duration>,
 }
 
 /// A caller's look-up of the hosts that it should use.
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod demand;
 mod domains;
+mod notices;
 mod observations;
 mod peer_messages;
 mod queue;
@@ -75,7 +76,8 @@
         Submit,
         Tick,
         TopicObserved,
-        UpstreamCrashed, //
+        UpstreamCrashed,
+        UpstreamSaid, //
     },
     metrics::EdgeMetrics,
     model::{
@@ -369,6 +371,10 @@
 
     async fn handle(&mut self, msg: UpstreamCrashed, _: &mut Context<Self>) {
         let now = Instant::now();
+        // It ends as planned, and takes the last requests along.
+        if self.upstreams.is_leaving(msg.upstream) {
+            return;
+        }
         self.quarantine.on_death(now, msg.upstream, &[msg.suspect]);
         log::warn!(
             event = "upstream-crashed",
@@ -380,6 +386,14 @@
     }
 }
 
+impl Handler<UpstreamSaid> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: UpstreamSaid, _: &mut Context<Self>) {
+        self.record_notice(Instant::now(), &msg);
+    }
+}
+
 impl Handler<Reload> for Dispatcher {
     type Return = ();
 
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -145,7 +145,7 @@
             lost_ms: ms(job.lost_time),
             aim_ms: ms(job.latency_target),
             left_ms: ms(job.deadline.saturating_duration_since(now)),
-            tried: job.tried.clone(),
+            tried: self.excluded_for_own(now, job).into_iter().collect(),
         };
         self.send_datagram(vec![address], Datagram::Claim(msg));
         let round_trip = self
@@ -216,6 +216,7 @@
             && !u.is_replaced()
             && !self.evacuated_zones.contains(&u.registration.zone)
             && !waiting.job.tried.contains(&key)
+            && !u.is_paused(now)
             && !self.quarantine.is_refused(now, waiting.job.suspect)
     }
 
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -65,6 +65,7 @@
             Datagram::Started(msg) => self.handle_started(now, &msg),
             Datagram::Finished(msg) => self.handle_finished(now, &msg),
             Datagram::Holding(msg) => self.handle_holding(now, &msg),
+            Datagram::Leaving(msg) => self.handle_leaving(now, &msg),
         }
     }
 
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -132,12 +132,13 @@
 
     fn pick(&self, now: Instant, waiting: &WaitingRequest, late: bool) -> Pick {
         let job = &waiting.job;
+        let excluded = self.excluded_upstreams(now, waiting);
         let wish = PlacementRequest {
             object: job.object,
             route: job.route,
             bytes: job.bytes,
             zones: &waiting.zones,
-            tried: &job.tried,
+            excluded: &excluded,
             late,
             view: waiting.view,
         };
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -159,6 +159,11 @@
         let Some(mut waiting) = self.refuse_quarantined(now, waiting) else {
             return;
         };
+        if let Some(until) = self.all_paused_until(now, &waiting.job) {
+            self.refund(now, &waiting.job);
+            let verdict = self.paused_refusal(now, &waiting.job, until);
+            return finish_waiting(waiting, verdict);
+        }
         let Some(domain) = self.next_domain(now, &mut waiting) else {
             let reason = match waiting.declined.is_empty() {
                 true => RefusalReason::NoUpstream,
@@ -384,6 +389,17 @@
         })
     }
 
+    /// Refuses a request that no upstream accepts before `until`.
+    fn paused_refusal(&mut self, now: Instant, job: &Job, until: Instant) -> PlacementDecision {
+        self.log_refused(now, job, RefusalReason::Paused);
+        let spread = RETRY_AFTER_JITTER.mul_f64(self.rng.random::<f64>());
+        let retry_after = until.saturating_duration_since(now).max(RETRY_AFTER_MIN) + spread;
+        PlacementDecision::Refused(Refused {
+            reason: RefusalReason::Paused,
+            retry_after,
+        })
+    }
+
     /// Logs a refusal and the data it was based on.
     fn log_refused(&self, now: Instant, job: &Job, reason: RefusalReason) {
         if !self.refused_log_budget.allows("refused") {
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -70,7 +70,9 @@
         Refused,
         ReservedSlot,
         Submit,
-        UpstreamCrashed, //
+        UpstreamCrashed,
+        UpstreamNotice,
+        UpstreamSaid, //
     },
     metrics::EdgeMetrics,
     model::Configuration,
@@ -405,6 +407,7 @@
             return TryOutcome::Lost;
         }
         placed.reported(head.load);
+        self.report_notices(&placed, &head);
         if head.not_run || head.misdirected {
             placed.ended(match head.misdirected {
                 true => TryEnd::Misdirected,
@@ -420,6 +423,29 @@
             .await
     }
 
+    /// Reports what an upstream has said about itself in an answer to a request of this host. An
+    /// answer of another upstream, which has taken over the address, says nothing about this one.
+    fn report_notices(&self, placed: &ReservedSlot, head: &AnswerHead) {
+        if head.misdirected {
+            return;
+        }
+        let report = |notice| {
+            let msg = UpstreamSaid {
+                key: placed.key,
+                upstream: placed.start,
+                notice,
+            };
+            post(&self.dispatcher, msg);
+        };
+        if head.leaving {
+            self.connections.close_idle(placed.address);
+            report(UpstreamNotice::Leaving);
+        }
+        if let Some(pause) = head.pause {
+            report(UpstreamNotice::Pause(pause));
+        }
+    }
+
     /// Checks whether an upstream that lost a request has crashed, and reports it.
     fn report_if_crashed(&self, placed: &ReservedSlot, suspect: Suspect) {
         let (dispatcher, upstream) = (self.dispatcher.clone(), placed.start);
--- a/src/edge/forward/answer_body.rs
+++ b/src/edge/forward/answer_body.rs
@@ -100,7 +100,7 @@
 
 /// Returns a connection to the pool, unless the upstream is about to close it.
 pub(super) fn return_connection(lease: ConnectionLease, head: &AnswerHead) {
-    if head.closes_connection {
+    if head.closes_connection || head.leaving {
         return;
     }
     let idle = head.keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT);
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -178,6 +178,8 @@
     Busy,
     /// No upstream of the service may run it.
     NoUpstream,
+    /// All upstreams that may run it want no requests from this host for a while.
+    Paused,
     /// The service's retry budget is used up.
     RetryBudget,
     /// No further attempt is allowed: the route's limit is reached, or too little time is
@@ -196,6 +198,7 @@
             Self::Rate => "rate",
             Self::Busy => "busy",
             Self::NoUpstream => "no-upstream",
+            Self::Paused => "paused",
             Self::RetryBudget => "retry-budget",
             Self::TriesExhausted => "tries",
             Self::Quarantine => "quarantine",
@@ -237,11 +240,10 @@
         ended: AttemptEnded,
         dispatcher: Option<Address<Dispatcher>>,
     ) -> Self {
-        let (address, id) = (upstream.address, upstream.id.clone());
         Self {
-            address,
-            start: UpstreamStart::new(address, &id, upstream.born),
-            id,
+            address: upstream.address,
+            id: upstream.id.clone(),
+            start: upstream.start(),
             key: ended.key,
             started_at: Instant::now(),
             ended: Some(ended),
@@ -314,6 +316,26 @@
     pub suspect: Suspect,
 }
 
+/// What an upstream has said about itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamNotice {
+    /// It is about to stop and accepts no new requests.
+    Leaving,
+    /// It wants no requests from this host for the given time.
+    Pause(Duration),
+}
+
+/// Reports what an upstream has said about itself.
+#[derive(Debug)]
+pub struct UpstreamSaid {
+    /// Key of the upstream.
+    pub key: UpstreamKey,
+    /// The start of the upstream that has said it.
+    pub upstream: UpstreamStart,
+    /// What it has said.
+    pub notice: UpstreamNotice,
+}
+
 /// Replaces the settings.
 #[derive(Debug)]
 pub struct Reload {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -47,6 +47,13 @@
     pub object: &'static str,
 }
 
+/// Labels of the counter of notices of upstreams.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct NoticeLabels {
+    /// `leaving`, or `pause` if the upstream wants no requests for a while.
+    pub kind: &'static str,
+}
+
 /// Labels of the reads counter.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ReadLabels {
@@ -83,6 +90,8 @@
     pub in_flight: Gauge,
     /// Version number of the configuration in force.
     pub configuration: Gauge,
+    /// What upstreams said about themselves in answers.
+    pub upstream_notices: Family<NoticeLabels, Counter>,
     /// 1 if the configuration in force is the one that the platform published last, otherwise 0.
     pub configuration_current: Gauge,
     /// Age of the read that last confirmed the configuration's keys, in milliseconds.
@@ -107,6 +116,7 @@
             reads: Family::default(),
             in_flight: Gauge::default(),
             configuration: Gauge::default(),
+            upstream_notices: Family::default(),
             configuration_current: Gauge::default(),
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
@@ -154,6 +164,11 @@
             "Number of the configuration in force",
             self.configuration.clone(),
         );
+        r.register(
+            "upstream_notices",
+            "Answers in which upstreams said that they leave or want a pause",
+            self.upstream_notices.clone(),
+        );
         r.register(
             "configuration_current",
             "Whether the configuration in force is the last published one",
--- a/src/edge/model.rs
+++ b/src/edge/model.rs
@@ -13,14 +13,17 @@
 };
 use smallvec::SmallVec;
 
-use crate::util::id::{
-    HostName,
-    KeyDigest,
-    OrganisationName,
-    RegionName,
-    ServiceName,
-    UpstreamId,
-    ZoneName, //
+use crate::{
+    quarantine::UpstreamStart,
+    util::id::{
+        HostName,
+        KeyDigest,
+        OrganisationName,
+        RegionName,
+        ServiceName,
+        UpstreamId,
+        ZoneName, //
+    },
 };
 
 /// Version number of a published configuration; later versions are larger.
@@ -176,6 +179,13 @@
     pub born: Option<u64>,
 }
 
+impl Registration {
+    /// Returns the start of the upstream that this registration describes.
+    pub fn start(&self) -> UpstreamStart {
+        UpstreamStart::new(self.address, &self.id, self.born)
+    }
+}
+
 /// Registration of an entry host, as the host publishes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRegistration {
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -55,8 +55,8 @@
     pub bytes: u64,
     /// Hashes of the zones in which the request may run.
     pub zones: &'a [u64],
-    /// Upstreams on which the request has been tried already.
-    pub tried: &'a [UpstreamKey],
+    /// Upstreams that the request must not be sent to, such as those that it was sent to already.
+    pub excluded: &'a [UpstreamKey],
     /// Whether the request has reached the end of its permitted wait.
     pub late: bool,
     /// What the deciding host knows of the upstreams.
@@ -242,14 +242,14 @@
     homes.contains(u.key) || is_idle(u, now) || u.recent.list_index(object).is_some()
 }
 
-/// Returns the usable upstreams in the request's zones that have not been tried yet.
+/// Returns the usable upstreams in the request's zones that are not excluded.
 fn candidates<'a>(pool: &'a Pool, req: &PlacementRequest<'_>, now: Instant) -> Vec<Candidate<'a>> {
     let mut usable = Vec::with_capacity(pool.upstreams.len());
     for upstream in &pool.upstreams {
         if !req.zones.contains(&upstream.zone_hash) || !upstream.is_usable(now) {
             continue;
         }
-        if req.tried.contains(&upstream.key) {
+        if req.excluded.contains(&upstream.key) {
             continue;
         }
         usable.push(Candidate {
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -1,5 +1,6 @@
 //! The upstreams of all services, with the state that this host keeps for them.
 
+mod notices;
 mod upstream;
 
 use std::{
@@ -12,6 +13,7 @@
 
 use tokio::time::Instant;
 
+use self::notices::Notices;
 pub use self::upstream::{
     TryEnd,
     Upstream,
@@ -24,18 +26,22 @@
     message::AttemptEnded,
     model::{
         Registration,
-        Service, //
+        Service,
+        Standing, //
     },
     object_recency::WorkByPosition,
     remote_runs::RunChange, //
 };
-use crate::util::{
-    id::{
-        ServiceName,
-        UpstreamId,
-        ZoneName, //
+use crate::{
+    quarantine::UpstreamStart,
+    util::{
+        id::{
+            ServiceName,
+            UpstreamId,
+            ZoneName, //
+        },
+        time::SaturatingAdd,
     },
-    time::SaturatingAdd,
 };
 
 /// Weight of a new sample in the moving average of a service's work. It is small because the
@@ -108,6 +114,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
     pools: BTreeMap<ServiceName, Pool>,
+    /// What upstreams have said about themselves in their answers.
+    notices: Notices,
 }
 
 impl Upstreams {
@@ -137,13 +145,20 @@
     pub fn register(
         &mut self,
         now: Instant,
-        registration: Registration,
+        mut registration: Registration,
         service: Option<&Service>,
     ) {
+        let notice = self.notices.get(registration.start().start);
+        if notice.is_some_and(|n| n.leaving) {
+            registration.standing = Standing::Draining;
+        }
+        let paused_until = notice.and_then(|n| n.paused_until);
         let mut cold_until = now.saturating_add(registration.cold_for);
         let known = self.remove_entry(&registration.id);
         let Some(mut u) = known else {
-            let u = Upstream::new(registration, cold_until, now);
+            let mut u = Upstream::new(registration, cold_until, now);
+            u.paused_until = paused_until;
+            u.is_resuming = paused_until.is_some();
             log::info!(
                 event = "upstream-joined",
                 upstream:% = u.registration.id,
@@ -161,7 +176,9 @@
             u.failures = 0;
             u.replaced = false;
             u.recent.clear();
+            u.is_resuming = false;
         }
+        u.paused_until = paused_until;
         if u.registration.standing != registration.standing {
             log::info!(
                 event = "upstream-standing",
@@ -198,6 +215,55 @@
         removed
     }
 
+    /// Records that a start of an upstream leaves; returns whether this is new. Until this process
+    /// ends, the upstream gets no new requests, whatever its registration says.
+    pub fn record_leaving(&mut self, now: Instant, key: UpstreamKey, start: UpstreamStart) -> bool {
+        let is_new = self.notices.record_leaving(now, start.start);
+        let pool = self.pools.values_mut().find(|p| p.index.contains_key(&key));
+        if let Some(pool) = pool
+            && let Some(mut u) = pool.remove_entry(key)
+        {
+            if u.registration.start() == start {
+                u.registration.standing = Standing::Draining;
+            }
+            pool.push(u);
+        }
+        is_new
+    }
+
+    /// Returns whether a start of an upstream has said that it leaves, or is registered as such.
+    pub fn is_leaving(&self, start: UpstreamStart) -> bool {
+        let is_draining = |u: &Upstream| {
+            u.registration.standing == Standing::Draining && u.registration.start() == start
+        };
+        let has_said = self.notices.get(start.start).is_some_and(|n| n.leaving);
+        has_said
+            || self
+                .pools
+                .values()
+                .flat_map(|p| &p.upstreams)
+                .any(is_draining)
+    }
+
+    /// Records that a start of an upstream wants no requests from this host until `until`. Returns
+    /// until when it is paused.
+    pub fn record_pause(
+        &mut self,
+        now: Instant,
+        key: UpstreamKey,
+        start: UpstreamStart,
+        until: Instant,
+    ) -> Instant {
+        let until = self.notices.record_pause(now, start.start, until);
+        if let Some(u) = self.find_mut(key)
+            && u.registration.start() == start
+        {
+            u.paused_until = Some(until);
+            u.is_resuming = true;
+        }
+        until
+    }
+
     /// Marks all upstreams of a zone as cold for the cold time of their service.
     pub fn mark_zone_cold(
         &mut self,
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -99,6 +99,10 @@
     pub recent: RecentObjects,
     /// Service time of the upstream relative to the expected one.
     pub slowness: Slowness,
+    /// Until when the upstream wants no requests from this host.
+    pub(super) paused_until: Option<Instant>,
+    /// Whether the upstream has not answered a request of this host since it was paused.
+    pub(super) is_resuming: bool,
     reported: Option<(u32, Instant)>,
     full_until: Instant,
     suspended_until: Instant,
@@ -119,6 +123,8 @@
             cold_pace: ColdPace::new(now),
             recent: RecentObjects::default(),
             slowness: Slowness::new(now),
+            paused_until: None,
+            is_resuming: false,
             reported: None,
             full_until: now,
             suspended_until: now,
@@ -149,6 +155,17 @@
             && self.full_until <= now
     }
 
+    /// Returns whether the upstream must get no further request of this host now. After a pause it
+    /// gets one at a time until it has answered one, so that the load returns gradually.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until(now).is_some() || (self.is_resuming && self.running > 0)
+    }
+
+    /// Returns until when the upstream wants no requests from this host; `None` if it accepts them.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
     /// Returns whether another upstream has taken over the address.
     pub fn is_replaced(&self) -> bool {
         self.replaced
@@ -173,7 +190,7 @@
     }
 
     /// Returns the upstream's slots, or 0 if it is draining.
-    pub(super) fn ready_slots(&self) -> u32 {
+    pub fn ready_slots(&self) -> u32 {
         match self.registration.standing {
             Standing::Ready => self.registration.slots,
             Standing::Draining => 0,
@@ -204,6 +221,7 @@
             TryEnd::Whole => {
                 self.failures = 0;
                 self.last_suspension = Duration::ZERO;
+                self.is_resuming = false;
             }
             TryEnd::Shed if has_room => {}
             TryEnd::Shed => self.full_until = now + FULL_DURATION,
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -146,7 +146,7 @@
             route: ROUTE,
             bytes: 0,
             zones: &zones,
-            tried: &[],
+            excluded: &[],
             late,
             view,
         };
