Keep only the last configuration for followers

Cause: 2,048 changes of each topic are kept for followers, whatever their size, and each change of the configuration is a whole one.

Change: a configuration replaces the earlier ones in that list. A follower that has missed several gets the last one. Changes of other topics are small and are kept as before.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -136,6 +136,9 @@
                 None => self.records.remove(&change.name),
             };
             if !whole {
+                if change.supersedes_earlier() {
+                    self.log.retain(|(_, earlier)| earlier.name != change.name);
+                }
                 self.log.push_back((changes.revision, change.clone()));
             }
         }
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -100,6 +100,17 @@
     pub record: Option<Record>,
 }
 
+impl Change {
+    /// Returns whether a follower that receives this change needs no earlier one of the same record.
+    /// Configurations are large, so that only the last one is kept for followers.
+    pub fn supersedes_earlier(&self) -> bool {
+        matches!(
+            self.record,
+            Some(Record::Configuration(_) | Record::UnreadableConfiguration)
+        )
+    }
+}
+
 /// A revision of the store; it grows with each change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
--- /dev/null
+++ b/tests/edge_relay.rs
@@ -0,0 +1,100 @@
+//! Memory of the changes that a host keeps for its followers.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Weak, //
+    },
+};
+
+use cardamomroad::edge::{
+    message::TopicUpdate,
+    model::{
+        ConfigVersion,
+        Configuration, //
+    },
+    relay::{
+        RelayQuery,
+        SuspendAwareInstant,
+        TopicCaches, //
+    },
+    topic::{
+        Change,
+        Changes,
+        Record,
+        Revision,
+        Topic, //
+    },
+};
+use xtra::Mailbox;
+
+fn configuration(version: u64) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version: ConfigVersion(version),
+        routes: HashMap::new(),
+        services: HashMap::new(),
+        organisations: Vec::new(),
+        keys: HashMap::new(),
+        body_bytes_max: 1 << 20,
+        unreadable_parts: 0,
+        requires_keys: false,
+    })
+}
+
+fn changes(version: u64, cfg: Arc<Configuration>) -> Changes {
+    Changes {
+        changes: vec![Change {
+            name: "main".to_owned(),
+            record: Some(Record::Configuration(cfg)),
+        }],
+        revision: Revision(version),
+    }
+}
+
+/// An operator publishes many configurations in a row. Each of them was kept for followers, up to
+/// 2,048, which exceeded the memory of a host if they were large.
+#[tokio::test]
+async fn only_the_last_configuration_is_kept() {
+    let (dispatcher, mailbox) = Mailbox::unbounded();
+    // Messages to the dispatcher are dropped.
+    drop(mailbox);
+    let caches = TopicCaches::new(dispatcher);
+    let mut kept: Vec<Weak<Configuration>> = Vec::new();
+    for version in 1..=300 {
+        let cfg = configuration(version);
+        kept.push(Arc::downgrade(&cfg));
+        let (base, news) = match version {
+            1 => (None, TopicUpdate::Whole(changes(version, cfg))),
+            _ => (
+                Some(Revision(version - 1)),
+                TopicUpdate::Since(changes(version, cfg)),
+            ),
+        };
+        let now = SuspendAwareInstant::now();
+        caches.apply_read(Topic::Configuration, base, news, now);
+    }
+    assert_eq!(caches.revision(Topic::Configuration), Some(Revision(300)));
+    let alive = kept.iter().filter(|cfg| cfg.strong_count() > 0).count();
+    assert_eq!(alive, 1);
+    // A follower that has missed many of them gets the last one.
+    for behind in [1, 150, 299] {
+        let mut after = [None; Topic::ALL.len()];
+        after[Topic::Configuration.index()] = Some(Revision(behind));
+        let answer = caches.answer(&RelayQuery { after, wait_ms: 0 }).await;
+        let TopicUpdate::Since(news) = &answer.topics[0].news else {
+            panic!("{answer:?}");
+        };
+        assert_eq!(news.revision, Revision(300));
+        let [
+            Change {
+                record: Some(Record::Configuration(cfg)),
+                ..
+            },
+        ] = &news.changes[..]
+        else {
+            panic!("{news:?}");
+        };
+        assert_eq!(cfg.version, ConfigVersion(300));
+    }
+}
