Let bodies take 0.4 of the memory; name where a list may lack the configuration

The state of the configuration's topic is set where the list is handled, not inside the removal of missing records.

--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -60,6 +60,10 @@
         }
         if is_full {
             self.remove_missing(now, msg.topic, &changes);
+            if msg.topic == Topic::Configuration {
+                // Until the list turns out to have the one in force.
+                self.is_configuration_current = false;
+            }
         }
         for change in changes {
             self.apply(now, msg.topic, change);
@@ -90,10 +94,7 @@
     pub(super) fn remove_missing(&mut self, now: Instant, topic: Topic, changes: &[Change]) {
         let listed_names: BTreeSet<&str> = changes.iter().map(|c| c.name.as_str()).collect();
         let known_names: Vec<String> = match topic {
-            Topic::Configuration => {
-                self.is_configuration_current = false;
-                Vec::new()
-            }
+            Topic::Configuration => Vec::new(),
             Topic::Upstreams => names_of(self.upstreams.ids()),
             Topic::Evacuations => names_of(self.evacuated_zones.iter()),
             Topic::Hosts => names_of(self.peers.names()),
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -97,8 +97,9 @@
     },
 };
 
-/// Request bodies may take the process's memory limit divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Fraction of the process's memory limit that request bodies may take. Their copies on the way to
+/// upstreams take almost as much again.
+const BODY_MEMORY_FRACTION: f64 = 0.4;
 /// The path of the metrics at the address for other hosts.
 const METRICS_PATH: &str = "/metrics";
 /// The time between two reads of the settings.
@@ -182,7 +183,7 @@
         caller_timeouts: Mutex::default(),
         metrics: metrics.clone(),
         buffered_bytes: Arc::default(),
-        buffered_bytes_max: settings.memory_bytes / BODY_MEMORY_DIVISOR,
+        buffered_bytes_max: (settings.memory_bytes as f64 * BODY_MEMORY_FRACTION) as u64,
         answered_lines: LogRateLimit::default(),
         ended_lines: LogRateLimit::default(),
     });
