Place returning callers by a point of their own in the region shares

Requests of callers that return after a refusal now use another point of the object's hash, so that they follow the shares.

--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -41,6 +41,7 @@
             View, //
         },
         quota::Debit,
+        region_balance,
         upstreams::{
             TryEnd,
             Upstream,
@@ -138,7 +139,7 @@
         let home = self.settings.region.clone();
         // The position depends only on the object, so that all hosts of a region send requests
         // for an object to the same region.
-        let position = (job.object >> 11) as f64 / (1u64 << 53) as f64;
+        let position = region_balance::position(job.object, !job.lost_time.is_zero());
         let region = self
             .demand_mut(&job.service, now)
             .shares
--- a/src/edge/region_balance.rs
+++ b/src/edge/region_balance.rs
@@ -31,6 +31,10 @@
 /// uncached objects at home.
 const RETURN_SPEED_FRACTION: f64 = 0.2;
 
+/// Rotation of an object's hash for requests of returning callers, in bits. Half of the hash, so that
+/// the leading bits of both points are independent.
+const RETURNING_ROTATION_BITS: u32 = 32;
+
 /// Capacity and demand of one region, for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionLoad {
@@ -57,6 +61,20 @@
 /// Fraction of a region's requests that runs in each region; the fractions add up to 1.
 pub type Shares = BTreeMap<RegionName, f64>;
 
+/// Returns the point, from 0 to 1, by which the regions' shares assign an object's requests.
+///
+/// Requests of callers that return after a refusal have a point of their own. The regions that
+/// refuse most are the smallest ones; if their callers returned to the same region, it would refuse
+/// them again, and the mixture of regions would change as soon as mostly such callers send requests.
+pub fn position(object: u64, is_returning: bool) -> f64 {
+    let point = match is_returning {
+        false => object,
+        true => object.rotate_left(RETURNING_ROTATION_BITS),
+    };
+    // A float holds 53 bits exactly.
+    (point >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Returns the assumed demand of one zone's callers, in slots, to add to the measured demand.
 /// `after` is the time since the first request, if there was one.
 ///
--- a/tests/edge_region_balance.rs
+++ b/tests/edge_region_balance.rs
@@ -13,11 +13,17 @@
         Shares,
         assumed_demand,
         local_utilisation_limit,
+        position,
         shares, //
     },
     retry::RateMeter,
     util::id::RegionName,
 };
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use tokio::time::Instant;
 
 /// Configured bound: the fraction of a region's requests that may change region in a window.
@@ -245,3 +251,24 @@
     let stay = points.filter(|p| slow.region_at(&home, *p) == home).count();
     assert_eq!(stay, 250);
 }
+
+/// Load: the smallest region refuses more requests than the others, and later mostly the refused
+/// callers send requests. Guards against all of them being sent to that region again, which moves a
+/// large part of the requests from one region to another within a moment.
+#[test]
+fn returning_callers_are_spread_over_the_regions_by_their_shares() {
+    const SMALLEST_SHARE: f64 = 0.2;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let objects = (0..20_000).map(|_| rng.random::<u64>());
+    let refused: Vec<u64> = objects
+        .filter(|o| position(*o, false) < SMALLEST_SHARE)
+        .collect();
+    let again = refused
+        .iter()
+        .filter(|o| position(**o, true) < SMALLEST_SHARE);
+    let fraction = again.count() as f64 / refused.len() as f64;
+    assert!(
+        (fraction - SMALLEST_SHARE).abs() < 0.03,
+        "{fraction} of the returning callers are sent to the region that refused them"
+    );
+}
