edge: use the pace that upstreams report of their machines

Cause: upstreams share machines, of which at any time some are slow by a factor of about 2.5 for spells of about 600 ms. The learned slowness sees a spell only when requests that ran in it have ended, keeps it for seconds after the spell, and the spell's times enter the work by position, which is that of all upstreams.

Placement multiplies the expected work by a factor that fades within a second and weighs the spell by the work of the request. Times of runs are converted to the usual pace before slowness and work by position are updated. Without the number, messages and placements are as before.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod freshness;
 pub mod log_limit;
+pub mod machine_pace;
 pub mod message;
 pub mod metrics;
 pub mod model;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -20,6 +20,7 @@
     Serialize, //
 };
 
+use super::machine_pace::PaceReport;
 use crate::util::id::{
     OrganisationName,
     UpstreamId,
@@ -57,6 +58,10 @@
     pub running: u32,
     /// Requests that wait at the upstream.
     pub waiting: u32,
+    /// The pace of the upstream's machine, if it reports one. Messages between hosts leave it out
+    /// otherwise, so that hosts of an older release can read them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<PaceReport>,
 }
 
 impl LoadReport {
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -310,6 +310,9 @@
         self.metrics
             .upstreams
             .set(number(upstreams.sum::<usize>() as u128));
+        let all = self.upstreams.pools().flat_map(|(_, p)| &p.upstreams);
+        let slow = all.filter(|u| u.pace.is_slow(now)).count();
+        self.metrics.slow_machines.set(number(slow as u128));
         if let Some(cfg) = self.configuration.load().as_ref() {
             self.metrics
                 .configuration
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -361,6 +361,7 @@
                 zone:%,
                 load,
                 slots,
+                pace_percent:? = u.pace.percent(now),
                 object_place:? = place,
                 lost_ms = job.lost_time.as_millis() as u64,
                 waited_ms = waited.as_millis() as u64;
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -229,6 +229,8 @@
     /// The start of the upstream that the slot belongs to.
     pub start: UpstreamStart,
     started_at: Instant,
+    /// When the head of the upstream's answer arrived.
+    reported_at: Option<Instant>,
     ended: Option<AttemptEnded>,
     dispatcher: Option<Address<Dispatcher>>,
 }
@@ -246,6 +248,7 @@
             start: upstream.start(),
             key: ended.key,
             started_at: Instant::now(),
+            reported_at: None,
             ended: Some(ended),
             dispatcher,
         }
@@ -269,6 +272,7 @@
     pub fn reported(&mut self, load: Option<LoadReport>) {
         if let Some(ended) = &mut self.ended {
             ended.load = load;
+            self.reported_at = Some(Instant::now());
         }
     }
 }
@@ -279,6 +283,10 @@
             return;
         };
         ended.held = self.started_at.elapsed();
+        // The body may have taken a while after the head with the report.
+        if let (Some(at), Some(load)) = (self.reported_at, &mut ended.load) {
+            load.pace = load.pace.map(|pace| pace.aged(at.elapsed()));
+        }
         post(dispatcher, ended);
     }
 }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -98,6 +98,8 @@
     pub key_age: Gauge,
     /// Registered upstreams that this host knows.
     pub upstreams: Gauge,
+    /// Upstreams whose machine is slow now, according to their answers.
+    pub slow_machines: Gauge,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
 }
@@ -120,6 +122,7 @@
             configuration_current: Gauge::default(),
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
+            slow_machines: Gauge::default(),
             hosts: Gauge::default(),
         };
         m.register();
@@ -184,6 +187,11 @@
             "Upstreams that are known",
             self.upstreams.clone(),
         );
+        r.register(
+            "upstreams_slow_machine",
+            "Upstreams whose machine is slow now, by their answers",
+            self.slow_machines.clone(),
+        );
         r.register(
             "hosts",
             "Other hosts that were heard lately",
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -218,12 +218,15 @@
         let cost = match is_new {
             true => zone_cost,
             false => {
-                work.expected_seconds(list_index) * (u.slowness.factor(now) + uncached_penalty)
-                    + zone_cost
+                let seconds = work.expected_seconds(list_index);
+                let slowness = u.slowness.factor(now);
+                let pace = u.pace.expected_factor(now, seconds * slowness);
+                seconds * (slowness * pace + uncached_penalty) + zone_cost
             }
         };
         if !is_available(u, own_zone, req.view, now) {
-            let wait = pool.work() / f64::from(u.registration.slots.max(1)) + HANDOVER_SECONDS;
+            let slot_work = pool.work() * u.pace.expected_factor(now, pool.work());
+            let wait = slot_work / f64::from(u.registration.slots.max(1)) + HANDOVER_SECONDS;
             best_busy_cost = best_busy_cost.min(cost + wait);
             continue;
         }
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -367,6 +367,9 @@
             return;
         };
         let u = &mut pool.upstreams[place];
+        if let Some(load) = run.load {
+            u.report(now, load);
+        }
         // From another region, the network latency would count as work.
         if run.end == TryEnd::Whole && near {
             let held = run.held.as_secs_f64();
@@ -377,13 +380,12 @@
                 let expected = by_position
                     .expected_seconds(run.list_index)
                     .max(EXPECTED_WORK_MIN_SECONDS);
-                u.slowness.record(now, held / expected);
-                by_position.record(run.list_index, run.held);
+                // What the machine's pace explains is no property of the upstream or the object.
+                let usual = u.pace.usual_time(now, run.held);
+                u.slowness.record(now, usual.as_secs_f64() / expected);
+                by_position.record(run.list_index, usual);
             }
         }
-        if let Some(load) = run.load {
-            u.report(now, load);
-        }
         u.finish(now, run.end, run.load);
     }
 
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -16,6 +16,7 @@
     edge::{
         cold_pace::ColdPace,
         dialect::LoadReport,
+        machine_pace::MachinePace,
         model::{
             Registration,
             Standing, //
@@ -99,6 +100,8 @@
     pub recent: RecentObjects,
     /// Service time of the upstream relative to the expected one.
     pub slowness: Slowness,
+    /// What its answers said about the pace of its machine.
+    pub pace: MachinePace,
     /// Until when the upstream wants no requests from this host.
     pub(super) paused_until: Option<Instant>,
     /// Whether the upstream has not answered a request of this host since it was paused.
@@ -123,6 +126,7 @@
             cold_pace: ColdPace::new(now),
             recent: RecentObjects::default(),
             slowness: Slowness::new(now),
+            pace: MachinePace::default(),
             paused_until: None,
             is_resuming: false,
             reported: None,
@@ -211,6 +215,9 @@
     pub(super) fn report(&mut self, now: Instant, load: LoadReport) {
         let remote_running = load.total().saturating_sub(self.running + 1);
         self.reported = Some((remote_running, now));
+        if let Some(pace) = load.pace {
+            self.pace.record(now, pace);
+        }
     }
 
     /// Records the outcome of a run and the load that the upstream reported with it.
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -460,6 +460,7 @@
             load: Some(LoadReport {
                 running,
                 waiting: 0,
+                pace: None,
             }),
         };
         world.upstreams.record_run_end(world.now, &end, true);
