Reset callers whose answer breaks off; forward no invalid statuses

Cause: when a streamed body broke off, the listener closed the caller's connection as any other. For a caller with HTTP/1.0 the end of the connection completes an answer without a length, so a part of the body looked whole. The HTTP client accepts each status from 100 to 999, and 101 and 600 to 999 were forwarded.

Change: the listener resets the connection after an error of an answer's body. An answer with a final status outside 200 to 599 counts as lost: no request asks to switch protocols, and HTTP defines no class above 599.

Ruled out: a reset that is reported to the write of an upload.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -24,6 +24,7 @@
 use hyper::{
     Request,
     Response,
+    StatusCode,
     body::Incoming, //
     client::conn::http1::{
         self,
@@ -306,6 +307,10 @@
     ) -> Result<Exchange, SendError> {
         sender.read_limit.limit_head();
         match sender.requests.try_send_request(req).await {
+            Ok(res) if !is_final_status(res.status()) => Err(SendError::Lost {
+                address,
+                cause: format!("received the invalid status {}", res.status().as_u16()),
+            }),
             Ok(res) => {
                 sender.read_limit.lift_limit();
                 Ok(Exchange {
@@ -333,6 +338,12 @@
     }
 }
 
+/// Returns whether a status ends an exchange with a meaning that a caller can act on. No request
+/// asks to switch protocols (101), and HTTP defines no class of statuses above 599.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether an address refuses connections, that is, no process listens on it.
 pub async fn is_refused(address: SocketAddr) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -119,10 +119,19 @@
     let connection = builder
         .serve_connection(TokioIo::new(stream.clone()), service)
         .into_owned();
+    let broken = stream.clone();
     let connection = CancelOnDisconnect::new(graceful.watch(connection), stream, in_flight);
     tokio::spawn(async move {
         if let Err(e) = connection.await {
+            if is_body_error(&*e) {
+                broken.reset_when_dropped();
+            }
             log::debug!(event = "connection-failed", client:%, cause:% = e; "");
         }
     });
 }
+
+/// Returns whether a connection failed because the body of an answer broke off.
+fn is_body_error(e: &(dyn std::error::Error + 'static)) -> bool {
+    e.downcast_ref().is_some_and(hyper::Error::is_user)
+}
--- a/src/listener/disconnect.rs
+++ b/src/listener/disconnect.rs
@@ -63,6 +63,14 @@
         })))
     }
 
+    /// Makes the connection end with a reset instead of the end of the stream, which completes an
+    /// answer without a length for a client that uses HTTP/1.0.
+    pub(super) fn reset_when_dropped(&self) {
+        if let Err(e) = self.lock().stream.set_zero_linger() {
+            log::debug!(event = "reset-failed", cause:% = e; "");
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
