Weigh the size of a route's answers when a request is placed

Bytes between zones are billed, but only request bodies were weighed. Answers of 90 kB crossed zones as often as small ones, since each object has a preferred zone in its region.

Each host now learns the mean size of each route's answers and adds it to the bytes that placement weighs, also in claims. A scheduler now prices the zone of the host that sent the claim; it priced its own zone. For services with large answers, the transfer counts towards the round trip that decides how full a region may get before it sends requests away.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -7,6 +7,7 @@
 //! URLs and store protocol are implemented behind [`dialect::Dialect`] and
 //! [`topic::Source`].
 
+pub mod answer_size;
 pub mod caller_timeouts;
 pub mod cold_pace;
 pub mod datagram;
--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -169,7 +169,8 @@
     pub object: u64,
     /// Whether the request has an affinity key.
     pub has_object: bool,
-    /// Length of the request body, in bytes.
+    /// Bytes that pass between the host and the upstream: the request body, and the expected answer
+    /// if it is large.
     pub bytes: u64,
     /// Time since the request's head was read, in milliseconds.
     pub waited_ms: u32,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Actor that holds a host's view of the fleet and assigns requests to upstreams.
 
+mod answers;
 mod claims;
 mod demand;
 mod domains;
@@ -51,6 +52,7 @@
     },
 };
 use super::{
+    answer_size::AnswerSizes,
     datagram::{
         HostState,
         Outgoing,
@@ -163,6 +165,8 @@
     local_runs: HashMap<RunId, LocalRun>,
     next_run: u32,
     quotas: Quotas,
+    /// Sizes of the answers that this host has forwarded.
+    answer_sizes: AnswerSizes,
     freshness: Freshness,
     /// Whether the configuration in force is the one that the platform published last. If it is
     /// not, a read of the store does not confirm the keys.
@@ -230,6 +234,7 @@
             local_runs: HashMap::new(),
             next_run: 0,
             quotas: Quotas::default(),
+            answer_sizes: AnswerSizes::default(),
             is_configuration_current: false,
             demand: HashMap::new(),
             queue: Vec::new(),
@@ -315,6 +320,12 @@
                 .configuration
                 .set(number(u128::from(cfg.version.0)));
         }
+        self.metrics
+            .large_answer_routes
+            .set(number(self.answer_sizes.large_routes() as u128));
+        self.metrics
+            .answer_bytes_mean_max
+            .set(number(u128::from(self.answer_sizes.largest_mean_bytes())));
         self.metrics
             .configuration_current
             .set(i64::from(self.is_configuration_current));
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -297,6 +297,7 @@
         if let Some(suspect) = msg.answered {
             self.quarantine.on_answer(now, suspect);
         }
+        self.record_answer(now, msg);
         let labels = TryLabels {
             end: msg.end.as_str(),
         };
--- a/src/edge/dispatcher/demand.rs
+++ b/src/edge/dispatcher/demand.rs
@@ -10,6 +10,7 @@
 use super::Dispatcher;
 use crate::{
     edge::{
+        answer_size::MeanBytes,
         datagram::OfferedRate,
         message::Job,
         region_balance::RateLimitedShares,
@@ -50,6 +51,8 @@
     pub(super) first_seen: Option<Instant>,
     /// Moving average of the target response time of this host's callers' requests.
     pub(super) latency_target: Duration,
+    /// Mean size of the answers that this host has forwarded.
+    pub(super) answer_size: MeanBytes,
     pub(super) shares: RateLimitedShares,
     pub(super) retry_allowance: Budget,
     /// Budget for requests that leave their region because it has no slot for them.
@@ -100,6 +103,7 @@
                 bound: BTreeMap::new(),
                 first_seen: None,
                 latency_target: AIM_INITIAL,
+                answer_size: MeanBytes::default(),
                 shares: RateLimitedShares::new(
                     &settings.region,
                     bounds.max_shift * SHIFT_FRACTION,
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -43,6 +43,7 @@
         }, //
     },
     quarantine::Suspect,
+    util::id::ZoneName,
 };
 
 impl Dispatcher {
@@ -143,11 +144,21 @@
             view: waiting.view,
         };
         match self.upstreams.pool(&job.service) {
-            Some(pool) => placement::pick(pool, zone_hash(&self.settings.zone), &wish, now),
+            Some(pool) => placement::pick(pool, zone_hash(self.serving_zone(waiting)), &wish, now),
             None => Pick::Wait(Homes::default()),
         }
     }
 
+    /// Returns the zone of the host that serves the caller; the body and the answer pass between
+    /// that zone and the upstream's.
+    fn serving_zone(&self, waiting: &WaitingRequest) -> &ZoneName {
+        let zone = match &waiting.requester {
+            Requester::Local(_) => None,
+            Requester::Remote(sender, _) => self.peers.zone(&sender.host),
+        };
+        zone.unwrap_or(&self.settings.zone)
+    }
+
     /// Assigns the slot of an upstream to a request or to another host's claim.
     fn place(&mut self, now: Instant, waiting: WaitingRequest, key: UpstreamKey) {
         let Requester::Remote(sender, id) = &waiting.requester else {
--- a/src/edge/dispatcher/region_shares.rs
+++ b/src/edge/dispatcher/region_shares.rs
@@ -16,6 +16,7 @@
         },
         log_limit::comma_separated,
         model::Standing,
+        placement,
         region_balance::{
             self,
             RegionLoad,
@@ -77,8 +78,14 @@
             let round_trip = self
                 .claims
                 .far_round_trip(|domain| self.is_own_region(domain));
-            let latency_target = self.demand_mut(&service, now).latency_target;
-            let keep = region_balance::local_utilisation_limit(round_trip, latency_target);
+            let demand = self.demand_mut(&service, now);
+            let latency_target = demand.latency_target;
+            // Bytes between regions are billed, so a transfer counts like a longer round trip.
+            let transfer = placement::transfer_cost(demand.answer_size.large_bytes());
+            let keep = region_balance::local_utilisation_limit(
+                round_trip.saturating_add(transfer),
+                latency_target,
+            );
             let target = region_balance::shares(&self.settings.region, &loads, keep);
             let demand = self.demand_mut(&service, now);
             let has_unbound_requests = demand.has_unbound_requests(now);
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -72,7 +72,9 @@
 
 impl Dispatcher {
     pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
-        let Submit { job, reply } = msg;
+        let Submit { mut job, reply } = msg;
+        let answer_bytes = self.answer_sizes.expected_bytes(job.route);
+        job.bytes = job.bytes.saturating_add(answer_bytes);
         let mut has_token = true;
         if let Some(verdict) = self.quarantine_refusal(now, &job) {
             self.refund_retry(now, &job);
@@ -298,6 +300,7 @@
             held: Duration::ZERO,
             load: None,
             answered: None,
+            answer_bytes: None,
         };
         let placed = ReservedSlot::new(&registration, ended, self.actor_address.clone());
         // If the caller disconnected, `ReservedSlot` is dropped here, which releases the slot.
@@ -343,11 +346,7 @@
         let waited = now.saturating_duration_since(job.received);
         self.metrics.waiting.observe(waited.as_secs_f64());
         let labels = PlacementLabels {
-            place: match () {
-                () if *zone == self.settings.zone => "zone",
-                () if self.settings.region_of(zone) == Some(&self.settings.region) => "region",
-                () => "other-region",
-            },
+            place: self.place_of(zone),
             object: if place.is_some() { "known" } else { "strange" },
         };
         self.metrics.placed.get_or_create(&labels).inc();
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -495,6 +495,7 @@
             );
             return TryOutcome::Lost;
         }
+        placed.received(bytes.len() as u64);
         if head.has_server_stamp {
             placed.answered(call.job.suspect);
         }
--- a/src/edge/forward/answer_body.rs
+++ b/src/edge/forward/answer_body.rs
@@ -33,6 +33,7 @@
 use crate::{
     body::{
         BodyError,
+        Progress,
         ProxyBody, //
         RelayedBody,
     },
@@ -118,12 +119,15 @@
     lease: ConnectionLease,
     head: AnswerHead,
 ) -> ProxyBody {
+    let progress = Progress::new(Instant::now());
+    let transferred = progress.clone();
     let at_end = move |whole: bool| {
         placed.ended(match whole {
             true => TryEnd::Whole,
             false => TryEnd::Lost,
         });
         if whole {
+            placed.received(transferred.bytes_transferred());
             if head.has_server_stamp {
                 placed.answered(suspect);
             }
@@ -136,6 +140,7 @@
     };
     RelayedBody::new(PartlyRead { read, rest })
         .with_cutoff(Some(Box::pin(cutoff)))
+        .with_progress(progress)
         .with_at_end(Box::new(at_end))
         .boxed_unsync()
 }
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -114,7 +114,8 @@
     pub priority: Priority,
     /// Hash of the route's path prefix.
     pub route: u64,
-    /// Length of the body, in bytes.
+    /// Bytes that pass between this host and the upstream: the length of the body, and the expected
+    /// size of the answer if it is large.
     pub bytes: u64,
     /// Hash of the affinity key, or of the request id if it has none.
     pub object: u64,
@@ -265,6 +266,13 @@
         }
     }
 
+    /// Records the size of a complete answer's body.
+    pub fn received(&mut self, bytes: u64) {
+        if let Some(ended) = &mut self.ended {
+            ended.answer_bytes = Some(bytes);
+        }
+    }
+
     /// Records the load that the upstream reported with its answer.
     pub fn reported(&mut self, load: Option<LoadReport>) {
         if let Some(ended) = &mut self.ended {
@@ -305,6 +313,8 @@
     pub load: Option<LoadReport>,
     /// Fingerprint of the request, if the upstream itself answered it completely.
     pub answered: Option<Suspect>,
+    /// Size of the answer's body in bytes, if the answer is complete.
+    pub answer_bytes: Option<u64>,
 }
 
 /// Reports that an upstream crashed while it ran a request.
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -47,6 +47,13 @@
     pub object: &'static str,
 }
 
+/// Labels of the counter of answer bytes.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct AnswerBytesLabels {
+    /// Location of the upstream relative to this host: `zone`, `region` or `other-region`.
+    pub place: &'static str,
+}
+
 /// Labels of the counter of notices of upstreams.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct NoticeLabels {
@@ -82,6 +89,12 @@
     pub waiting: Histogram,
     /// Requests by the location of the upstream and whether it knew the object.
     pub placed: Family<PlacementLabels, Counter>,
+    /// Bytes of complete answers' bodies, by the location of the upstream.
+    pub answer_bytes: Family<AnswerBytesLabels, Counter>,
+    /// Routes whose answers are large on average.
+    pub large_answer_routes: Gauge,
+    /// Largest mean size of a route's answers, in bytes.
+    pub answer_bytes_mean_max: Gauge,
     /// Attempts at upstreams by outcome.
     pub tries: Family<TryLabels, Counter>,
     /// Reads of the platform's topics, by source and result.
@@ -112,6 +125,9 @@
             latency: Histogram::new(latency()),
             waiting: Histogram::new(latency()),
             placed: Family::default(),
+            answer_bytes: Family::default(),
+            large_answer_routes: Gauge::default(),
+            answer_bytes_mean_max: Gauge::default(),
             tries: Family::default(),
             reads: Family::default(),
             in_flight: Gauge::default(),
@@ -148,6 +164,21 @@
             "Requests by where they were sent",
             self.placed.clone(),
         );
+        r.register(
+            "answer_bytes",
+            "Bytes of complete answers by where the upstream is",
+            self.answer_bytes.clone(),
+        );
+        r.register(
+            "large_answer_routes",
+            "Routes whose answers are large on average",
+            self.large_answer_routes.clone(),
+        );
+        r.register(
+            "answer_bytes_mean_max",
+            "Largest mean size of a route's answers",
+            self.answer_bytes_mean_max.clone(),
+        );
         r.register("tries", "Tries by how they ended", self.tries.clone());
         r.register(
             "reads",
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -12,6 +12,8 @@
 //! those then run on upstreams that do not have their objects cached either. Requests that are
 //! already late are therefore kept out of such slots.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -51,7 +53,8 @@
     pub object: u64,
     /// Hash of the request's route.
     pub route: u64,
-    /// Size of the request body, in bytes.
+    /// Bytes that pass between the upstream and the host that serves the caller: the request body,
+    /// and the expected answer if it is large.
     pub bytes: u64,
     /// Hashes of the zones in which the request may run.
     pub zones: &'a [u64],
@@ -75,12 +78,22 @@
     Far,
 }
 
-/// Returns the cost of sending a body of `bytes` bytes to another zone, in seconds.
+/// Returns the cost of `bytes` bytes that pass between zones, in seconds.
+fn transfer_seconds(bytes: u64) -> f64 {
+    bytes as f64 / 1000.0 * CROSS_ZONE_SECONDS_PER_KB
+}
+
+/// Returns the cost of `bytes` bytes that pass between zones or regions, as an additional latency.
+pub fn transfer_cost(bytes: u64) -> Duration {
+    Duration::try_from_secs_f64(transfer_seconds(bytes)).unwrap_or(Duration::MAX)
+}
+
+/// Returns the cost of running a request with `bytes` bytes in another zone, in seconds.
 fn cross_zone_seconds(bytes: u64) -> f64 {
-    CROSS_ZONE_SECONDS + bytes as f64 / 1000.0 * CROSS_ZONE_SECONDS_PER_KB
+    CROSS_ZONE_SECONDS + transfer_seconds(bytes)
 }
 
-/// Returns whether sending a body of `bytes` bytes to another zone is so expensive that each zone
+/// Returns whether passing `bytes` bytes to another zone is so expensive that each zone
 /// needs a home for the object.
 pub fn needs_home_per_zone(bytes: u64, work: &WorkByPosition) -> bool {
     cross_zone_seconds(bytes) > work.expected_seconds(None) * CROSS_ZONE_COST_FRACTION_MAX
@@ -163,7 +176,8 @@
     Wait(Homes),
 }
 
-/// Picks an upstream with a free slot, or decides that the request waits.
+/// Picks an upstream with a free slot, or decides that the request waits. `own_zone` is the zone of
+/// the host that serves the caller, which need not be the deciding host.
 pub fn pick(pool: &Pool, own_zone: u64, req: &PlacementRequest<'_>, now: Instant) -> Pick {
     let work = pool.work_of(req.route);
     let has_upstream_state = req.view != View::Far;
--- a/tests/edge_placement.rs
+++ b/tests/edge_placement.rs
@@ -121,6 +121,7 @@
             held,
             load: None,
             answered: None,
+            answer_bytes: None,
         };
         self.upstreams.record_end(self.now, &ended, |_| true);
     }
@@ -371,6 +372,7 @@
                     held: Duration::ZERO,
                     load: None,
                     answered: None,
+                    answer_bytes: None,
                 },
                 |_| true,
             );
@@ -411,6 +413,7 @@
             held,
             load: None,
             answered: None,
+            answer_bytes: None,
         };
         world.upstreams.record_end(world.now, &ended, |_| true);
         world.now += Duration::from_millis(10);
--- a/tests/edge_scheduling.rs
+++ b/tests/edge_scheduling.rs
@@ -39,6 +39,7 @@
         uncached: Duration::from_millis(1700),
         cached: Duration::from_millis(520),
         latency_target: AIM,
+        answer_bytes: 2000,
     }
 }
 
@@ -88,7 +89,7 @@
     let mut result = LoadResult::default();
     for outcome in pending {
         match outcome.await.expect("request has an outcome") {
-            Outcome::Answered(after) if after <= AIM => result.in_time += 1,
+            Outcome::Answered(after) if after <= fleet.plan.latency_target => result.in_time += 1,
             Outcome::Answered(_) => result.late += 1,
             Outcome::Refused(_, held) => {
                 result.refused += 1;
@@ -262,3 +263,40 @@
     assert!(away > 0.06, "{away} of {result:?}");
     assert!(away < 0.15, "{away} of {result:?}");
 }
+
+/// A service of 20 upstreams in six zones, two of which have a single upstream each.
+fn plan_with_answers(answer_bytes: u64) -> Plan {
+    let upstreams = [4, 4, 5, 5, 1, 1];
+    let zones = plan().zones.into_iter().zip(upstreams);
+    Plan {
+        zones: zones.map(|(z, n)| (z.0, z.1, 7, n)).collect(),
+        slots: 4,
+        cache_capacity: 28,
+        uncached: Duration::from_millis(1000),
+        cached: Duration::from_millis(300),
+        latency_target: Duration::from_millis(800),
+        answer_bytes,
+    }
+}
+
+/// Returns the fraction of runs that served another zone of the upstream's region.
+async fn cross_zone_fraction(answer_bytes: u64) -> f64 {
+    let fleet = TestFleet::start(plan_with_answers(answer_bytes)).await;
+    send_load(&fleet, &REGIONS, 60, 46, Duration::from_secs(15)).await;
+    let before = fleet.stats().clone();
+    let result = send_load(&fleet, &REGIONS, 60, 46, Duration::from_secs(10)).await;
+    assert!(result.in_time * 10 >= result.total() * 9, "{result:?}");
+    let after = fleet.stats().clone();
+    (after.own_region - before.own_region) as f64 / (after.runs - before.runs) as f64
+}
+
+/// Bytes between zones are billed. Steady load with answers of 90 kB stays in the zones of the
+/// callers' hosts, although each object has a preferred zone in the region; small answers still go
+/// to that zone.
+#[tokio::test(start_paused = true)]
+async fn large_answers_stay_in_the_zone() {
+    let large = cross_zone_fraction(90_000).await;
+    let small = cross_zone_fraction(2_000).await;
+    assert!(large < 0.05, "{large}");
+    assert!(small > 0.25, "{small}");
+}
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -118,6 +118,8 @@
     pub cached: Duration,
     /// Target response time of each request; the deadline is twice as long.
     pub latency_target: Duration,
+    /// Size of each answer's body, in bytes.
+    pub answer_bytes: u64,
 }
 
 /// State of a simulated upstream.
@@ -141,6 +143,10 @@
     pub runs: usize,
     /// Messages sent between hosts, including lost ones.
     pub messages: usize,
+    /// Runs for callers of the upstream's zone.
+    pub own_zone: usize,
+    /// Runs for callers of another zone of the upstream's region.
+    pub own_region: usize,
 }
 
 /// Outcome of a request.
@@ -456,6 +462,7 @@
                     Outcome::Refused(refused.reason, start.elapsed())
                 }
                 PlacementDecision::Send(placed) => {
+                    count_place(&plan, &stats, &host.settings, &placed);
                     match run(&plan, &upstreams, &stats, object, *placed).await {
                         true => Outcome::Answered(start.elapsed()),
                         false => Outcome::Refused(RefusalReason::TriesExhausted, start.elapsed()),
@@ -494,6 +501,19 @@
     }
 }
 
+/// Counts the location of a run's upstream relative to the caller's host.
+fn count_place(plan: &Plan, stats: &Mutex<FleetStats>, host: &Settings, placed: &ReservedSlot) {
+    let id = placed.id.to_string();
+    let (name, region, ..) = plan
+        .zones
+        .iter()
+        .find(|(zone, ..)| id.starts_with(&format!("i-{zone}-")))
+        .expect("zone of the upstream");
+    let mut stats = stats.lock().expect("lock is not poisoned");
+    stats.own_zone += usize::from(host.zone.as_str() == *name);
+    stats.own_region += usize::from(host.zone.as_str() != *name && host.region.as_str() == *region);
+}
+
 /// Runs a request at an upstream. Returns false if the upstream had no free slot.
 async fn run(
     plan: &Plan,
@@ -536,5 +556,6 @@
         u.running -= 1;
     }
     placed.ended(TryEnd::Whole);
+    placed.received(plan.answer_bytes);
     true
 }
