Explain in advance where a request would go

Cause: explain tells only about past requests. Whether a host would place a request, where and on which data could only be found by sending it.

Change: GET /explain at the peer address answers with the decision, the matched route, the tokens, the region with its shares, the domain and its scheduler, and the inputs with their ages. The dispatcher decides on a shared reference with the functions that decide on real requests. Three of these changed state and are split: region_of no longer creates the service's state, domain_candidate decides and next_domain takes from the overflow budget, and Quotas::preview applies the debit to a copy of one organisation's tokens. `cardamomroad explain-ahead` prints the reply; the key is sent in a header and is neither logged nor returned.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -153,6 +153,12 @@
     /// Examples: cardamomroad explain --host 127.0.0.1:8003 --refusals
     /// and cardamomroad explain --logs logs/ b18e4396a5db0d80
     Explain(ExplainArguments),
+    /// Ask a running host what it would do with a request now, and why. Nothing is
+    /// sent to an upstream, and nothing is reserved or counted.
+    ///
+    /// Example: cardamomroad explain-ahead 10.0.0.8:7560 --host desk.example
+    /// --path /book/1 --object 7
+    ExplainAhead(ExplainAheadArguments),
     /// Print a shell completion script.
     ///
     /// Example: cardamomroad completions bash > cardamomroad.bash
@@ -306,6 +312,48 @@
     pub question: Question,
 }
 
+/// The arguments of `explain-ahead`, which describe a request.
+#[derive(Clone, Args)]
+pub struct ExplainAheadArguments {
+    /// Peer address of the running host.
+    #[arg(value_name = "IP:PORT")]
+    pub address: SocketAddr,
+    /// Host name of the request.
+    #[arg(long)]
+    pub host: String,
+    /// Path of the request.
+    #[arg(long)]
+    pub path: String,
+    /// Method of the request.
+    #[arg(long, default_value = "GET")]
+    pub method: String,
+    /// API key of the caller; prefer the environment variable to the flag.
+    #[arg(long, env = "CARDAMOMROAD_KEY", hide_env_values = true)]
+    pub key: Option<String>,
+    /// Object of the request (affinity key).
+    #[arg(long)]
+    pub object: Option<String>,
+    /// Region to which the request is restricted.
+    #[arg(long)]
+    pub region: Option<String>,
+    /// Id of the request, which selects the upstream if it has no object.
+    #[arg(long)]
+    pub id: Option<String>,
+    /// Length of the body.
+    #[arg(long, default_value_t)]
+    pub bytes: u64,
+}
+
+impl std::fmt::Debug for ExplainAheadArguments {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ExplainAheadArguments")
+            .field("address", &self.address)
+            .field("host", &self.host)
+            .field("path", &self.path)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Source of the records; exactly one is given.
 #[derive(Clone, Debug, Args)]
 #[group(required = true, multiple = false)]
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod drain;
+mod explain_ahead;
 mod host_client;
 mod host_state;
 mod key;
@@ -212,6 +213,7 @@
                 (None, None) => Err(CommandError::NoSource),
             }
         }
+        Command::ExplainAhead(args) => explain_ahead::run(&mut cx, &args).await,
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             let mut script = Vec::new();
--- a/src/command/host_client.rs
+++ b/src/command/host_client.rs
@@ -11,7 +11,10 @@
     Empty,
     Limited, //
 };
-use hyper::StatusCode;
+use hyper::{
+    Request,
+    StatusCode, //
+};
 use hyper_util::{
     client::legacy::{
         Client,
@@ -21,7 +24,10 @@
 };
 use tokio::time;
 
-use crate::command::CommandError;
+use crate::{
+    command::CommandError,
+    wire, //
+};
 
 /// Time limit of a request, with its whole response.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -32,7 +38,16 @@
 ///
 /// A status other than 200 is an error.
 pub(super) async fn get_from_host(host: SocketAddr, target: &str) -> Result<Bytes, CommandError> {
-    let answer = time::timeout(ANSWER_TIMEOUT, send_request(host, target)).await;
+    get_from_host_with_key(host, target, None).await
+}
+
+/// As [`get_from_host`], with a caller's key in a header.
+pub(super) async fn get_from_host_with_key(
+    host: SocketAddr,
+    target: &str,
+    key: Option<&str>,
+) -> Result<Bytes, CommandError> {
+    let answer = time::timeout(ANSWER_TIMEOUT, send_request(host, target, key)).await;
     answer.map_err(|_| host_error(host, &format!("no answer in {ANSWER_TIMEOUT:?}")))?
 }
 
@@ -44,12 +59,22 @@
     }
 }
 
-async fn send_request(host: SocketAddr, target: &str) -> Result<Bytes, CommandError> {
+async fn send_request(
+    host: SocketAddr,
+    target: &str,
+    key: Option<&str>,
+) -> Result<Bytes, CommandError> {
     let client =
         Client::builder(TokioExecutor::new()).build::<_, Empty<Bytes>>(HttpConnector::new());
-    let uri = format!("http://{host}{target}");
-    let uri = uri.parse().map_err(|e| host_error(host, &e))?;
-    let answer = client.get(uri).await.map_err(|e| host_error(host, &e))?;
+    let mut req = Request::get(format!("http://{host}{target}"));
+    if let Some(key) = key {
+        req = req.header(wire::KEY, key);
+    }
+    let req = req.body(Empty::new()).map_err(|e| host_error(host, &e))?;
+    let answer = client
+        .request(req)
+        .await
+        .map_err(|e| host_error(host, &e))?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), ANSWER_MAX_BYTES);
     let body = body.collect().await.map_err(|e| host_error(host, &e))?;
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod dispatcher;
+pub mod explain;
 pub mod forward;
 pub mod freshness;
 pub mod log_limit;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -6,6 +6,7 @@
 mod notices;
 mod observations;
 mod peer_messages;
+mod preview;
 mod queue;
 mod region_shares;
 mod requests;
@@ -42,6 +43,7 @@
     Mailbox, //
 };
 
+pub use self::preview::Preview;
 use self::{
     claims::Claims,
     demand::Demand,
@@ -192,6 +194,8 @@
     shares_updated_at: Option<Instant>,
     /// When this host last read the store successfully; `None` after a failed read.
     store_read_at: Option<Instant>,
+    /// When the list of upstreams was last read, from the store or the relay.
+    upstreams_read_at: Option<Instant>,
     /// When the list of registered hosts was first received.
     hosts_known_at: Option<Instant>,
     path_chosen: bool,
@@ -248,6 +252,7 @@
             last_heartbeat_at: None,
             shares_updated_at: None,
             store_read_at: None,
+            upstreams_read_at: None,
             hosts_known_at: None,
             path_chosen: false,
             leaving: false,
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -51,6 +51,9 @@
             TopicUpdate::Whole(changes) => (true, changes.changes),
             TopicUpdate::Since(changes) => (false, changes.changes),
         };
+        if msg.topic == Topic::Upstreams {
+            self.upstreams_read_at = Some(now);
+        }
         if msg.topic == Topic::Upstreams && self.outage.is_active {
             self.outage = Outage {
                 is_active: false,
@@ -181,7 +184,7 @@
         self.upstreams.mark_zone_cold(&zone, cold_time, now);
     }
 
-    fn version_in_force(&self) -> Option<ConfigVersion> {
+    pub(super) fn version_in_force(&self) -> Option<ConfigVersion> {
         self.configuration.load().as_ref().map(|c| c.version)
     }
 
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -75,7 +75,7 @@
     }
 
     /// Returns whether a request would expire before its turn, given the queue length.
-    fn would_expire_in_queue(&self, now: Instant, waiting: &WaitingRequest) -> bool {
+    pub(super) fn would_expire_in_queue(&self, now: Instant, waiting: &WaitingRequest) -> bool {
         let Some(pool) = self.upstreams.pool(&waiting.job.service) else {
             return false;
         };
@@ -130,7 +130,7 @@
         None
     }
 
-    fn pick(&self, now: Instant, waiting: &WaitingRequest, late: bool) -> Pick {
+    pub(super) fn pick(&self, now: Instant, waiting: &WaitingRequest, late: bool) -> Pick {
         let job = &waiting.job;
         let excluded = self.excluded_upstreams(now, waiting);
         let wish = PlacementRequest {
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -63,13 +63,33 @@
 /// Time a response takes in addition to the upstream's work.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 /// Minimum retry delay given to a refused caller.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+pub(super) const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 /// Maximum random delay added to [`RETRY_AFTER_MIN`] to spread out retries.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
 
 /// Maximum number of domains in a region that a request tries.
 const DOMAINS_PER_REGION_MAX: usize = 2;
 
+/// A domain that may have a slot for a request.
+pub(super) enum DomainCandidate {
+    /// A domain of the request's region.
+    InRegion(Domain),
+    /// A domain of another region.
+    Overflow {
+        domain: Domain,
+        region: RegionName,
+        /// Whether the request's region has upstreams, so that leaving it uses the overflow budget.
+        needs_budget: bool,
+        /// Whether the domain's scheduler can be asked for a slot.
+        is_claimed: bool,
+    },
+}
+
+/// Returns the position of an object among the region shares, from 0 to 1.
+pub(super) fn object_position(object: u64) -> f64 {
+    (object >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Dispatcher {
     pub(super) fn submit(&mut self, now: Instant, msg: Submit) {
         let Submit { job, reply } = msg;
@@ -134,15 +154,15 @@
     }
 
     /// Returns the region in which a request runs.
-    pub(super) fn region_of(&mut self, now: Instant, job: &Job) -> RegionName {
+    pub(super) fn region_of(&self, now: Instant, job: &Job) -> RegionName {
         let home = self.settings.region.clone();
         // The position depends only on the object, so that all hosts of a region send requests
         // for an object to the same region.
-        let position = (job.object >> 11) as f64 / (1u64 << 53) as f64;
-        let region = self
-            .demand_mut(&job.service, now)
-            .shares
-            .region_at(&home, position);
+        let position = object_position(job.object);
+        let region = match self.demand.get(&job.service) {
+            Some(demand) => demand.shares.region_at(&home, position),
+            None => home.clone(),
+        };
         let is_allowed = |r: &RegionName| job.regions.is_empty() || job.regions.contains(r);
         if is_allowed(&region) && !self.is_region_unreachable(now, &region) {
             return region;
@@ -187,6 +207,33 @@
     /// Returns the next domain that may have a slot for a request: first those of its region,
     /// then one of another region, as far as the overflow budget allows.
     fn next_domain(&mut self, now: Instant, waiting: &mut WaitingRequest) -> Option<Domain> {
+        match self.domain_candidate(now, waiting)? {
+            DomainCandidate::InRegion(domain) => Some(domain),
+            DomainCandidate::Overflow {
+                domain,
+                region,
+                needs_budget,
+                is_claimed,
+            } => {
+                let demand = self.demand_mut(&waiting.job.service, now);
+                let may_leave = is_claimed && demand.overflow_budget.try_withdraw();
+                if needs_budget && !may_leave {
+                    return None;
+                }
+                waiting.is_overflow = true;
+                waiting.region = region;
+                Some(domain)
+            }
+        }
+    }
+
+    /// Returns the next domain that may have a slot for a request, before the overflow budget is
+    /// considered.
+    pub(super) fn domain_candidate(
+        &self,
+        now: Instant,
+        waiting: &WaitingRequest,
+    ) -> Option<DomainCandidate> {
         let domains = self.domains(&waiting.job, &waiting.region);
         let has_slots = !domains.is_empty();
         let mut untried = domains
@@ -195,7 +242,7 @@
         if let Some(domain) = untried.next()
             && waiting.declined.len() < DOMAINS_PER_REGION_MAX
         {
-            return Some(domain);
+            return Some(DomainCandidate::InRegion(domain));
         }
         if !waiting.job.regions.is_empty() || waiting.is_overflow {
             return None;
@@ -205,15 +252,18 @@
         // Without a scheduler the free slots are unknown, and under overload a wrong guess evicts
         // cached objects.
         let scheduler = self.scheduler_of(now, &domain, waiting.job.latency_target);
-        let demand = self.demand_mut(&waiting.job.service, now);
-        let may_leave =
-            matches!(scheduler, Scheduler::Remote(_)) && demand.overflow_budget.try_withdraw();
-        if has_slots && !may_leave {
-            return None;
-        }
-        waiting.is_overflow = true;
-        waiting.region = region;
-        Some(domain)
+        Some(DomainCandidate::Overflow {
+            domain,
+            region,
+            needs_budget: has_slots,
+            is_claimed: matches!(scheduler, Scheduler::Remote(_)),
+        })
+    }
+
+    /// Returns until when a request may wait for a token.
+    pub(super) fn token_deadline(job: &Job) -> Instant {
+        let token_wait = job.latency_target / TOKEN_WAIT_AIM_DIVISOR;
+        job.received.saturating_add(token_wait)
     }
 
     /// Continues with the next domain after one had no slot in time.
@@ -232,8 +282,7 @@
             waiting.has_token = true;
             return Some(waiting);
         };
-        let token_wait = waiting.job.latency_target / TOKEN_WAIT_AIM_DIVISOR;
-        let token_deadline = waiting.job.received.saturating_add(token_wait);
+        let token_deadline = Self::token_deadline(&waiting.job);
         match self.quotas.debit(now, organisation) {
             Debit::Paid => waiting.has_token = true,
             Debit::Pending if now < token_deadline => {}
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -2,7 +2,7 @@
 
 mod answer_body;
 mod body;
-mod job;
+pub(super) mod job;
 
 use std::{
     collections::HashMap,
@@ -116,7 +116,7 @@
 /// was suspended meanwhile, the key is checked again before the request is sent.
 const KEY_CHECK_MAX_AGE: Duration = Duration::from_millis(300);
 /// Retry-after value for a caller whose request found no usable upstream.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// State shared by all requests of a host.
 pub struct Gateway<D> {
--- a/src/edge/forward/job.rs
+++ b/src/edge/forward/job.rs
@@ -36,7 +36,7 @@
 };
 
 /// Finds the route and organisation of a request by its host name, path and key.
-pub(super) fn route<'a>(
+pub(in crate::edge) fn route<'a>(
     cfg: &'a Configuration,
     parts: &request::Parts,
     head: &CallerHead,
@@ -58,7 +58,7 @@
 /// Builds the dispatcher's description of a request; `None` if no region may run it.
 ///
 /// The caller fills in `bytes`, `suspect` and `lost_time`, which are not known yet.
-pub(super) fn job(
+pub(in crate::edge) fn job(
     routed: &Routed<'_>,
     head: &CallerHead,
     id: &Bytes,
@@ -102,7 +102,7 @@
 }
 
 /// Returns the fingerprint by which repeats of a request are recognised.
-pub(super) fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
+pub(in crate::edge) fn suspect(job: &Job, parts: &request::Parts, body: &Bytes) -> Suspect {
     let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
     // The whole body counts: bodies of uploads often begin alike.
     let body_hash = xxh3_128(body).to_le_bytes();
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -98,6 +98,8 @@
     pub key_age: Gauge,
     /// Registered upstreams that this host knows.
     pub upstreams: Gauge,
+    /// Queries about where a request would go.
+    pub explanations: Counter,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
 }
@@ -120,6 +122,7 @@
             configuration_current: Gauge::default(),
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
+            explanations: Counter::default(),
             hosts: Gauge::default(),
         };
         m.register();
@@ -184,6 +187,11 @@
             "Upstreams that are known",
             self.upstreams.clone(),
         );
+        r.register(
+            "explanations",
+            "Queries about where a request would go",
+            self.explanations.clone(),
+        );
         r.register(
             "hosts",
             "Other hosts that were heard lately",
--- a/src/edge/object_recency.rs
+++ b/src/edge/object_recency.rs
@@ -159,6 +159,11 @@
         1.0 + (self.factor - 1.0) * decay
     }
 
+    /// Returns the time since the last sample, or since the creation without one.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.at)
+    }
+
     /// Adds a sample: the time that a request took, divided by the expected time.
     pub fn record(&mut self, now: Instant, sample: f64) {
         let sample = sample.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
--- a/src/edge/quota.rs
+++ b/src/edge/quota.rs
@@ -25,7 +25,10 @@
     xxh3_64_with_seed, //
 };
 
-use super::model::Rate;
+use super::{
+    explain::RateLimit,
+    model::Rate, //
+};
 use crate::{
     bucket::{
         Bucket,
@@ -346,26 +349,35 @@
 
     /// Takes the token for one request, a borrowed one first.
     pub fn debit(&mut self, now: Instant, organisation: &OrganisationName) -> Debit {
-        let Some(tokens) = self.tokens.get_mut(organisation) else {
-            return Debit::Paid;
-        };
-        tokens.expire_borrowed(now);
-        if tokens.borrowed >= MILLI_PER_TOKEN {
-            tokens.borrowed -= MILLI_PER_TOKEN;
-            return Debit::Paid;
-        }
-        if tokens.own.debit(now, MILLI_PER_TOKEN) {
-            return Debit::Paid;
-        }
-        let asked_recently = tokens
-            .last_request
-            .is_some_and(|at| now < at + UNSUCCESSFUL_EXPIRY);
-        match asked_recently && tokens.unsuccessful >= tokens.unsuccessful_max {
-            true => Debit::Exhausted,
-            false => Debit::Pending,
+        match self.tokens.get_mut(organisation) {
+            Some(tokens) => tokens.debit(now),
+            None => Debit::Paid,
         }
     }
 
+    /// Returns what [`Self::debit`] would return now, and the tokens, without taking any. `None` if
+    /// the organisation has no rate limit.
+    pub fn preview(
+        &self,
+        now: Instant,
+        organisation: &OrganisationName,
+    ) -> Option<(Debit, RateLimit)> {
+        let mut tokens = self.tokens.get(organisation)?.clone();
+        tokens.expire_borrowed(now);
+        let whole = |milli: u64| milli as f64 / MILLI_PER_TOKEN as f64;
+        let (own, borrowed) = (tokens.own.level(now), tokens.borrowed);
+        let debit = tokens.debit(now);
+        let limit = RateLimit {
+            has_token: debit == Debit::Paid,
+            is_exhausted: debit == Debit::Exhausted,
+            tokens: whole(own),
+            borrowed: whole(borrowed),
+            share_per_second: whole(tokens.own.quota().rate),
+            rate_per_second: tokens.rate.per_second,
+        };
+        Some((debit, limit))
+    }
+
     /// Returns the token of a request that did not run.
     pub fn refund(&mut self, now: Instant, organisation: &OrganisationName) {
         if let Some(tokens) = self.tokens.get_mut(organisation) {
@@ -500,6 +512,25 @@
 }
 
 impl Tokens {
+    /// Takes the token for one request, a borrowed one first.
+    fn debit(&mut self, now: Instant) -> Debit {
+        self.expire_borrowed(now);
+        if self.borrowed >= MILLI_PER_TOKEN {
+            self.borrowed -= MILLI_PER_TOKEN;
+            return Debit::Paid;
+        }
+        if self.own.debit(now, MILLI_PER_TOKEN) {
+            return Debit::Paid;
+        }
+        let asked_recently = self
+            .last_request
+            .is_some_and(|at| now < at + UNSUCCESSFUL_EXPIRY);
+        match asked_recently && self.unsuccessful >= self.unsuccessful_max {
+            true => Debit::Exhausted,
+            false => Debit::Pending,
+        }
+    }
+
     /// Returns the lack of tokens, given the milli-tokens that waiting requests need.
     fn need(&mut self, now: Instant, unpaid: u64) -> Need {
         self.expire_borrowed(now);
--- a/src/edge/request_error.rs
+++ b/src/edge/request_error.rs
@@ -68,7 +68,7 @@
 
     /// Returns after which time the caller should retry; `None` for errors that carry no
     /// such hint.
-    fn retry_after(self) -> Option<Duration> {
+    pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotRun(_, after) => Some(after),
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -1,5 +1,8 @@
 //! The daemon: binds its addresses, starts its tasks, and stops gracefully.
 
+mod explanation;
+pub mod question;
+
 use std::{
     io,
     sync::{
@@ -41,6 +44,10 @@
     Mailbox, //
 };
 
+use self::explanation::{
+    EXPLAIN_PATH,
+    explain, //
+};
 use super::{
     datagram::{
         Outgoing,
@@ -208,8 +215,9 @@
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
     let (_open_tx, open) = watch::channel(false);
+    let peer_gw = gw.clone();
     let listener = listener::serve(relaying, open.clone(), move |req, _| {
-        serve_peer(caches.clone(), metrics.clone(), req)
+        serve_peer(peer_gw.clone(), caches.clone(), req)
     });
     tasks.spawn("followers' listener", listener);
     for (name, listener) in [
@@ -315,16 +323,17 @@
     }
 }
 
-/// Answers followers' queries and requests for the metrics.
-async fn serve_peer(
+/// Answers followers' queries, requests for the metrics and queries about decisions.
+async fn serve_peer<D: Dialect>(
+    gw: Arc<Gateway<D>>,
     caches: TopicCaches,
-    metrics: Arc<EdgeMetrics>,
     req: Request<Incoming>,
 ) -> Response<ProxyBody> {
-    if req.uri().path() != METRICS_PATH {
-        return serve_follower(caches, req).await;
+    match req.uri().path() {
+        METRICS_PATH => operators::metrics_response(gw.metrics.encode()),
+        EXPLAIN_PATH => explain(&gw, &req).await,
+        _ => serve_follower(caches, req).await,
     }
-    operators::metrics_response(metrics.encode())
 }
 
 /// Answers look-ups and readiness probes.
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -146,6 +146,12 @@
         self.running.saturating_add(remote_running)
     }
 
+    /// Returns the age of the upstream's latest load report; `None` if it has sent none.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.reported
+            .map(|(_, at)| now.saturating_duration_since(at))
+    }
+
     /// Returns whether the upstream may get new requests: it is ready, and neither replaced,
     /// suspended nor full.
     pub fn is_usable(&self, now: Instant) -> bool {
--- a/tests/edge_quota.rs
+++ b/tests/edge_quota.rs
@@ -196,6 +196,28 @@
     assert_eq!(quotas.debit(t1, &organisation()), Debit::Paid);
 }
 
+/// An explanation in advance says whether a request would get a token. If it took the token, it would
+/// cost the organisation a request.
+#[test]
+fn a_preview_takes_no_token() {
+    let t0 = Instant::now();
+    let mut quotas = Quotas::default();
+    quotas.set_quota_hosts(t0, alone());
+    let rate = Rate {
+        per_second: 1.0,
+        burst: 1.0,
+    };
+    quotas.configure(t0, [(&organisation(), Some(rate))].into_iter());
+    let t1 = t0 + Duration::from_secs(1);
+    let preview = |quotas: &Quotas| quotas.preview(t1, &organisation()).expect("a rate");
+    for _ in 0..5 {
+        let (debit, limit) = preview(&quotas);
+        assert_eq!((debit, limit.tokens), (Debit::Paid, 1.0));
+    }
+    assert_eq!(quotas.debit(t1, &organisation()), Debit::Paid);
+    assert_ne!(preview(&quotas).0, Debit::Paid);
+}
+
 /// A host that does not know the other hosts yet has no share of any rate.
 #[test]
 fn before_the_other_hosts_are_known_nothing_may_run() {
