--- a/src/edge/dispatcher/answers.rs
+++ b/src/edge/dispatcher/answers.rs
@@ -5,7 +5,10 @@
 use super::Dispatcher;
 use crate::{
     edge::{
-        message::AttemptEnded,
+        message::{
+            AttemptEnded,
+            Job, //
+        },
         metrics::AnswerBytesLabels, //
     },
     util::id::ZoneName,
@@ -39,6 +42,13 @@
         counter.inc_by(bytes);
     }
 
+    /// Returns the bytes that pass between this host and the upstream for a request: its body, and
+    /// the expected answer if it is large.
+    pub(super) fn transferred_bytes(&self, job: &Job) -> u64 {
+        let answer_bytes = self.answer_sizes.expected_bytes(job.route);
+        job.bytes.saturating_add(answer_bytes)
+    }
+
     /// Returns the location of a zone relative to this host, as the label of metrics.
     pub(super) fn place_of(&self, zone: &ZoneName) -> &'static str {
         match () {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -113,6 +113,8 @@
     pub upstreams: Gauge,
     /// Upstreams whose machine is slow now, according to their answers.
     pub slow_machines: Gauge,
+    /// Queries about where a request would go.
+    pub explanations: Counter,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
 }
@@ -139,6 +141,7 @@
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
             slow_machines: Gauge::default(),
+            explanations: Counter::default(),
             hosts: Gauge::default(),
         };
         m.register();
@@ -223,6 +226,11 @@
             "Upstreams whose machine is slow now, by their answers",
             self.slow_machines.clone(),
         );
+        r.register(
+            "explanations",
+            "Queries about where a request would go",
+            self.explanations.clone(),
+        );
         r.register(
             "hosts",
             "Other hosts that were heard lately",
--- a/tests/support/uneven_upstreams.rs
+++ b/tests/support/uneven_upstreams.rs
@@ -266,6 +266,7 @@
                 pace: pace_report,
             }),
             answered: None,
+            answer_bytes: None,
         };
         self.upstreams.record_end(self.now, &ended, |_| true);
         self.running[run.upstream] -= 1;
