Bound what untrusted clients make a host hold

Cause: the HTTP server buffers up to 408 KiB for each connection while it looks for the end of a head, also for empty lines; a connection without a request was never closed; nothing limited the number of connections; answers to clients that don't read were counted nowhere; bodies of followers' queries and of answers of the store and of relays had no limit.

Change: all listeners of an entry host share a table of connections. It counts the bytes held for clients (heads, data read ahead, answers until they are written) against one fifth of the memory limit, and connections against three quarters of the sockets. When either is used up, idle connections are closed first, then incomplete heads, then unread answers; requests in progress go on. Heads are limited by the configured size, time and idle time with a margin. Nothing more is read from a client that does not take its answers. Heads may have as many fields as fit in.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::HashMap,
+    error::Error,
     io::ErrorKind,
     net::SocketAddr,
     sync::{
@@ -20,7 +21,10 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
 use hyper::{
     Request,
     Response,
@@ -66,6 +70,9 @@
 /// How long sent data may stay unacknowledged before the connection fails (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The largest body that [`Connections::call`] reads by default, in bytes.
+const CALL_BODY_BYTES_DEFAULT: usize = 64 << 20;
+
 /// A failure to get the head of an answer, by whether the request may have started.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -95,9 +102,9 @@
     /// The answer's head did not arrive.
     #[error(transparent)]
     Send(#[from] SendError),
-    /// The connection failed in the answer's body.
+    /// The connection failed in the answer's body, or the body is larger than allowed.
     #[error("the answer's body is incomplete: {0}")]
-    Broken(#[from] hyper::Error),
+    Broken(Box<dyn Error + Send + Sync>),
 }
 
 /// The request sender of one connection, and the read limit of its stream.
@@ -130,10 +137,22 @@
 }
 
 /// Connection pools by address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Connections {
     pools: Arc<Mutex<HashMap<SocketAddr, Pool>>>,
     idle_resets: Arc<Mutex<IdleResetDetector>>,
+    /// Maximum size of a body that [`Connections::call`] reads, in bytes.
+    call_body_bytes_max: usize,
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self {
+            pools: Arc::default(),
+            idle_resets: Arc::default(),
+            call_body_bytes_max: CALL_BODY_BYTES_DEFAULT,
+        }
+    }
 }
 
 /// An answer and the lease of the connection that it arrives on.
@@ -183,6 +202,12 @@
         Self::default()
     }
 
+    /// Sets the size of the largest body that [`Connections::call`] reads, in bytes.
+    pub fn with_call_body_max(mut self, bytes: usize) -> Self {
+        self.call_body_bytes_max = bytes;
+        self
+    }
+
     /// Locks the pools. A panic of another task leaves them usable: every change of a pool is a
     /// single insertion or removal.
     fn lock_pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
@@ -261,7 +286,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if no answer arrives or its body is incomplete.
+    /// Fails if no answer arrives, or if its body is incomplete or too large.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -272,7 +297,8 @@
         }
         let exchange = self.send(address, req).await?;
         let (parts, body) = exchange.res.into_parts();
-        let bytes = body.collect().await?.to_bytes();
+        let body = Limited::new(body, self.call_body_bytes_max).collect().await;
+        let bytes = body.map_err(CallError::Broken)?.to_bytes();
         exchange.lease.give_back();
         Ok(Response::from_parts(parts, bytes))
     }
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -136,6 +136,8 @@
     pub buffered_bytes: Arc<AtomicU64>,
     /// Bytes of request bodies that may be buffered at once.
     pub buffered_bytes_max: u64,
+    /// Bytes that are held for clients now, apart from the bodies of their requests.
+    pub held_bytes: Arc<AtomicU64>,
     /// Limits the log lines for answered requests.
     pub answered_lines: LogRateLimit,
     /// Limits the log lines for requests that got no answer from an upstream.
--- a/src/edge/forward/body.rs
+++ b/src/edge/forward/body.rs
@@ -151,7 +151,11 @@
 
     /// Refuses a request if the buffers of the host are full.
     fn check_memory(&self) -> Result<(), RequestError> {
-        match self.buffered_bytes.load(Ordering::Relaxed) > self.buffered_bytes_max {
+        // A body's copy on the way to the upstream takes its size again, so that bytes held for
+        // clients take room for half as many bytes of bodies.
+        let held = self.held_bytes.load(Ordering::Relaxed) / 2;
+        let buffered = self.buffered_bytes.load(Ordering::Relaxed);
+        match buffered.saturating_add(held) > self.buffered_bytes_max {
             true => Err(RequestError::NotRun(
                 RefusalReason::Memory,
                 BUSY_RETRY_AFTER,
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -54,6 +54,13 @@
     pub kind: &'static str,
 }
 
+/// Labels of the counter of clients' connections that the host closed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ClosedClientLabels {
+    /// Why, as named by `CloseCause::as_str`.
+    pub cause: &'static str,
+}
+
 /// Labels of the reads counter.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ReadLabels {
@@ -100,6 +107,12 @@
     pub upstreams: Gauge,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
+    /// Connections that clients have open.
+    pub client_connections: Gauge,
+    /// Bytes held for clients: heads, data read ahead and unread answers.
+    pub held_bytes: Gauge,
+    /// Clients' connections that were closed, and requests refused, by cause.
+    pub closed_clients: Family<ClosedClientLabels, Counter>,
 }
 
 impl EdgeMetrics {
@@ -121,6 +134,9 @@
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
+            client_connections: Gauge::default(),
+            held_bytes: Gauge::default(),
+            closed_clients: Family::default(),
         };
         m.register();
         m
@@ -189,6 +205,21 @@
             "Other hosts that were heard lately",
             self.hosts.clone(),
         );
+        r.register(
+            "client_connections",
+            "Connections that clients have open",
+            self.client_connections.clone(),
+        );
+        r.register(
+            "held_bytes",
+            "Estimated bytes held for clients, without the bodies of requests",
+            self.held_bytes.clone(),
+        );
+        r.register(
+            "closed_clients",
+            "Clients' connections closed and requests refused by a limit",
+            self.closed_clients.clone(),
+        );
     }
 
     /// Counts a request that an upstream answered.
--- a/src/edge/model.rs
+++ b/src/edge/model.rs
@@ -125,6 +125,32 @@
     pub cold_rate: f64,
 }
 
+/// Limits that the platform publishes to clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Maximum size of a request's head, in bytes.
+    pub head_bytes_max: usize,
+    /// Maximum time in which a client sends a head.
+    pub head_time: Duration,
+    /// How long a connection may be idle before the host may close it.
+    pub idle_time: Duration,
+}
+
+impl ClientLimits {
+    /// The smallest size that a head may have at any host, in bytes.
+    pub const HEAD_BYTES_MIN: usize = 16 * 1024;
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes_max: Self::HEAD_BYTES_MIN,
+            head_time: Duration::from_millis(3000),
+            idle_time: Duration::from_millis(15_000),
+        }
+    }
+}
+
 /// A complete published configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -146,6 +172,9 @@
     /// Whether the platform has published organisations, so that routes that are not open need a
     /// key.
     pub requires_keys: bool,
+    /// Limits that the platform publishes to clients.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
 }
 
 /// Whether an upstream accepts new requests.
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -42,6 +42,12 @@
 };
 
 use super::{
+    connection_limits::{
+        descriptors,
+        keep_limits,
+        limits,
+        on_close, //
+    },
     datagram::{
         Outgoing,
         receive_messages,
@@ -62,6 +68,7 @@
         Tick, //
     },
     metrics::EdgeMetrics,
+    model::ClientLimits,
     relay::TopicCaches,
     settings::Settings,
     tasks::{
@@ -87,7 +94,14 @@
         full, //
     },
     connection::Connections,
-    listener, operators,
+    listener::{
+        self,
+        table::{
+            ConnectionTable,
+            ListenerRole, //
+        },
+    },
+    operators,
     process::{
         BindError,
         bind_tcp,
@@ -172,6 +186,21 @@
         rand::random(),
     );
     let mut tasks = Tasks::new();
+    let (memory_bytes, descriptors) = (settings.memory_bytes, descriptors());
+    let clients = Arc::new(ConnectionTable::new(
+        limits(memory_bytes, descriptors, &ClientLimits::default()),
+        on_close(metrics.clone()),
+    ));
+    tasks.spawn(
+        "connection limits",
+        keep_limits(
+            clients.clone(),
+            configuration.clone(),
+            metrics.clone(),
+            memory_bytes,
+            descriptors,
+        ),
+    );
     let (address, mailbox) = Mailbox::unbounded();
     tasks.spawn("dispatcher", xtra::run(mailbox, dispatcher));
     let dispatcher: Address<Dispatcher> = address;
@@ -184,6 +213,7 @@
         metrics: metrics.clone(),
         buffered_bytes: Arc::default(),
         buffered_bytes_max: (settings.memory_bytes as f64 * BODY_MEMORY_FRACTION) as u64,
+        held_bytes: clients.held(),
         answered_lines: LogRateLimit::default(),
         ended_lines: LogRateLimit::default(),
     });
@@ -201,14 +231,21 @@
         tasks.spawn(topic.follower_name(), follower);
     }
     let timings = FollowTimings::new(Topic::Hosts, &settings.bounds);
-    let follower = follow_relay(news_path_rx, caches.clone(), metrics.clone(), timings);
+    let follower = follow_relay(
+        news_path_rx,
+        caches.clone(),
+        metrics.clone(),
+        timings,
+        settings.answer_bytes_max(),
+    );
     tasks.spawn("relay follower", follower);
     tasks.spawn_finite("registration", register(source, settings.clone()));
     spawn_peer_tasks(&mut tasks, &dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
     let (_open_tx, open) = watch::channel(false);
-    let listener = listener::serve(relaying, open.clone(), move |req, _| {
+    let (others, table) = (ListenerRole::Others, clients.clone());
+    let listener = listener::serve_limited(relaying, open.clone(), table, others, move |req, _| {
         serve_peer(caches.clone(), metrics.clone(), req)
     });
     tasks.spawn("followers' listener", listener);
@@ -216,20 +253,27 @@
         ("readiness listener", readiness),
         ("look-ups' listener", lookups),
     ] {
-        let gw = gw.clone();
-        let listener = listener::serve(listener, open.clone(), move |req, _| {
-            serve_platform(gw.clone(), req, ttl)
-        });
+        let (gw, table) = (gw.clone(), clients.clone());
+        let listener =
+            listener::serve_limited(listener, open.clone(), table, others, move |req, _| {
+                serve_platform(gw.clone(), req, ttl)
+            });
         tasks.spawn(name, listener);
     }
     let (stop, stopped) = watch::channel(false);
-    let mut serving = tokio::spawn(listener::serve(callers, stopped, {
-        let gw = gw.clone();
-        move |req, _| {
+    let mut serving = tokio::spawn(listener::serve_limited(
+        callers,
+        stopped,
+        clients,
+        ListenerRole::Callers,
+        {
             let gw = gw.clone();
-            async move { gw.serve(req).await }
-        }
-    }));
+            move |req, _| {
+                let gw = gw.clone();
+                async move { gw.serve(req).await }
+            }
+        },
+    ));
     log::info!(
         event = "started",
         host:% = settings.host,
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -96,7 +96,16 @@
     pub is_first_start: bool,
 }
 
+/// The fraction of the process's memory that one answer of the store or of a relay may take. It is
+/// decoded while it is in memory.
+const ANSWER_MEMORY_DIVISOR: u64 = 8;
+
 impl Settings {
+    /// Returns the size of the largest answer that the store or a relay may send, in bytes.
+    pub fn answer_bytes_max(&self) -> usize {
+        usize::try_from(self.memory_bytes / ANSWER_MEMORY_DIVISOR).unwrap_or(usize::MAX)
+    }
+
     /// Returns the region of a zone; `None` if the settings do not name the zone.
     pub fn region_of(&self, zone: &ZoneName) -> Option<&RegionName> {
         self.regions.get(zone)
--- a/src/edge/topic_watch.rs
+++ b/src/edge/topic_watch.rs
@@ -8,7 +8,10 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
 use hyper::{
     Method,
     Request,
@@ -73,6 +76,10 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The pause after a query that the relay did not answer.
 const RELAY_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How long a follower may take to send a query.
+const QUERY_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest query of a follower, in bytes; a query names a few topics and their revisions.
+const QUERY_BYTES_MAX: usize = 64 * 1024;
 /// The longest time that an update takes from one host to the next, also across regions.
 const HOP_LATENCY_MAX: Duration = Duration::from_millis(100);
 /// How long a host's own read of the store takes, once the relay's updates are too old.
@@ -362,14 +369,16 @@
     DecodeAnswer(#[from] rmp_serde::decode::Error),
 }
 
-/// Follows all topics through the relay, while the host has one.
+/// Follows all topics through the relay, while the host has one. An answer of more than
+/// `answer_bytes_max` bytes counts as none.
 pub async fn follow_relay(
     mut path: watch::Receiver<UpdateSource>,
     caches: TopicCaches,
     metrics: Arc<EdgeMetrics>,
     timings: FollowTimings,
+    answer_bytes_max: usize,
 ) {
-    let connections = Connections::new();
+    let connections = Connections::new().with_call_body_max(answer_bytes_max);
     loop {
         let current_relay = path.borrow_and_update().relay;
         let Some(RelayTarget { address, level }) = current_relay else {
@@ -419,11 +428,13 @@
 /// Answers a query of a follower; waits for changes as long as the query allows.
 pub async fn serve_follower(caches: TopicCaches, req: Request<Incoming>) -> Response<ProxyBody> {
     let mut res = Response::new(empty());
-    let result = match req.into_body().collect().await {
-        Ok(body) => {
+    let body = Limited::new(req.into_body(), QUERY_BYTES_MAX).collect();
+    let result = match timeout(QUERY_READ_TIMEOUT, body).await {
+        Ok(Ok(body)) => {
             rmp_serde::from_slice::<RelayQuery>(&body.to_bytes()).map_err(|e| e.to_string())
         }
-        Err(e) => Err(e.to_string()),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(_) => Err("the query did not end in time".to_owned()),
     };
     let query = match result {
         Ok(query) => query,
--- a/src/listener/disconnect.rs
+++ b/src/listener/disconnect.rs
@@ -12,6 +12,7 @@
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
+            AtomicU64,
             AtomicUsize,
             Ordering, //
         },
@@ -34,6 +35,18 @@
         ReadBuf, //
     },
     net::TcpStream,
+    time::Instant,
+};
+
+use super::{
+    activity::{
+        CloseCause,
+        Tracking, //
+    },
+    answer::HeldCounters,
+    eviction::Snapshot,
+    limits::Limits,
+    table::Registered,
 };
 
 /// The most bytes that are read ahead on one connection.
@@ -48,6 +61,68 @@
     read_ahead: BytesMut,
     /// Whether the server has a pending read, and so will detect a disconnect itself.
     has_pending_read: bool,
+    tracking: Tracking,
+    /// Whether data was read in this turn of the connection's task.
+    has_read: bool,
+    /// Whether a request was begun in this turn of the connection's task.
+    has_begun_request: bool,
+    head_bytes_max: usize,
+    empty_line_bytes_max: usize,
+    held: HeldCounters,
+    /// The bytes that are counted in `held` for this connection, other than its answers'.
+    counted: u64,
+    /// The limit that the client has exceeded, until it is reported.
+    violation: Option<CloseCause>,
+}
+
+impl Inner {
+    /// Updates the count of the bytes that are held for this connection.
+    fn recount(&mut self) {
+        let bytes = self.tracking.bytes() + self.read_ahead.len() as u64;
+        match bytes.checked_sub(self.counted) {
+            Some(0) => {}
+            Some(more) => drop(self.held.process.fetch_add(more, Ordering::Relaxed)),
+            None => {
+                let less = self.counted - bytes;
+                self.held.process.fetch_sub(less, Ordering::Relaxed);
+            }
+        }
+        self.counted = bytes;
+    }
+
+    /// Records data that is handed to the HTTP server. Fails if a limit is exceeded.
+    fn record_received(&mut self, data: &[u8]) -> io::Result<()> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        self.has_read = true;
+        let now = Instant::now();
+        let (head_max, empty_max) = (self.head_bytes_max, self.empty_line_bytes_max);
+        self.violation = self.tracking.received(data, head_max, empty_max, now);
+        self.recount();
+        match self.violation {
+            None => Ok(()),
+            Some(cause) => {
+                let cause = format!("the client exceeded a limit: {}", cause.as_str());
+                Err(io::Error::new(io::ErrorKind::InvalidData, cause))
+            }
+        }
+    }
+
+    /// Records the result of a write. When a blocked client reads again, reading goes on too.
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>, cx: &Context<'_>) {
+        match written {
+            Poll::Pending => self.tracking.write_blocked(),
+            Poll::Ready(Ok(_)) if self.tracking.wrote(Instant::now()) => cx.waker().wake_by_ref(),
+            Poll::Ready(_) => {}
+        }
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.held.process.fetch_sub(self.counted, Ordering::Relaxed);
+    }
 }
 
 /// A client's TCP stream, shared by the HTTP server and the detection of disconnects.
@@ -55,12 +130,92 @@
 pub(super) struct ReadAheadStream(Arc<Mutex<Inner>>);
 
 impl ReadAheadStream {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(Mutex::new(Inner {
+    /// Wraps a stream; `held` counts all bytes that the process holds for clients.
+    pub(super) fn new(stream: TcpStream, limits: &Limits, held: Arc<AtomicU64>) -> Self {
+        let mut inner = Inner {
             stream,
             read_ahead: BytesMut::new(),
             has_pending_read: false,
-        })))
+            tracking: Tracking::new(Instant::now()),
+            has_read: false,
+            has_begun_request: false,
+            head_bytes_max: limits.head_bytes_max,
+            empty_line_bytes_max: limits.empty_line_bytes_max,
+            held: HeldCounters {
+                connection: Arc::default(),
+                process: held,
+            },
+            counted: 0,
+            violation: None,
+        };
+        inner.recount();
+        Self(Arc::new(Mutex::new(inner)))
+    }
+
+    /// Records that a request's head is complete.
+    pub(super) fn request_began(&self, has_body: bool, is_http2: bool) {
+        let mut inner = self.lock();
+        inner.tracking.request_began(has_body, is_http2);
+        inner.recount();
+    }
+
+    /// Records that an answer is ready to be sent.
+    pub(super) fn answer_ready(&self) {
+        self.lock().tracking.answer_ready(Instant::now());
+    }
+
+    /// Records that an answer was handed over to the HTTP server, or given up.
+    pub(super) fn request_ended(&self, was_ready: bool) {
+        let mut inner = self.lock();
+        inner.tracking.request_ended(was_ready, Instant::now());
+        inner.recount();
+    }
+
+    /// Starts a turn of the connection's task.
+    fn begin_turn(&self) {
+        let mut inner = self.lock();
+        inner.has_read = false;
+        inner.has_begun_request = false;
+    }
+
+    /// Returns whether a request on an HTTP/1 connection may begin: its client reads the answers to
+    /// earlier ones, and no other request began in this turn of the connection's task, so that
+    /// pipelined requests do not keep other tasks waiting.
+    pub(super) fn poll_begin(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut inner = self.lock();
+        if inner.tracking.is_write_blocked() {
+            // The task is woken after the next write.
+            return Poll::Pending;
+        }
+        if inner.has_begun_request {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        inner.has_begun_request = true;
+        Poll::Ready(())
+    }
+
+    /// Returns the counters for the bytes of answers.
+    pub(super) fn held_counters(&self) -> HeldCounters {
+        self.lock().held.clone()
+    }
+
+    /// Returns the state of the connection.
+    pub(super) fn snapshot(&self, id: u64, now: Instant) -> Snapshot {
+        let inner = self.lock();
+        let answer_bytes = inner.held.connection.load(Ordering::Relaxed);
+        let (activity, duration) = inner.tracking.activity(answer_bytes > 0, now);
+        Snapshot {
+            id,
+            activity,
+            duration,
+            bytes: inner.counted + answer_bytes,
+        }
+    }
+
+    /// Returns the limit that the client has exceeded, once.
+    pub(super) fn take_violation(&self) -> Option<CloseCause> {
+        self.lock().violation.take()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -82,6 +237,7 @@
                 return Poll::Ready(());
             }
             inner.read_ahead.extend_from_slice(buf.filled());
+            inner.recount();
         }
         Poll::Pending
     }
@@ -94,16 +250,35 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut inner = self.lock();
+        let inner = &mut *inner;
+        if inner.tracking.is_write_blocked() {
+            // Nothing is read from a client that does not read: its next requests would add
+            // answers. The next successful write wakes this task.
+            inner.has_pending_read = false;
+            return Poll::Pending;
+        }
+        if inner.has_read && inner.tracking.has_control_frames_only() {
+            // The HTTP server answers control frames, such as pings, until no more are there, and
+            // other tasks would wait.
+            inner.has_pending_read = false;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
         if !inner.read_ahead.is_empty() {
             let len = inner.read_ahead.len().min(buf.remaining());
             buf.put_slice(&inner.read_ahead[..len]);
             inner.read_ahead.advance(len);
+            if inner.read_ahead.is_empty() {
+                inner.read_ahead = BytesMut::new();
+            }
             inner.has_pending_read = false;
-            return Poll::Ready(Ok(()));
+            return Poll::Ready(inner.record_received(&buf.filled()[before..]));
         }
         let read = Pin::new(&mut inner.stream).poll_read(cx, buf);
         inner.has_pending_read = read.is_pending();
-        read
+        ready!(read)?;
+        Poll::Ready(inner.record_received(&buf.filled()[before..]))
     }
 }
 
@@ -113,7 +288,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.lock().stream).poll_write(cx, buf)
+        let mut inner = self.lock();
+        let written = Pin::new(&mut inner.stream).poll_write(cx, buf);
+        inner.record_write(&written, cx);
+        written
     }
 
     fn poll_write_vectored(
@@ -121,7 +299,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.lock().stream).poll_write_vectored(cx, bufs)
+        let mut inner = self.lock();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(cx, bufs);
+        inner.record_write(&written, cx);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -170,14 +351,21 @@
     connection: Pin<Box<C>>,
     stream: ReadAheadStream,
     in_flight: InFlightCounter,
+    registered: Registered,
 }
 
 impl<C> CancelOnDisconnect<C> {
-    pub(super) fn new(connection: C, stream: ReadAheadStream, in_flight: InFlightCounter) -> Self {
+    pub(super) fn new(
+        connection: C,
+        stream: ReadAheadStream,
+        in_flight: InFlightCounter,
+        registered: Registered,
+    ) -> Self {
         Self {
             connection: Box::pin(connection),
             stream,
             in_flight,
+            registered,
         }
     }
 }
@@ -189,9 +377,12 @@
     type Output = Result<(), E>;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        self.stream.begin_turn();
         if let Poll::Ready(ended) = self.connection.as_mut().poll(cx) {
             return Poll::Ready(ended);
         }
+        // What this client has sent may have used up the bytes; then others or this one are closed.
+        self.registered.table().has_bytes_left(Instant::now());
         if self.in_flight.is_busy() && self.stream.poll_disconnected(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
--- a/tests/edge_relay.rs
+++ b/tests/edge_relay.rs
@@ -37,6 +37,7 @@
         organisations: Vec::new(),
         keys: HashMap::new(),
         body_bytes_max: 1 << 20,
+        client_limits: Default::default(),
         unreadable_parts: 0,
         requires_keys: false,
     })
