--- a/src/edge/connection_limits.rs
+++ b/src/edge/connection_limits.rs
@@ -48,6 +48,8 @@
 const HEAD_MARGIN_DIVISOR: usize = 4;
 /// The size of the shortest field of a head, `a:` and the line end, in bytes.
 const FIELD_BYTES_MIN: usize = 4;
+/// The most fields of a head that the HTTP library can store.
+const FIELDS_MAX: usize = 24_000;
 /// How much longer than configured a head may take, since a busy host reads it late.
 const HEAD_TIME_FACTOR: u32 = 4;
 /// How much longer than configured a connection may be idle, or an answer unread.
@@ -69,7 +71,7 @@
     let head_bytes_max = head_bytes.saturating_add(head_bytes / HEAD_MARGIN_DIVISOR);
     Limits {
         head_bytes_max,
-        head_fields_max: Some(head_bytes_max / FIELD_BYTES_MIN),
+        head_fields_max: Some((head_bytes / FIELD_BYTES_MIN).min(FIELDS_MAX)),
         head_time: published.head_time.saturating_mul(HEAD_TIME_FACTOR),
         idle_time: published.idle_time.saturating_mul(IDLE_TIME_FACTOR),
         unread_time: published.idle_time.saturating_mul(IDLE_TIME_FACTOR),
