Give slow readers time under pressure, and name every limit that was exceeded

An answer is closed under pressure only if the client took nothing of it for 2 s (250 ms before): over a slow link the socket takes more only after a large part of its buffer was read. Endless empty lines were closed but not counted, since the HTTP server reports no error for them. The limit on HTTP/2 control frames without a request is part of the limits; where these are generous it is 4 MiB, above the windows there.

With 4,096 fields allowed, the HTTP library allocates two tables of 128 KiB for each head. The process frees such a block at its start. The effect on whole requests was not measured.

--- a/src/edge/connection_limits.rs
+++ b/src/edge/connection_limits.rs
@@ -1,7 +1,11 @@
 //! Limits of clients' connections, derived from the machine and the published configuration.
 
 use std::{
-    sync::Arc,
+    hint::black_box,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
     time::Duration, //
 };
 
@@ -48,8 +52,14 @@
 const HEAD_MARGIN_DIVISOR: usize = 4;
 /// The size of the shortest field of a head, `a:` and the line end, in bytes.
 const FIELD_BYTES_MIN: usize = 4;
+/// The most bytes that an HTTP/2 client may send without a request. More than the windows of the
+/// listener, so that the rest of a refused upload fits.
+const CONTROL_BYTES_MAX: usize = 512 * 1024;
 /// The most fields of a head that the HTTP library can store.
 const FIELDS_MAX: usize = 24_000;
+/// The size of a block that is freed once at the start, in bytes; larger than the tables of fields
+/// that the HTTP library allocates for each head.
+const HEAP_PRIMING_BYTES: usize = 200 * 1024;
 /// How much longer than configured a head may take, since a busy host reads it late.
 const HEAD_TIME_FACTOR: u32 = 4;
 /// How much longer than configured a connection may be idle, or an answer unread.
@@ -57,6 +67,15 @@
 /// The time between two checks for connections that exceed a limit.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Makes the allocator keep blocks of the size that the HTTP library allocates for the fields of
+/// each head.
+///
+/// The allocator of the C library returns large blocks to the operating system when they are freed,
+/// until it has freed a larger one. Allocating them anew for each request takes microseconds.
+pub fn prime_heap() {
+    drop(black_box(Vec::<u8>::with_capacity(HEAP_PRIMING_BYTES)));
+}
+
 /// Returns the number of descriptors that the operating system allows this process.
 pub fn descriptors() -> u64 {
     getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
@@ -73,6 +92,7 @@
         head_bytes_max,
         head_fields_max: Some((head_bytes / FIELD_BYTES_MIN).min(FIELDS_MAX)),
         head_time: published.head_time.saturating_mul(HEAD_TIME_FACTOR),
+        control_bytes_max: CONTROL_BYTES_MAX,
         idle_time: published.idle_time.saturating_mul(IDLE_TIME_FACTOR),
         unread_time: published.idle_time.saturating_mul(IDLE_TIME_FACTOR),
         connections_max: connections.min(CONNECTIONS_MAX) as usize,
@@ -117,7 +137,7 @@
         }
         table.sweep(Instant::now());
         metrics.client_connections.set(table.open() as i64);
-        let held = held.load(std::sync::atomic::Ordering::Relaxed);
+        let held = held.load(Ordering::Relaxed);
         metrics
             .held_bytes
             .set(i64::try_from(held).unwrap_or(i64::MAX));
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -46,7 +46,8 @@
         descriptors,
         keep_limits,
         limits,
-        on_close, //
+        on_close,
+        prime_heap, //
     },
     datagram::{
         Outgoing,
@@ -164,6 +165,7 @@
     D: Dialect,
     L: Fn() -> Option<Settings> + Send + 'static,
 {
+    prime_heap();
     let settings = Arc::new(settings);
     let source = Arc::new(source);
     let callers = bind_tcp("callers", settings.callers).await?;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -187,7 +187,7 @@
                         poll_fn(|cx| stream.poll_begin(cx)).await;
                     }
                     let exchange = Exchange::new(stream, !req.body().is_end_stream(), is_http2);
-                    let answer = match table.has_bytes_left(Instant::now()) {
+                    let answer = match table.has_bytes_left() {
                         true => handler(req, client).await,
                         false => {
                             table.report(client, CloseCause::Shed);
@@ -207,12 +207,13 @@
         let table = self.table.clone();
         let task = tokio::spawn(async move {
             let ended = connection.await;
-            let violation = stream.take_violation();
+            let mut violation = stream.take_violation();
             if let Err(e) = ended {
                 log::debug!(event = "connection-failed", client:%, cause:% = e; "");
-                if let Some(cause) = violation.or_else(|| violation_of(e.as_ref())) {
-                    table.report(client, cause);
-                }
+                violation = violation.or_else(|| violation_of(e.as_ref()));
+            }
+            if let Some(cause) = violation {
+                table.report(client, cause);
             }
         });
         self.table.set_task(id, task.abort_handle());
--- a/src/listener/activity.rs
+++ b/src/listener/activity.rs
@@ -4,15 +4,14 @@
 
 use tokio::time::Instant;
 
+use super::limits::Limits;
+
 /// Estimated memory of a connection without any received byte, in bytes.
 const CONNECTION_BYTES: u64 = 4096;
 /// Size of the HTTP server's first read buffer, in bytes.
 const BUFFER_BYTES: u64 = 8192;
 /// Estimated memory of an HTTP/2 connection: its frame buffers and header tables, in bytes.
 const HTTP2_BYTES: u64 = 32 * 1024;
-/// The most bytes that an HTTP/2 client may send without a request. More than the windows of the
-/// HTTP/2 listener, so that the rest of a refused upload fits.
-const HTTP2_IDLE_BYTES_MAX: usize = 512 * 1024;
 /// The first bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI";
 
@@ -115,20 +114,13 @@
         }
     }
 
-    /// Records bytes handed to the HTTP server, which buffers at most `head_bytes_max`; returns why
-    /// the connection is to be closed.
-    pub fn received(
-        &mut self,
-        data: &[u8],
-        head_bytes_max: usize,
-        empty_line_bytes_max: usize,
-        now: Instant,
-    ) -> Option<CloseCause> {
+    /// Records bytes handed to the HTTP server; returns why the connection is to be closed.
+    pub fn received(&mut self, data: &[u8], limits: &Limits, now: Instant) -> Option<CloseCause> {
         if !self.has_received {
             self.has_received = true;
             self.is_http2 = data.starts_with(HTTP2_PREFACE);
         }
-        self.buffered = (self.buffered + data.len()).min(head_bytes_max);
+        self.buffered = (self.buffered + data.len()).min(limits.head_bytes_max);
         for &byte in &data[data.len().saturating_sub(self.tail.len())..] {
             self.tail.rotate_left(1);
             self.tail[self.tail.len() - 1] = byte;
@@ -138,7 +130,7 @@
         }
         if self.is_http2 {
             self.control_bytes += data.len();
-            let is_flood = self.control_bytes > HTTP2_IDLE_BYTES_MAX;
+            let is_flood = self.control_bytes > limits.control_bytes_max;
             return is_flood.then_some(CloseCause::ControlFrames);
         }
         if !self.reads_head {
@@ -152,7 +144,7 @@
         };
         let is_flood = self
             .empty_line_bytes
-            .is_some_and(|bytes| bytes > empty_line_bytes_max);
+            .is_some_and(|bytes| bytes > limits.empty_line_bytes_max);
         is_flood.then_some(CloseCause::EmptyLines)
     }
 
--- a/src/listener/disconnect.rs
+++ b/src/listener/disconnect.rs
@@ -66,8 +66,7 @@
     has_read: bool,
     /// Whether a request was begun in this turn of the connection's task.
     has_begun_request: bool,
-    head_bytes_max: usize,
-    empty_line_bytes_max: usize,
+    limits: Limits,
     held: HeldCounters,
     /// The bytes that are counted in `held` for this connection, other than its answers'.
     counted: u64,
@@ -97,8 +96,7 @@
         }
         self.has_read = true;
         let now = Instant::now();
-        let (head_max, empty_max) = (self.head_bytes_max, self.empty_line_bytes_max);
-        self.violation = self.tracking.received(data, head_max, empty_max, now);
+        self.violation = self.tracking.received(data, &self.limits, now);
         self.recount();
         match self.violation {
             None => Ok(()),
@@ -139,8 +137,7 @@
             tracking: Tracking::new(Instant::now()),
             has_read: false,
             has_begun_request: false,
-            head_bytes_max: limits.head_bytes_max,
-            empty_line_bytes_max: limits.empty_line_bytes_max,
+            limits: *limits,
             held: HeldCounters {
                 connection: Arc::default(),
                 process: held,
@@ -382,7 +379,7 @@
             return Poll::Ready(ended);
         }
         // What this client has sent may have used up the bytes; then others or this one are closed.
-        self.registered.table().has_bytes_left(Instant::now());
+        self.registered.table().has_bytes_left();
         if self.in_flight.is_busy() && self.stream.poll_disconnected(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
--- a/src/listener/eviction.rs
+++ b/src/listener/eviction.rs
@@ -10,6 +10,9 @@
 /// A connection that has been in one state for a shorter time is not closed, or as the last if it
 /// is idle, so that a client has the time to send its request and to read the answer.
 const GRACE: Duration = Duration::from_millis(250);
+/// A client that takes something of an answer in this time is not closed. Over a slow link the
+/// socket takes more only after the client has read a large part of its buffer.
+const UNREAD_GRACE: Duration = Duration::from_secs(2);
 /// A connection that takes more than this many bytes has no such grace while it sends a head. Few
 /// clients send heads of more than half of this size.
 const GRACE_BYTES_MAX: u64 = 16 * 1024;
@@ -58,7 +61,7 @@
         Activity::ReadingHead if !has_grace || connection.bytes > GRACE_BYTES_MAX => {
             Some((1, CloseCause::SlowHead))
         }
-        Activity::Unread if !has_grace => Some((2, CloseCause::Unread)),
+        Activity::Unread if connection.duration >= UNREAD_GRACE => Some((2, CloseCause::Unread)),
         Activity::ReadingHead | Activity::Unread => None,
     }
 }
--- a/src/listener/limits.rs
+++ b/src/listener/limits.rs
@@ -9,6 +9,9 @@
 
 /// The most bytes of empty lines before a request.
 const EMPTY_LINE_BYTES_MAX: usize = 1024;
+/// The most bytes that an HTTP/2 client may send without a request. More than the windows of an
+/// HTTP/2 listener without limits, so that the rest of a refused upload fits.
+const CONTROL_BYTES_DEFAULT: usize = 4 * 1024 * 1024;
 /// The size of a head up to which the HTTP library accepts it by default, in bytes.
 const HEAD_BYTES_DEFAULT: usize = 408 * 1024;
 
@@ -23,6 +26,8 @@
     pub head_time: Duration,
     /// Maximum size of the empty lines before a head, in bytes.
     pub empty_line_bytes_max: usize,
+    /// Maximum number of bytes that an HTTP/2 client may send without a request.
+    pub control_bytes_max: usize,
     /// How long a connection may have no request.
     pub idle_time: Duration,
     /// How long a client may take nothing of an answer that is ready.
@@ -43,6 +48,7 @@
             head_fields_max: None,
             head_time: Duration::MAX,
             empty_line_bytes_max: EMPTY_LINE_BYTES_MAX,
+            control_bytes_max: CONTROL_BYTES_DEFAULT,
             idle_time: Duration::MAX,
             unread_time: Duration::MAX,
             connections_max: usize::MAX,
--- a/src/listener/table.rs
+++ b/src/listener/table.rs
@@ -174,9 +174,9 @@
     }
 
     /// Returns whether more bytes may be held, after connections were closed for them if needed.
-    pub(super) fn has_bytes_left(&self, now: Instant) -> bool {
+    pub(super) fn has_bytes_left(&self) -> bool {
         let is_below = self.held.load(Ordering::Relaxed) < self.held_max.load(Ordering::Relaxed);
-        is_below || self.make_room(usize::MAX, now)
+        is_below || self.make_room(usize::MAX, Instant::now())
     }
 
     /// Closes a batch of connections after the process ran out of descriptors.
--- a/tests/listener_limits.rs
+++ b/tests/listener_limits.rs
@@ -27,10 +27,6 @@
     advance, //
 };
 
-/// Size limits of a head and of empty lines that the tests pass to a connection's record.
-const HEAD_MAX: usize = 20_480;
-const EMPTY_MAX: usize = 1024;
-
 fn snapshot(id: u64, activity: Activity, ms: u64) -> Snapshot {
     Snapshot {
         id,
@@ -41,7 +37,8 @@
 }
 
 fn receive(record: &mut Tracking, data: &[u8]) -> Option<CloseCause> {
-    record.received(data, HEAD_MAX, EMPTY_MAX, Instant::now())
+    let limits = limits(112 << 20, 2870, &ClientLimits::default());
+    record.received(data, &limits, Instant::now())
 }
 
 /// Requests that are being served must go on, and the connections that are of least use go first.
