Estimate the memory of a connection as it was measured

Cause: a connection was counted with 12 KiB once it had received data. In a trial of a host with 112 MB and 2,870 descriptors against 3,200 clients (debug build), 1,660 connections with a begun head took 34 KB each, and 840 with 16,383 bytes 44 KB: the read buffer has 16 KiB after the second read, and the server's state comes on top.

Change: 32 KiB are counted, and more for a buffer in use.

--- a/src/edge/connection_limits.rs
+++ b/src/edge/connection_limits.rs
@@ -46,7 +46,7 @@
 /// The most connections, also if the operating system allows more descriptors.
 const CONNECTIONS_MAX: u64 = 65_536;
 /// The fraction of the process's memory for heads, data read ahead and unread answers.
-const HELD_MEMORY_DIVISOR: u64 = 5;
+const HELD_MEMORY_DIVISOR: u64 = 4;
 /// A head may be larger than configured by this fraction, since clients may count the start line
 /// and line ends differently.
 const HEAD_MARGIN_DIVISOR: usize = 4;
--- a/src/listener/activity.rs
+++ b/src/listener/activity.rs
@@ -8,8 +8,10 @@
 
 /// Estimated memory of a connection without any received byte, in bytes.
 const CONNECTION_BYTES: u64 = 4096;
-/// Size of the HTTP server's first read buffer, in bytes.
-const BUFFER_BYTES: u64 = 8192;
+/// Estimated memory of the HTTP server's state once it has received data, in bytes.
+const SERVER_BYTES: u64 = 12 * 1024;
+/// Size of the HTTP server's read buffer after its second read, in bytes.
+const BUFFER_BYTES: u64 = 16 * 1024;
 /// Estimated memory of an HTTP/2 connection: its frame buffers and header tables, in bytes.
 const HTTP2_BYTES: u64 = 32 * 1024;
 /// The first bytes of an HTTP/2 connection.
@@ -225,7 +227,7 @@
         if !self.has_received {
             return CONNECTION_BYTES;
         }
-        let buffers = BUFFER_BYTES.max(2 * self.buffered as u64);
+        let buffers = SERVER_BYTES + BUFFER_BYTES.max(2 * self.buffered as u64);
         match self.is_http2 {
             true => CONNECTION_BYTES + buffers + HTTP2_BYTES,
             false => CONNECTION_BYTES + buffers,
--- a/src/listener/eviction.rs
+++ b/src/listener/eviction.rs
@@ -13,9 +13,9 @@
 /// A client that takes something of an answer in this time is not closed. Over a slow link the
 /// socket takes more only after the client has read a large part of its buffer.
 const UNREAD_GRACE: Duration = Duration::from_secs(2);
-/// A connection that takes more than this many bytes has no such grace while it sends a head. Few
-/// clients send heads of more than half of this size.
-const GRACE_BYTES_MAX: u64 = 16 * 1024;
+/// A connection that takes more than this many bytes has no such grace while it sends a head. It
+/// has sent more than 8 KiB then, which few clients do.
+const GRACE_BYTES_MAX: u64 = 32 * 1024;
 
 /// State of a connection when connections are chosen.
 #[derive(Clone, Copy, Debug)]
