--- a/src/edge.rs
+++ b/src/edge.rs
@@ -10,6 +10,7 @@
 pub mod answer_size;
 pub mod caller_timeouts;
 pub mod cold_pace;
+pub mod connection_limits;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
