Tell positions in the store apart by era

Cause: a store that comes back from an older copy assigns the same revisions again, so that a watch, a cache or a relay's answer of before the loss was mistaken for the continuation of the copy.

Change: a position is (era, revision) in caches, relay queries and answers. When the era rises, reads in progress are abandoned and each topic is listed again; answers of an earlier era are dropped. Hosts tell each other the version of their configuration while the era is above 0; one that knows of a newer version refuses keys and asks its holder for it.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -9,6 +9,7 @@
 
 pub mod caller_timeouts;
 pub mod cold_pace;
+pub mod config_versions;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
@@ -28,9 +29,11 @@
 pub mod relay;
 pub mod remote_runs;
 pub mod request_error;
+pub mod rollback;
 pub mod routing;
 pub mod serve;
 pub mod settings;
+pub mod store_era;
 pub mod tasks;
 pub mod topic;
 pub mod topic_watch;
--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -20,7 +20,10 @@
     dialect::LoadReport,
     dispatcher::Dispatcher,
     message::DatagramReceived,
-    model::Priority,
+    model::{
+        ConfigVersion,
+        Priority, //
+    },
     peers::Domain,
     region_balance::Shares,
     upstreams::{
@@ -91,6 +94,9 @@
     pub offered: Vec<OfferedRate>,
     /// Fingerprints of requests that crashed upstreams.
     pub suspects: Vec<SuspectEntry>,
+    /// Version of the host's configuration, if the store may have gone back to an older one.
+    #[serde(default)]
+    pub configuration: Option<ConfigVersion>,
 }
 
 /// A leader's summary for the hosts of its zone and the leaders of other zones.
@@ -127,6 +133,10 @@
     pub away: Vec<HostName>,
     /// Request rates of the zone's callers, by service.
     pub offered: Vec<OfferedRate>,
+    /// Newest version of the configuration that a host of the zone has, if the store may have gone
+    /// back to an older one.
+    #[serde(default)]
+    pub configuration: Option<ConfigVersion>,
 }
 
 /// A request for rate-limit tokens of organisations, or a transfer of such tokens.
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -9,6 +9,7 @@
 mod queue;
 mod region_shares;
 mod requests;
+mod store_rollback;
 
 use std::{
     collections::{
@@ -51,6 +52,7 @@
     },
 };
 use super::{
+    config_versions::ConfigVersions,
     datagram::{
         HostState,
         Outgoing,
@@ -66,6 +68,7 @@
         AttemptEnded,
         BeginShutdown,
         DatagramReceived,
+        EraChanged,
         IsFresh,
         IsReady,
         Job,
@@ -94,6 +97,7 @@
     },
     quota::Quotas,
     remote_runs::Runs,
+    rollback::Rollback,
     settings::Settings,
     topic_watch::UpdateSource,
     upstreams::Upstreams,
@@ -174,6 +178,10 @@
     /// Upstreams whose registration disappeared shortly after an outage, with the time at which
     /// they are removed unless they register again.
     pending_removals: HashMap<UpstreamId, Instant>,
+    /// What is kept although the store has lost it.
+    rollback: Rollback,
+    /// Versions of the configuration that other hosts have.
+    versions: ConfigVersions,
     /// Last logged value of whether requests with API keys may run.
     last_logged_fresh: Option<bool>,
     outgoing: mpsc::Sender<Outgoing>,
@@ -235,6 +243,8 @@
             queue: Vec::new(),
             outage: Outage::default(),
             pending_removals: HashMap::new(),
+            rollback: Rollback::default(),
+            versions: ConfigVersions::default(),
             last_logged_fresh: None,
             outgoing,
             path,
@@ -261,7 +271,7 @@
             && self.hosts_known_at.is_some()
             && self.configuration.load().is_some()
             && !self.upstreams.is_empty()
-            && self.freshness.is_fresh(now)
+            && self.keys_are_fresh(now)
     }
 
     fn state(&self, now: Instant) -> HostState {
@@ -273,9 +283,10 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let was_fresh = self.freshness.is_fresh(now);
+        let was_fresh = self.keys_are_fresh(now);
         self.freshness.observe_suspension(suspended_time());
-        self.log_freshness_change(was_fresh, self.freshness.is_fresh(now));
+        self.update_after_rollback(now);
+        self.log_freshness_change(was_fresh, self.keys_are_fresh(now));
         self.set_gauges(now);
         let reads = self
             .store_read_at
@@ -350,6 +361,14 @@
     }
 }
 
+impl Handler<EraChanged> for Dispatcher {
+    type Return = ();
+
+    async fn handle(&mut self, msg: EraChanged, _: &mut Context<Self>) {
+        self.observe_era_change(Instant::now(), msg);
+    }
+}
+
 impl Handler<Submit> for Dispatcher {
     type Return = ();
 
@@ -448,7 +467,7 @@
 
     async fn handle(&mut self, _: IsFresh, _: &mut Context<Self>) -> bool {
         self.freshness.observe_suspension(suspended_time());
-        self.freshness.is_fresh(Instant::now())
+        self.keys_are_fresh(Instant::now())
     }
 }
 
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -43,6 +43,7 @@
             let is_answered = !matches!(msg.news, TopicUpdate::Outage);
             self.store_read_at = is_answered.then_some(now);
         }
+        let era = msg.news.era().unwrap_or_default();
         let (is_full, changes) = match msg.news {
             TopicUpdate::Outage => {
                 self.record_outage(msg.topic);
@@ -58,7 +59,11 @@
             };
             log::info!(event = "dependency-regained", dependency = "store"; "");
         }
+        self.versions.observe_era(now, era);
         if is_full {
+            if self.rollback.observe_list(msg.topic, era) {
+                self.keep_lost(now, msg.topic, &changes);
+            }
             self.remove_missing(now, msg.topic, &changes);
             if msg.topic == Topic::Configuration {
                 // Until the list turns out to have the one in force.
@@ -68,7 +73,10 @@
         for change in changes {
             self.apply(now, msg.topic, change);
         }
-        if msg.topic == Topic::Configuration && self.is_configuration_current {
+        if msg.topic == Topic::Configuration
+            && self.is_configuration_current
+            && self.versions.may_confirm(now, self.version_in_force())
+        {
             self.freshness.confirm(msg.read_sent_at, msg.suspended);
         }
         if msg.topic == Topic::Hosts {
@@ -100,7 +108,7 @@
             Topic::Hosts => names_of(self.peers.names()),
         };
         for name in known_names {
-            if !listed_names.contains(name.as_str()) {
+            if !listed_names.contains(name.as_str()) && !self.is_kept(topic, &name) {
                 self.apply(now, topic, Change { name, record: None });
             }
         }
@@ -124,11 +132,13 @@
                 self.upstreams.register(now, *entry, service);
             }
             Some(Record::Evacuation(zone)) => {
+                self.rollback.evacuations.release(&zone);
                 if self.evacuated_zones.insert(zone.clone()) {
                     log::info!(event = "evacuation-started", zone:%; "");
                 }
             }
             Some(Record::Host(entry)) => {
+                self.rollback.hosts.release(&entry.name);
                 if entry.name != self.settings.host {
                     self.peers.register(*entry);
                 }
@@ -158,6 +168,7 @@
             Topic::Evacuations => self.end_evacuation(now, name),
             Topic::Hosts => {
                 if let Ok(host) = HostName::from_external(name) {
+                    self.rollback.hosts.release(&host);
                     self.peers.remove(&host);
                 }
             }
@@ -168,6 +179,7 @@
         let Ok(zone) = ZoneName::from_external(name) else {
             return;
         };
+        self.rollback.evacuations.release(&zone);
         if !self.evacuated_zones.remove(&zone) {
             return;
         }
@@ -181,7 +193,7 @@
         self.upstreams.mark_zone_cold(&zone, cold_time, now);
     }
 
-    fn version_in_force(&self) -> Option<ConfigVersion> {
+    pub(super) fn version_in_force(&self) -> Option<ConfigVersion> {
         self.configuration.load().as_ref().map(|c| c.version)
     }
 
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -208,6 +208,7 @@
             state: self.state(now),
             offered: self.offered(now),
             suspects: self.quarantine.entries(now, SUSPECTS_PER_MESSAGE),
+            configuration: self.announced_version(),
         };
         self.send_datagram(vec![address], Datagram::Report(msg));
     }
@@ -215,7 +216,8 @@
     /// Sends the state of all zones to the hosts of this host's zone, and the state of this
     /// host's zone to the leaders of other zones.
     fn send_digest(&mut self, now: Instant) {
-        let own = self.peers.own_zone(now, &self.offered(now));
+        let offered = self.offered(now);
+        let own = self.peers.own_zone(now, &offered, self.announced_version());
         let mut leaders = self.peers.leader_addresses(now, true);
         if self.leaving || self.heartbeats.is_multiple_of(CROSS_REGION_DIGEST_BEATS) {
             leaders.extend(self.peers.leader_addresses(now, false));
@@ -255,7 +257,9 @@
             return;
         }
         let path = UpdateSource {
-            relay: self.peers.relay(now),
+            relay: self
+                .newer_configuration_source(now)
+                .or_else(|| self.peers.relay(now)),
             has_followers: self.peers.has_followers(now),
         };
         let is_first = !std::mem::replace(&mut self.path_chosen, true);
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -35,6 +35,7 @@
     settings::Settings,
     topic::{
         Changes,
+        Era,
         Topic, //
     },
     upstreams::{
@@ -79,6 +80,15 @@
     pub news: TopicUpdate,
 }
 
+/// Reports that the known era of the store has changed.
+#[derive(Clone, Copy, Debug)]
+pub struct EraChanged {
+    /// The era that was known before.
+    pub old: Era,
+    /// The era that is known now.
+    pub new: Era,
+}
+
 /// The result of reading a topic.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum TopicUpdate {
@@ -99,6 +109,14 @@
             Self::Outage => false,
         }
     }
+
+    /// Returns the era of the store that was read; `None` if the answer had no valid one.
+    pub fn era(&self) -> Option<Era> {
+        match self {
+            Self::Whole(changes) | Self::Since(changes) => changes.era,
+            Self::Outage => None,
+        }
+    }
 }
 
 /// A request for which the dispatcher has to choose an upstream.
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -100,6 +100,8 @@
     pub upstreams: Gauge,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
+    /// How often the known era of the store changed.
+    pub store_rollbacks: Counter,
 }
 
 impl EdgeMetrics {
@@ -121,6 +123,7 @@
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
+            store_rollbacks: Counter::default(),
         };
         m.register();
         m
@@ -189,6 +192,11 @@
             "Other hosts that were heard lately",
             self.hosts.clone(),
         );
+        r.register(
+            "store_rollbacks",
+            "Times that the store has gone back to an older copy",
+            self.store_rollbacks.clone(),
+        );
     }
 
     /// Counts a request that an upstream answered.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -36,7 +36,10 @@
         Sender,
         ZoneDigest, //
     },
-    model::HostRegistration,
+    model::{
+        ConfigVersion,
+        HostRegistration, //
+    },
     topic_watch::{
         RelayLevel,
         RelayTarget, //
@@ -113,6 +116,8 @@
     last_message: Option<Instant>,
     state: HostState,
     offered: Vec<OfferedRate>,
+    /// Version of the host's configuration, if it tells it.
+    configuration: Option<ConfigVersion>,
 }
 
 impl Peer {
@@ -125,6 +130,7 @@
             last_message: None,
             state: HostState::Stale,
             offered: Vec::new(),
+            configuration: None,
         }
     }
 
@@ -158,6 +164,8 @@
     /// Whether the leader reads the store.
     reads: bool,
     offered: Vec<OfferedRate>,
+    /// Newest version of the configuration that a host of the zone has, if it tells it.
+    configuration: Option<ConfigVersion>,
 }
 
 impl ZoneView {
@@ -352,6 +360,7 @@
         if let Some(peer) = self.peers.get_mut(&msg.from.host) {
             peer.set_state(msg.state);
             peer.offered.clone_from(&msg.offered);
+            peer.configuration = msg.configuration;
         }
     }
 
@@ -391,6 +400,7 @@
             is_fit: digest.is_fit,
             reads: digest.reads,
             offered: digest.offered.clone(),
+            configuration: digest.configuration,
         };
         if !self.accepts_view(now, &digest.zone, &view) {
             if digest.zone == self.own.zone {
@@ -721,7 +731,14 @@
     }
 
     /// Returns the digest of this host's zone, which it sends as the leader.
-    pub fn own_zone(&self, now: Instant, own_offered: &[OfferedRate]) -> ZoneDigest {
+    ///
+    /// `own_configuration` is the version of this host's configuration, if it tells it.
+    pub fn own_zone(
+        &self,
+        now: Instant,
+        own_offered: &[OfferedRate],
+        own_configuration: Option<ConfigVersion>,
+    ) -> ZoneDigest {
         let zone = &self.own.zone;
         let zone_hosts = || self.hosts_of_zone(zone);
         let mut away: Vec<HostName> = zone_hosts()
@@ -732,7 +749,9 @@
             away.push(self.own.name.clone());
         }
         let silence_timeout = self.silence_timeout(zone);
-        let reports = zone_hosts().filter(|p| p.is_responsive(now, silence_timeout));
+        let reports = || zone_hosts().filter(|p| p.is_responsive(now, silence_timeout));
+        let newest = reports().map(|p| p.configuration).max().flatten();
+        let reports = reports();
         let offered = reports.flat_map(|p| &p.offered).chain(own_offered);
         ZoneDigest {
             zone: zone.clone(),
@@ -742,9 +761,38 @@
             reads: self.own_reads,
             away,
             offered: sum_by_service(offered),
+            configuration: own_configuration.max(newest),
         }
     }
 
+    /// Returns the newest version of the configuration that another running host has, with the
+    /// address of a host that has it or can get it; `None` if no host tells its version.
+    pub fn newest_configuration(&self, now: Instant) -> Option<(ConfigVersion, SocketAddr)> {
+        let silence_timeout = self.silence_timeout(&self.own.zone);
+        let zone_hosts = self.hosts_of_zone(&self.own.zone);
+        let reports = zone_hosts
+            .filter(|p| p.is_responsive(now, silence_timeout))
+            .filter_map(|p| Some((p.configuration?, p.entry.peers)));
+        let own_leader = self.leader(now, &self.own.zone);
+        let views = self.views.keys().filter_map(|zone| {
+            let view = self.fresh_view(now, zone)?;
+            // The leader of this zone gets it from the other zone.
+            let holder = match self.leads() {
+                true => &view.leader,
+                false => own_leader.unwrap_or(&view.leader),
+            };
+            Some((view.configuration?, self.address(holder)?))
+        });
+        reports.chain(views).max()
+    }
+
+    /// Returns whether messages of a host arrive, or other hosts say that it takes requests.
+    pub fn is_heard(&self, now: Instant, host: &HostName) -> bool {
+        self.peers.get(host).is_some_and(|p| {
+            self.is_ready(now, p) || p.is_responsive(now, self.silence_timeout(&p.entry.zone))
+        })
+    }
+
     /// Returns the recent digests of other zones, to be relayed.
     pub fn other_zones(&self, now: Instant) -> Vec<ZoneDigest> {
         let others = self
@@ -760,6 +808,7 @@
             reads: v.reads,
             away: v.away.iter().cloned().collect(),
             offered: v.offered.clone(),
+            configuration: v.configuration,
         });
         digests.collect()
     }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -10,6 +10,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         VecDeque, //
     },
     sync::{
@@ -35,13 +36,26 @@
     dispatcher::Dispatcher,
     freshness::suspended_time,
     message::{
+        EraChanged,
         TopicObserved,
         TopicUpdate,
         UpdateOrigin, //
     },
+    model::ConfigVersion,
+    rollback::{
+        RetiredStarts,
+        configuration,
+        keep_newest_configuration, //
+    },
+    store_era::{
+        EraStep,
+        EraTracker, //
+    },
     topic::{
         Change,
         Changes,
+        Era,
+        Position,
         Record,
         Revision,
         Topic, //
@@ -49,7 +63,10 @@
 };
 use crate::{
     post::post,
-    util::time::SaturatingAdd, //
+    util::{
+        id::HostName,
+        time::SaturatingAdd, //
+    },
 };
 
 /// Changes of a topic that are kept for followers.
@@ -96,7 +113,7 @@
 /// The cached state of one topic.
 #[derive(Debug, Default)]
 struct TopicCache {
-    revision: Option<Revision>,
+    position: Option<Position>,
     records: BTreeMap<String, Record>,
     /// The latest changes, oldest first, each with the topic's revision after it.
     log: VecDeque<(Revision, Change)>,
@@ -106,36 +123,59 @@
     read_at: Option<SuspendAwareInstant>,
     /// When the read of the store behind the last relayed update was sent.
     relayed: Option<SuspendAwareInstant>,
+    /// Starts of upstreams that an older copy must not bring back.
+    retired: RetiredStarts,
+    /// Names of upstreams that were written since the store went back; empty if it never did.
+    rewritten: BTreeSet<String>,
+    /// Whether the store went back since the first read.
+    went_back: bool,
 }
 
 impl TopicCache {
-    /// Applies an update to revision `base`. Returns `false` if it no longer applies.
+    /// Applies an update to position `base`, which was read in `era`. Returns `false` if it no
+    /// longer applies. Records that an older copy of the store lists are replaced in `news` by newer
+    /// known ones.
     fn apply(
         &mut self,
-        base: Option<Revision>,
-        news: &TopicUpdate,
+        topic: Topic,
+        base: Option<Position>,
+        news: &mut TopicUpdate,
+        era: Era,
         read_at: SuspendAwareInstant,
     ) -> bool {
-        let (whole, changes) = match news {
+        let (is_list, changes) = match news {
             TopicUpdate::Outage => return true,
             TopicUpdate::Whole(changes) => (true, changes),
             TopicUpdate::Since(changes) => (false, changes),
         };
-        // Another answer was applied since this read was sent; this one may be older.
-        if base != self.revision || self.revision.is_some_and(|r| changes.revision < r) {
-            return false;
+        let position = Position {
+            era,
+            revision: changes.revision,
+        };
+        match self.position {
+            // Only a list replaces records of another era.
+            Some(known) if known.era != era && !is_list => return false,
+            Some(known) if known.era != era => self.went_back = true,
+            // Another answer was applied since this read was sent; this one may be older.
+            known if base != known || known.is_some_and(|k| position < k) => return false,
+            _ => {}
         }
-        if whole {
+        changes.era = Some(era);
+        self.keep_newer(topic, is_list, changes);
+        if is_list {
             self.records.clear();
             self.log.clear();
             self.log_start = changes.revision;
         }
         for change in &changes.changes {
+            if !is_list && self.is_older_configuration(era, change) {
+                continue;
+            }
             match &change.record {
                 Some(record) => self.records.insert(change.name.clone(), record.clone()),
                 None => self.records.remove(&change.name),
             };
-            if !whole {
+            if !is_list {
                 if change.supersedes_earlier() {
                     self.log.retain(|(_, earlier)| earlier.name != change.name);
                 }
@@ -147,24 +187,91 @@
                 self.log_start = revision;
             }
         }
-        self.revision = Some(changes.revision);
+        self.position = Some(position);
         if self.read_at.is_none_or(|known| known.at < read_at.at) {
             self.read_at = Some(read_at);
         }
         true
     }
 
-    /// Returns the changes after a revision, or all records if the log does not reach back
-    /// that far; `None` if this host has not read the topic yet.
-    fn since(&self, after: Option<Revision>) -> Option<TopicUpdate> {
+    /// Replaces records of an older copy of the store by newer known ones.
+    fn keep_newer(&mut self, topic: Topic, is_list: bool, changes: &mut Changes) {
+        let era = changes.era.unwrap_or_default();
+        match topic {
+            Topic::Upstreams => {
+                let known_era = self.position.map(|p| p.era);
+                if known_era != Some(era) {
+                    self.rewritten.clear();
+                }
+                if self.went_back {
+                    let written = changes.changes.iter().filter(|_| !is_list);
+                    let written = written.map(|c| &c.name).chain(&changes.rewritten);
+                    self.rewritten.extend(written.cloned());
+                }
+                self.retired.update(
+                    era,
+                    is_list,
+                    &self.records,
+                    known_era,
+                    &mut changes.changes,
+                    &changes.rewritten,
+                );
+            }
+            Topic::Configuration if is_list && era > Era::default() => {
+                keep_newest_configuration(&self.records, &mut changes.changes);
+            }
+            Topic::Configuration | Topic::Evacuations | Topic::Hosts => {}
+        }
+    }
+
+    /// Returns whether a change has an older configuration than the known one, in a store that may
+    /// have gone back. Followers get the newest one.
+    fn is_older_configuration(&self, era: Era, change: &Change) -> bool {
+        let version = |r: &Record| configuration(r).map(|cfg| cfg.version);
+        let known = self.records.get(&change.name).and_then(version);
+        let changed = change.record.as_ref().and_then(version);
+        era > Era::default() && changed.is_some() && changed < known
+    }
+
+    /// Returns the cached configuration if it is newer than the follower's `version` and `changes`
+    /// lack it, in a store that may have gone back.
+    fn newer_configuration(
+        &self,
+        version: Option<ConfigVersion>,
+        changes: &Changes,
+    ) -> Option<Change> {
+        let may_have_gone_back = self.position.is_some_and(|p| p.era > Era::default());
+        if !may_have_gone_back || changes.changes.iter().any(Change::supersedes_earlier) {
+            return None;
+        }
+        let newer = |r: &Record| configuration(r).is_some_and(|cfg| Some(cfg.version) > version);
+        let (name, record) = self.records.iter().find(|(_, r)| newer(r))?;
+        Some(Change {
+            name: name.clone(),
+            record: Some(record.clone()),
+        })
+    }
+
+    /// Returns the changes after a position, or all records if the log does not reach back that
+    /// far or the position is of an earlier era. `None` if this host has not read the topic yet, or
+    /// only in an earlier era.
+    fn since(&self, after: Option<Position>) -> Option<TopicUpdate> {
+        let position = self.position?;
+        if after.is_some_and(|after| after.era > position.era) {
+            return None;
+        }
+        let after = after.filter(|after| after.era == position.era);
+        let after = after.map(|after| after.revision);
         // A follower that read the store itself may be ahead of this host.
-        let revision = self.revision?.max(after.unwrap_or_default());
+        let revision = position.revision.max(after.unwrap_or_default());
         let log_reaches = after.is_some_and(|after| after >= self.log_start);
         if log_reaches {
             let later = self.log.iter().filter(|(r, _)| Some(*r) > after);
             return Some(TopicUpdate::Since(Changes {
                 changes: later.map(|(_, change)| change.clone()).collect(),
                 revision,
+                era: Some(position.era),
+                rewritten: Vec::new(),
             }));
         }
         let all = self.records.iter().map(|(name, record)| Change {
@@ -174,6 +281,8 @@
         Some(TopicUpdate::Whole(Changes {
             changes: all.collect(),
             revision,
+            era: Some(position.era),
+            rewritten: self.rewritten.iter().cloned().collect(),
         }))
     }
 }
@@ -193,16 +302,23 @@
     caches: Arc<Mutex<[TopicCache; Topic::ALL.len()]>>,
     reachability: Arc<Mutex<Reachability>>,
     changed: watch::Sender<u64>,
+    tracker: Arc<Mutex<EraTracker>>,
+    /// The known era of the store; `None` before the first answer.
+    era: watch::Sender<Option<Era>>,
     dispatcher: Address<Dispatcher>,
 }
 
 /// A follower's query to its relay.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RelayQuery {
-    /// The follower's revision of each topic, indexed by [`Topic::index`].
-    pub after: [Option<Revision>; Topic::ALL.len()],
+    /// The follower's position in each topic, indexed by [`Topic::index`].
+    pub after: [Option<Position>; Topic::ALL.len()],
     /// How long the answer may wait for changes, in milliseconds.
     pub wait_ms: u64,
+    /// Version of the follower's configuration; `None` if it has none. After the store has gone
+    /// back, the relay may have a newer one at the same position.
+    #[serde(default)]
+    pub configuration: Option<ConfigVersion>,
 }
 
 /// The update of one topic within an answer.
@@ -230,6 +346,8 @@
             caches: Arc::default(),
             reachability: Arc::default(),
             changed: watch::Sender::new(0),
+            tracker: Arc::default(),
+            era: watch::Sender::new(None),
             dispatcher,
         }
     }
@@ -238,15 +356,87 @@
         self.caches.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the cached revision of a topic; `None` before its first read.
-    pub fn revision(&self, topic: Topic) -> Option<Revision> {
-        self.lock()[topic.index()].revision
+    /// Returns the cached position in a topic; `None` before its first read.
+    pub fn position(&self, topic: Topic) -> Option<Position> {
+        self.lock()[topic.index()].position
+    }
+
+    /// Returns the cached positions of all topics, indexed by [`Topic::index`].
+    pub fn positions(&self) -> [Option<Position>; Topic::ALL.len()] {
+        let caches = self.lock();
+        Topic::ALL.map(|topic| caches[topic.index()].position)
+    }
+
+    /// Returns the position from which a watch of a topic can continue; `None` if the topic has to
+    /// be listed, since it was never read or only in another era.
+    pub fn watch_base(&self, topic: Topic) -> Option<Position> {
+        let known = self.era();
+        self.position(topic).filter(|p| Some(p.era) == known)
     }
 
-    /// Returns the cached revisions of all topics, indexed by [`Topic::index`].
-    pub fn revisions(&self) -> [Option<Revision>; Topic::ALL.len()] {
+    /// Returns the version of the cached configuration.
+    pub fn configuration_version(&self) -> Option<ConfigVersion> {
         let caches = self.lock();
-        Topic::ALL.map(|topic| caches[topic.index()].revision)
+        let mut records = caches[Topic::Configuration.index()].records.values();
+        records.find_map(|r| configuration(r).map(|cfg| cfg.version))
+    }
+
+    /// Returns the known era of the store; `None` before the first answer.
+    pub fn era(&self) -> Option<Era> {
+        *self.era.borrow()
+    }
+
+    /// Waits until the known era differs from `since`. Does not return if `since` is `None`, since
+    /// the first era that becomes known is no rollback.
+    pub async fn era_changed(&self, since: Option<Era>) {
+        let mut era = self.era.subscribe();
+        let changed = era.wait_for(|era| since.is_some() && *era != since);
+        // The sender exists as long as this value.
+        if changed.await.is_err() {
+            std::future::pending().await
+        }
+    }
+
+    /// Waits until the registered hosts are known in a later era than `registered_in` and a host is
+    /// not among them; returns the era.
+    pub async fn registration_lost(&self, host: &HostName, registered_in: Option<Era>) -> Era {
+        let mut changed = self.changed.subscribe();
+        let mut listed_in = registered_in.or(self.era()).unwrap_or_default();
+        loop {
+            {
+                let caches = self.lock();
+                let hosts = &caches[Topic::Hosts.index()];
+                if let Some(position) = hosts.position.filter(|p| p.era > listed_in) {
+                    listed_in = position.era;
+                    if !hosts.records.contains_key(host.as_str()) {
+                        return listed_in;
+                    }
+                }
+            }
+            if changed.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Records the era of a refusal of the store.
+    pub fn observe_refusal_era(&self, era: Option<Era>) {
+        if let Some(era) = era {
+            self.observe_era(|tracker| tracker.observe_report(era));
+        }
+    }
+
+    /// Updates the known era; returns what that means and the era that is known now.
+    fn observe_era(&self, observe: impl FnOnce(&mut EraTracker) -> EraStep) -> (EraStep, Era) {
+        let mut tracker = self.tracker.lock().unwrap_or_else(PoisonError::into_inner);
+        let step = observe(&mut tracker);
+        if let EraStep::Changed { old, new } = step {
+            post(&self.dispatcher, EraChanged { old, new });
+        }
+        let known = tracker.known();
+        self.era
+            .send_if_modified(|era| std::mem::replace(era, known) != known);
+        (step, known.unwrap_or_default())
     }
 
     /// Returns when the read of the store behind a topic's last relayed update was sent.
@@ -254,17 +444,22 @@
         self.lock()[topic.index()].relayed
     }
 
-    /// Applies an update to revision `base` and sends it to the dispatcher.
+    /// Applies an update to position `base` and sends it to the dispatcher.
     fn apply(
         &self,
         topic: Topic,
-        base: Option<Revision>,
-        news: TopicUpdate,
+        base: Option<Position>,
+        mut news: TopicUpdate,
+        era: Era,
         read_at: SuspendAwareInstant,
         origin: UpdateOrigin,
     ) {
         let mut caches = self.lock();
-        if !caches[topic.index()].apply(base, &news, read_at) {
+        // The era may have risen since this answer was checked.
+        if !matches!(news, TopicUpdate::Outage) && self.era() != Some(era) {
+            return;
+        }
+        if !caches[topic.index()].apply(topic, base, &mut news, era, read_at) {
             return;
         }
         let is_change = news.is_change();
@@ -300,26 +495,34 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies the result of a read of the store that continued from revision `base`.
+    /// Applies the result of a read of the store that continued from position `base`, unless it is
+    /// from an earlier era than the known one. Changes since a position of another era are dropped;
+    /// the topic has to be listed then.
     pub fn apply_read(
         &self,
         topic: Topic,
-        base: Option<Revision>,
+        base: Option<Position>,
         news: TopicUpdate,
         read_at: SuspendAwareInstant,
-    ) {
+    ) -> EraStep {
         self.reachability().is_store_failing = false;
-        self.apply(topic, base, news, read_at, UpdateOrigin::Store);
+        let now = Instant::now();
+        let (step, era) = self.observe_era(|tracker| tracker.observe_store(news.era(), now));
+        if step != EraStep::Late {
+            self.apply(topic, base, news, era, read_at, UpdateOrigin::Store);
+        }
+        step
     }
 
     /// Records that a read of the store failed.
     pub fn record_failure(&self, topic: Topic, read_at: SuspendAwareInstant) {
         self.reachability().is_store_failing = true;
-        let base = self.revision(topic);
+        let base = self.position(topic);
         self.apply(
             topic,
             base,
             TopicUpdate::Outage,
+            Era::default(),
             read_at,
             UpdateOrigin::Store,
         );
@@ -338,12 +541,18 @@
             let Some(read_at) = sent_at.earlier(age) else {
                 continue;
             };
+            let era = relayed.news.era().unwrap_or_default();
+            let (step, era) = self.observe_era(|tracker| tracker.observe_report(era));
+            if step == EraStep::Late {
+                continue;
+            }
             let base = query.after[relayed.topic.index()];
             self.lock()[relayed.topic.index()].relayed = Some(read_at);
             self.apply(
                 relayed.topic,
                 base,
                 relayed.news,
+                era,
                 read_at,
                 UpdateOrigin::Relay,
             );
@@ -353,6 +562,10 @@
     /// Answers a follower's query, immediately if there are changes.
     pub async fn answer(&self, query: &RelayQuery) -> RelayAnswer {
         let received_at = SuspendAwareInstant::now();
+        let latest_era = query.after.iter().flatten().map(|p| p.era).max();
+        if let Some(era) = latest_era.filter(|_| self.era().is_some()) {
+            self.observe_era(|tracker| tracker.observe_report(era));
+        }
         let mut changed = self.changed.subscribe();
         let end = Instant::now().saturating_add(Duration::from_millis(query.wait_ms));
         loop {
@@ -377,11 +590,16 @@
         let mut is_new = false;
         for topic in Topic::ALL {
             let cache = &caches[topic.index()];
-            let (Some(news), Some(read_at)) =
+            let (Some(mut news), Some(read_at)) =
                 (cache.since(query.after[topic.index()]), cache.read_at)
             else {
                 continue;
             };
+            if let (Topic::Configuration, TopicUpdate::Since(changes)) = (topic, &mut news)
+                && let Some(change) = cache.newer_configuration(query.configuration, changes)
+            {
+                changes.changes.push(change);
+            }
             is_new |= news.is_change();
             answer.topics.push(RelayNews {
                 topic,
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -203,7 +203,10 @@
     let timings = FollowTimings::new(Topic::Hosts, &settings.bounds);
     let follower = follow_relay(news_path_rx, caches.clone(), metrics.clone(), timings);
     tasks.spawn("relay follower", follower);
-    tasks.spawn_finite("registration", register(source, settings.clone()));
+    tasks.spawn_finite(
+        "registration",
+        register(source, settings.clone(), caches.clone()),
+    );
     spawn_peer_tasks(&mut tasks, &dispatcher, socket, outgoing_rx);
     let ttl = settings.bounds.lookup_ttl;
     // Look-ups and readiness are answered until the process ends.
@@ -294,14 +297,25 @@
     tasks.spawn("tick", tick(dispatcher.clone()));
 }
 
-/// Registers this host, retrying until the platform accepts it.
-async fn register<S: Source>(source: Arc<S>, settings: Arc<Settings>) {
+/// Registers this host, retrying until the platform accepts it, and again each time the store has
+/// gone back to a copy without the registration.
+async fn register<S: Source>(source: Arc<S>, settings: Arc<Settings>, caches: TopicCaches) {
     let host = host_registration(&settings);
-    while let Err(cause) = source.register(&host).await {
-        log::warn!(event = "register-failed", cause:%; "");
-        sleep(REGISTER_RETRY_PAUSE).await;
+    let mut lost_in = None;
+    loop {
+        let accepted_in = loop {
+            match source.register(&host).await {
+                Ok(era) => break era,
+                Err(cause) => log::warn!(event = "register-failed", cause:%; ""),
+            }
+            sleep(REGISTER_RETRY_PAUSE).await;
+        };
+        log::info!(event = "registered", host:% = host.name; "");
+        let registered_in = accepted_in.max(lost_in);
+        let era = caches.registration_lost(&host.name, registered_in).await;
+        log::info!(event = "registration-lost", era:%; "");
+        lost_in = Some(era);
     }
-    log::info!(event = "registered", host:% = host.name; "");
 }
 
 async fn tick(dispatcher: Address<Dispatcher>) {
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -115,13 +115,40 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
+/// Number that rises each time the store goes back to an older copy of its data. A store that does
+/// not publish it never goes back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A position in the history of the store. Revisions of different eras are unrelated, since a store
+/// that goes back assigns the same revisions again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Position {
+    /// The era that assigned the revision.
+    pub era: Era,
+    /// The revision within the era.
+    pub revision: Revision,
+}
+
 /// Changes of a topic, complete up to a revision.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes, oldest first.
     pub changes: Vec<Change>,
     /// The revision from which to continue reading.
     pub revision: Revision,
+    /// The era of the store that answered; `None` if the answer had no valid one.
+    #[serde(default)]
+    pub era: Option<Era>,
+    /// Names of listed records that were written again after the store went back. Set by relays.
+    #[serde(default)]
+    pub rewritten: Vec<String>,
 }
 
 /// A failure to read or write a topic.
@@ -154,9 +181,15 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
 
-    /// Registers an entry host, replacing an earlier registration under the same name.
+    /// Registers an entry host, replacing an earlier registration under the same name. Returns the
+    /// era of the store that accepted it, if the answer had a valid one.
     fn register(
         &self,
         host: &HostRegistration,
-    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+    ) -> impl Future<Output = Result<Option<Era>, SourceError>> + Send;
+
+    /// Returns the era of the latest call that the store refused, once.
+    fn take_refusal_era(&self) -> Option<Era> {
+        None
+    }
 }
--- a/src/edge/topic_watch.rs
+++ b/src/edge/topic_watch.rs
@@ -42,6 +42,7 @@
         TopicCaches, //
     },
     settings::Bounds,
+    store_era::EraStep,
     topic::{
         Source,
         SourceError,
@@ -284,33 +285,47 @@
         let read_at = SuspendAwareInstant::now();
         let base = match history_lost {
             true => None,
-            false => caches.revision(topic),
+            false => caches.watch_base(topic),
         };
-        let result = match base {
-            None => source.list(topic).await.map(TopicUpdate::Whole),
-            Some(revision) => source
-                .watch(topic, revision, wait)
-                .await
-                .map(TopicUpdate::Since),
+        let known_era = caches.era();
+        let read = async {
+            match base {
+                None => source.list(topic).await.map(TopicUpdate::Whole),
+                Some(position) => source
+                    .watch(topic, position.revision, wait)
+                    .await
+                    .map(TopicUpdate::Since),
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            // The store has gone back: what this read returns would be dropped.
+            () = caches.era_changed(known_era) => continue,
         };
         count_read(&metrics, "store", result.is_ok());
         match result {
             Ok(news) => {
                 // A new list replaces the cached records, whatever their revision is now.
                 let base = if history_lost {
-                    caches.revision(topic)
+                    caches.position(topic)
                 } else {
                     base
                 };
-                caches.apply_read(topic, base, news, read_at);
+                if caches.apply_read(topic, base, news, read_at) == EraStep::Late {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                    continue;
+                }
                 pause = RETRY_PAUSE_MIN;
                 history_lost = false;
             }
             Err(SourceError::HistoryLost) => {
+                caches.observe_refusal_era(source.take_refusal_era());
                 log::info!(event = "history-lost", topic:%; "");
                 history_lost = true;
             }
             Err(cause) => {
+                caches.observe_refusal_era(source.take_refusal_era());
                 log::info!(event = "read-failed", topic:%, cause:%, pause_ms = pause.as_millis() as u64; "");
                 caches.record_failure(topic, read_at);
                 sleep(pause).await;
@@ -380,8 +395,9 @@
         };
         let wait = timings.query_wait(level);
         let query = RelayQuery {
-            after: caches.revisions(),
+            after: caches.positions(),
             wait_ms: wait.as_millis() as u64,
+            configuration: caches.configuration_version(),
         };
         let sent_at = SuspendAwareInstant::now();
         let reply = timeout(
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -144,6 +144,7 @@
                 state,
                 offered: Vec::new(),
                 suspects: Vec::new(),
+                configuration: None,
             };
             let leader = m.peers.leader(now, &m.entry.zone);
             let to = leader.and_then(|l| m.peers.address(l));
@@ -154,7 +155,7 @@
         let mut msg = Digest {
             from,
             state,
-            zones: vec![m.peers.own_zone(now, &[])],
+            zones: vec![m.peers.own_zone(now, &[], None)],
             shares: Vec::new(),
             suspects: Vec::new(),
         };
--- a/tests/edge_relay.rs
+++ b/tests/edge_relay.rs
@@ -22,6 +22,8 @@
     topic::{
         Change,
         Changes,
+        Era,
+        Position,
         Record,
         Revision,
         Topic, //
@@ -49,6 +51,14 @@
             record: Some(Record::Configuration(cfg)),
         }],
         revision: Revision(version),
+        ..Changes::default()
+    }
+}
+
+fn position(revision: u64) -> Position {
+    Position {
+        era: Era(0),
+        revision: Revision(revision),
     }
 }
 
@@ -67,21 +77,27 @@
         let (base, news) = match version {
             1 => (None, TopicUpdate::Whole(changes(version, cfg))),
             _ => (
-                Some(Revision(version - 1)),
+                Some(position(version - 1)),
                 TopicUpdate::Since(changes(version, cfg)),
             ),
         };
         let now = SuspendAwareInstant::now();
         caches.apply_read(Topic::Configuration, base, news, now);
     }
-    assert_eq!(caches.revision(Topic::Configuration), Some(Revision(300)));
+    assert_eq!(caches.position(Topic::Configuration), Some(position(300)));
     let alive = kept.iter().filter(|cfg| cfg.strong_count() > 0).count();
     assert_eq!(alive, 1);
     // A follower that has missed many of them gets the last one.
     for behind in [1, 150, 299] {
         let mut after = [None; Topic::ALL.len()];
-        after[Topic::Configuration.index()] = Some(Revision(behind));
-        let answer = caches.answer(&RelayQuery { after, wait_ms: 0 }).await;
+        after[Topic::Configuration.index()] = Some(position(behind));
+        let answer = caches
+            .answer(&RelayQuery {
+                after,
+                wait_ms: 0,
+                configuration: None,
+            })
+            .await;
         let TopicUpdate::Since(news) = &answer.topics[0].news else {
             panic!("{answer:?}");
         };
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -268,6 +268,7 @@
         news: TopicUpdate::Whole(Changes {
             changes: changes.collect(),
             revision: Revision(1),
+            ..Changes::default()
         }),
     }
 }
@@ -487,6 +488,7 @@
         msg.news = TopicUpdate::Since(Changes {
             changes: Vec::new(),
             revision: Revision(1),
+            ..Changes::default()
         });
         if dispatcher.send(msg).await.is_err() {
             return;
