--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -180,11 +180,6 @@
         state.era = Some(Era(era));
     }
 
-    /// Sets the era of the answers alone.
-    pub fn set_era(&self, era: Option<u64>) {
-        self.state().era = era.map(Era);
-    }
-
     /// Returns how many lists and how many calls in total there were.
     pub fn calls(&self) -> (usize, usize) {
         let state = self.state();
