Tests: a lower era that stays is adopted by all hosts

Cause: only the tracker of the era was tested with a lower era, not hosts that may raise it for one another.

--- a/tests/edge_store_rollback.rs
+++ b/tests/edge_store_rollback.rs
@@ -214,6 +214,29 @@
     }
 }
 
+/// The store sends a lower era for good. Hosts that still have the higher one must not keep it alive
+/// among themselves, and no host may trust keys on answers that it drops.
+#[tokio::test(start_paused = true)]
+async fn a_lower_era_that_stays_is_adopted_by_all_hosts() {
+    let (store, hosts) = start(Some(5), 3).await;
+    store.go_back(&store.copy(), 2);
+    sleep(LOWER_ERA_TIMEOUT - SECOND).await;
+    for host in &hosts {
+        assert_eq!(host.caches.era(), Some(Era(5)));
+        assert!(!host.is_fresh().await);
+    }
+    sleep(LOWER_ERA_TIMEOUT * 2).await;
+    for host in &hosts {
+        assert_eq!(host.caches.era(), Some(Era(2)));
+        assert!(
+            Topic::ALL
+                .iter()
+                .all(|t| host.caches.watch_base(*t).is_some())
+        );
+        assert!(host.is_fresh().await);
+    }
+}
+
 /// Version 2 withdraws a key, and the store loses it. A host that starts then finds version 1 alone.
 #[tokio::test(start_paused = true)]
 async fn a_lost_withdrawal_stays_in_force_and_reaches_new_hosts() {
