--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -130,6 +130,8 @@
     pub held_bytes: Gauge,
     /// Clients' connections that were closed, and requests refused, by cause.
     pub closed_clients: Family<ClosedClientLabels, Counter>,
+    /// How often the known era of the store changed.
+    pub store_rollbacks: Counter,
 }
 
 impl EdgeMetrics {
@@ -159,6 +161,7 @@
             client_connections: Gauge::default(),
             held_bytes: Gauge::default(),
             closed_clients: Family::default(),
+            store_rollbacks: Counter::default(),
         };
         m.register();
         m
@@ -267,6 +270,11 @@
             "Clients' connections closed and requests refused by a limit",
             self.closed_clients.clone(),
         );
+        r.register(
+            "store_rollbacks",
+            "Times that the store has gone back to an older copy",
+            self.store_rollbacks.clone(),
+        );
     }
 
     /// Counts a request that an upstream answered.
