--- a/src/listener.rs
+++ b/src/listener.rs
@@ -265,6 +265,6 @@
 }
 
 /// Returns whether a connection failed because the body of an answer broke off.
-fn is_body_error(e: &(dyn std::error::Error + 'static)) -> bool {
+fn is_body_error(e: &(dyn Error + 'static)) -> bool {
     e.downcast_ref().is_some_and(hyper::Error::is_user)
 }
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -259,6 +259,7 @@
         body_bytes_max: 1 << 20,
         unreadable_parts: 0,
         requires_keys: false,
+        client_limits: Default::default(),
     })
 }
 
