Get a lost configuration from the relay alone

Cause: a host that knows of a newer version queried its holder directly. With this switched off all tests still passed: a host that serves no keys ranks below one that does, so that a host with the version becomes its relay. The direct query let two hosts wait for each other's data.

Change: removed; the newest version is told without an address.

--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -257,9 +257,7 @@
             return;
         }
         let path = UpdateSource {
-            relay: self
-                .newer_configuration_source(now)
-                .or_else(|| self.peers.relay(now)),
+            relay: self.peers.relay(now),
             has_followers: self.peers.has_followers(now),
         };
         let is_first = !std::mem::replace(&mut self.path_chosen, true);
--- a/src/edge/dispatcher/store_rollback.rs
+++ b/src/edge/dispatcher/store_rollback.rs
@@ -21,10 +21,6 @@
             Change,
             Topic, //
         },
-        topic_watch::{
-            RelayLevel,
-            RelayTarget, //
-        },
     },
     util::id::{
         HostName,
@@ -51,20 +47,6 @@
             .filter(|_| self.versions.is_announced())
     }
 
-    /// Returns the host to query for a newer configuration that the store has lost; `None` if no
-    /// other host has one.
-    pub(super) fn newer_configuration_source(&self, now: Instant) -> Option<RelayTarget> {
-        let in_force = self.version_in_force();
-        if !self.versions.blocks_keys(now, in_force) {
-            return None;
-        }
-        let (version, address) = self.peers.newest_configuration(now)?;
-        (Some(version) > in_force).then_some(RelayTarget {
-            address,
-            level: RelayLevel::Region,
-        })
-    }
-
     /// Keeps the records that are missing in the first list after the store has gone back, until
     /// their writers have had time to write them again.
     pub(super) fn keep_lost(&mut self, now: Instant, topic: Topic, listed: &[Change]) {
@@ -116,7 +98,7 @@
             return;
         }
         let newest = self.peers.newest_configuration(now);
-        self.versions.hear(now, newest.map(|(version, _)| version));
+        self.versions.hear(now, newest);
         for zone in self.rollback.evacuations.take_expired(now) {
             self.end_evacuation(now, zone.as_str());
         }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -765,24 +765,16 @@
         }
     }
 
-    /// Returns the newest version of the configuration that another running host has, with the
-    /// address of a host that has it or can get it; `None` if no host tells its version.
-    pub fn newest_configuration(&self, now: Instant) -> Option<(ConfigVersion, SocketAddr)> {
+    /// Returns the newest version of the configuration that another running host has; `None` if no
+    /// host tells its version.
+    pub fn newest_configuration(&self, now: Instant) -> Option<ConfigVersion> {
         let silence_timeout = self.silence_timeout(&self.own.zone);
         let zone_hosts = self.hosts_of_zone(&self.own.zone);
         let reports = zone_hosts
             .filter(|p| p.is_responsive(now, silence_timeout))
-            .filter_map(|p| Some((p.configuration?, p.entry.peers)));
-        let own_leader = self.leader(now, &self.own.zone);
-        let views = self.views.keys().filter_map(|zone| {
-            let view = self.fresh_view(now, zone)?;
-            // The leader of this zone gets it from the other zone.
-            let holder = match self.leads() {
-                true => &view.leader,
-                false => own_leader.unwrap_or(&view.leader),
-            };
-            Some((view.configuration?, self.address(holder)?))
-        });
+            .filter_map(|p| p.configuration);
+        let views = self.views.keys();
+        let views = views.filter_map(|zone| self.fresh_view(now, zone)?.configuration);
         reports.chain(views).max()
     }
 
