edge: learn how many requests an upstream runs without losing throughput

Cause: some upstreams slow down before their registered slots are used. Placement filled all slots, so that such an upstream answered fewer requests at once than with half of them; the learned slowness moves requests elsewhere only while another upstream is free.

Change: the work of completed requests, relative to lightly loaded upstreams, is recorded by the mean number of requests in flight during the run. The limit is the lowest level with nine tenths of the best throughput, if more take much longer; higher limits are tried again, a new start forgets. Free slots, the idle rule, the wait for a slot and the queue's estimate use it; sums of zones and regions remain the registered slots. A line upstream-limit and the gauge upstreams_limited show it.

Measured (virtual time): an upstream 2.5 times slower above 4 of 8 slots gets a limit of 4, also under overload from the start, and 8 again after it recovers; with 3 in 100 requests seven times as long and with an upstream that is three times slower at any load the limit stays 8.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -9,6 +9,7 @@
 
 pub mod caller_timeouts;
 pub mod cold_pace;
+pub mod concurrency_limit;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -295,6 +295,7 @@
         self.request_tokens(now);
         self.choose_path(now);
         self.update_shares(now);
+        self.upstreams.probe_limits(now);
         self.expire_claims(now);
         self.drain_queue(now, None);
     }
@@ -313,6 +314,9 @@
         let all = self.upstreams.pools().flat_map(|(_, p)| &p.upstreams);
         let slow = all.filter(|u| u.pace.is_slow(now)).count();
         self.metrics.slow_machines.set(number(slow as u128));
+        let all = self.upstreams.pools().flat_map(|(_, p)| &p.upstreams);
+        let limited = all.filter(|u| u.withheld_slots() > 0).count();
+        self.metrics.limited_upstreams.set(number(limited as u128));
         if let Some(cfg) = self.configuration.load().as_ref() {
             self.metrics
                 .configuration
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -88,7 +88,7 @@
         let slots: f64 = waiting
             .zones
             .iter()
-            .map(|z| f64::from(pool.slots_in(*z)))
+            .map(|z| f64::from(pool.slots_within_limits(*z)))
             .sum();
         let wait = ahead as f64 * pool.work() / slots.max(1.0);
         Duration::from_secs_f64(wait) > waiting.expires_at.saturating_duration_since(now)
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -100,6 +100,8 @@
     pub upstreams: Gauge,
     /// Upstreams whose machine is slow now, according to their answers.
     pub slow_machines: Gauge,
+    /// Ready upstreams that get fewer requests at once than their registered slots.
+    pub limited_upstreams: Gauge,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
 }
@@ -123,6 +125,7 @@
             key_age: Gauge::default(),
             upstreams: Gauge::default(),
             slow_machines: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             hosts: Gauge::default(),
         };
         m.register();
@@ -192,6 +195,11 @@
             "Upstreams whose machine is slow now, by their answers",
             self.slow_machines.clone(),
         );
+        r.register(
+            "upstreams_limited",
+            "Upstreams that get fewer requests at once than their slots, as learned from their times",
+            self.limited_upstreams.clone(),
+        );
         r.register(
             "hosts",
             "Other hosts that were heard lately",
--- a/src/edge/object_recency.rs
+++ b/src/edge/object_recency.rs
@@ -15,7 +15,7 @@
 /// not in the list.
 const CLASS_STARTS: [usize; 5] = [0, 8, 16, 32, 64];
 /// Number of position classes, including the one for objects that are not in the list.
-const CLASS_COUNT: usize = CLASS_STARTS.len() + 1;
+pub(super) const CLASS_COUNT: usize = CLASS_STARTS.len() + 1;
 /// Weight of a new sample in the moving average of the work.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Assumed work of a listed object relative to that of an unlisted one, before both are measured.
@@ -68,7 +68,8 @@
     means: [Option<f64>; CLASS_COUNT],
 }
 
-fn class(list_index: Option<usize>) -> usize {
+/// Returns the position class of a position in the list.
+pub(super) fn class(list_index: Option<usize>) -> usize {
     match list_index {
         None => CLASS_COUNT - 1,
         Some(list_index) => CLASS_STARTS
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -226,7 +226,7 @@
         };
         if !is_available(u, own_zone, req.view, now) {
             let slot_work = pool.work() * u.pace.expected_factor(now, pool.work());
-            let wait = slot_work / f64::from(u.registration.slots.max(1)) + HANDOVER_SECONDS;
+            let wait = slot_work / f64::from(u.limit().max(1)) + HANDOVER_SECONDS;
             best_busy_cost = best_busy_cost.min(cost + wait);
             continue;
         }
@@ -266,7 +266,7 @@
 
 /// Returns whether enough slots are free that an uncached object evicts none that is in use.
 fn is_idle(u: &Upstream, now: Instant) -> bool {
-    u.free(now).saturating_mul(IDLE_SLOTS_DIVISOR) >= u.registration.slots
+    u.free(now).saturating_mul(IDLE_SLOTS_DIVISOR) >= u.limit()
 }
 
 /// Returns whether the upstream has a free slot and, if it is cold, may take another request from
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -22,6 +22,11 @@
     zone_hash, //
 };
 use super::{
+    concurrency_limit::{
+        ConcurrencyLimit,
+        LimitChange,
+        ReferenceWork, //
+    },
     dialect::LoadReport,
     message::AttemptEnded,
     model::{
@@ -49,6 +54,9 @@
 /// upstreams that do not have them cached.
 const SAMPLE_WEIGHT: f64 = 0.02;
 
+/// Minimum time between two log lines about the learned limit of one upstream.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Minimum expected work when computing an upstream's slowness, in seconds.
 const EXPECTED_WORK_MIN_SECONDS: f64 = 0.001;
 
@@ -61,10 +69,14 @@
     index: HashMap<UpstreamKey, usize>,
     /// Slots of the ready upstreams of each zone, by the hash of the zone.
     slots: HashMap<u64, u32>,
+    /// Slots of these that learned limits leave unused, by the hash of the zone.
+    withheld: HashMap<u64, u32>,
     /// Mean time that a request holds a slot, in seconds; `None` before the first answer.
     work: Option<f64>,
     /// Work by object position, for each route hash.
     by_route: HashMap<u64, WorkByPosition>,
+    /// Work on lightly loaded upstreams.
+    reference: ReferenceWork,
 }
 
 impl Pool {
@@ -79,7 +91,69 @@
         self.slots.get(&zone_hash).copied().unwrap_or(0)
     }
 
+    /// Returns the slots of the ready upstreams in a zone within the learned limits.
+    pub fn slots_within_limits(&self, zone_hash: u64) -> u32 {
+        let withheld = self.withheld.get(&zone_hash).copied().unwrap_or(0);
+        self.slots_in(zone_hash).saturating_sub(withheld)
+    }
+
+    /// Adjusts the sum of the unused slots of a zone after a change of an upstream's part.
+    fn change_withheld(&mut self, zone_hash: u64, before: u32, after: u32) {
+        if before == after {
+            return;
+        }
+        let sum = self.withheld.entry(zone_hash).or_default();
+        *sum = sum.saturating_sub(before).saturating_add(after);
+    }
+
+    /// Tries higher limits again where it is time to.
+    fn probe(&mut self, now: Instant) {
+        for i in 0..self.upstreams.len() {
+            let u = &mut self.upstreams[i];
+            let before = u.withheld_slots();
+            if u.concurrency.probe(now) {
+                let (zone, after) = (u.zone_hash, u.withheld_slots());
+                self.change_withheld(zone, before, after);
+            }
+        }
+    }
+
+    /// Learns the limit of an upstream from a completed run with this work on a machine of the
+    /// usual pace.
+    fn learn_limit(&mut self, now: Instant, place: usize, run: &RunEnd, work: Duration) {
+        let u = &mut self.upstreams[place];
+        let (Some(route), slots) = (run.route, u.registration.slots) else {
+            return;
+        };
+        let reported = run.load.map_or(0, |load| load.total());
+        let running = u.running.saturating_add(u.remote_running).saturating_add(1);
+        let running = u.in_flight.mean(now, run.held, running.max(reported));
+        let in_flight = (running, slots);
+        let ratio = self.reference.ratio(route, run.list_index, work, in_flight);
+        let before = u.withheld_slots();
+        let change = ratio.and_then(|ratio| u.concurrency.record(now, run.held, in_flight, ratio));
+        let Some(LimitChange { from, to }) = change else {
+            return;
+        };
+        if u.limit_logged_at
+            .is_none_or(|at| now >= at + LIMIT_LOG_INTERVAL)
+        {
+            u.limit_logged_at = Some(now);
+            log::info!(
+                event = "upstream-limit",
+                upstream:% = u.registration.id,
+                from,
+                to,
+                slots;
+                ""
+            );
+        }
+        let (zone, after) = (u.zone_hash, u.withheld_slots());
+        self.change_withheld(zone, before, after);
+    }
+
     fn push(&mut self, u: Upstream) {
+        self.change_withheld(u.zone_hash, 0, u.withheld_slots());
         let slots = self.slots.entry(u.zone_hash).or_default();
         *slots = slots.saturating_add(u.ready_slots());
         self.index.insert(u.key, self.upstreams.len());
@@ -92,6 +166,7 @@
         if let Some(moved) = self.upstreams.get(i) {
             self.index.insert(moved.key, i);
         }
+        self.change_withheld(u.zone_hash, u.withheld_slots(), 0);
         if let Some(slots) = self.slots.get_mut(&u.zone_hash) {
             *slots = slots.saturating_sub(u.ready_slots());
         }
@@ -176,6 +251,7 @@
             u.failures = 0;
             u.replaced = false;
             u.recent.clear();
+            u.concurrency = ConcurrencyLimit::default();
             u.is_resuming = false;
         }
         u.paused_until = paused_until;
@@ -311,6 +387,8 @@
     ) -> Option<usize> {
         let u = self.get_mut(service, key)?;
         u.running += 1;
+        let running = u.running.saturating_add(u.remote_running);
+        u.in_flight.record(now, running);
         if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
             u.cold_pace.record_sent(now, rate, hosts);
         }
@@ -327,6 +405,8 @@
         cold: Option<(f64, usize)>,
     ) -> Option<usize> {
         let u = self.find_mut(key)?;
+        let running = u.running.saturating_add(u.remote_running).saturating_add(1);
+        u.in_flight.record(now, running);
         if let (true, Some((rate, hosts))) = (u.is_cold(now), cold) {
             u.cold_pace.record_sent(now, rate, hosts);
         }
@@ -384,11 +464,20 @@
                 let usual = u.pace.usual_time(now, run.held);
                 u.slowness.record(now, usual.as_secs_f64() / expected);
                 by_position.record(run.list_index, usual);
+                pool.learn_limit(now, place, run, usual);
             }
         }
+        let u = &mut pool.upstreams[place];
         u.finish(now, run.end, run.load);
     }
 
+    /// Tries higher limits again where learned ones have been in force for a while.
+    pub fn probe_limits(&mut self, now: Instant) {
+        for pool in self.pools.values_mut() {
+            pool.probe(now);
+        }
+    }
+
     /// Sets the number of requests that other hosts run on each upstream; 0 where none is given.
     pub fn set_remote_running(&mut self, running: &HashMap<UpstreamKey, u32>) {
         for pool in self.pools.values_mut() {
--- a/src/edge/upstreams/upstream.rs
+++ b/src/edge/upstreams/upstream.rs
@@ -15,6 +15,10 @@
 use crate::{
     edge::{
         cold_pace::ColdPace,
+        concurrency_limit::{
+            ConcurrencyLimit,
+            InFlight, //
+        },
         dialect::LoadReport,
         machine_pace::MachinePace,
         model::{
@@ -102,10 +106,16 @@
     pub slowness: Slowness,
     /// What its answers said about the pace of its machine.
     pub pace: MachinePace,
+    /// How many requests it runs at once without losing throughput.
+    pub concurrency: ConcurrencyLimit,
+    /// Requests in flight at the starts of recent ones.
+    pub(super) in_flight: InFlight,
     /// Until when the upstream wants no requests from this host.
     pub(super) paused_until: Option<Instant>,
     /// Whether the upstream has not answered a request of this host since it was paused.
     pub(super) is_resuming: bool,
+    /// When a change of the learned limit was last logged.
+    pub(super) limit_logged_at: Option<Instant>,
     reported: Option<(u32, Instant)>,
     full_until: Instant,
     suspended_until: Instant,
@@ -127,8 +137,11 @@
             recent: RecentObjects::default(),
             slowness: Slowness::new(now),
             pace: MachinePace::default(),
+            concurrency: ConcurrencyLimit::default(),
+            in_flight: InFlight::default(),
             paused_until: None,
             is_resuming: false,
+            limit_logged_at: None,
             reported: None,
             full_until: now,
             suspended_until: now,
@@ -180,9 +193,20 @@
         now < self.cold_until
     }
 
-    /// Returns the number of free slots.
+    /// Returns the number of requests that the upstream may run at once: its registered slots, or
+    /// fewer if it has been seen to lose throughput with more.
+    pub fn limit(&self) -> u32 {
+        self.concurrency.limit(self.registration.slots)
+    }
+
+    /// Returns the registered slots of a ready upstream that the learned limit leaves unused.
+    pub fn withheld_slots(&self) -> u32 {
+        self.ready_slots().saturating_sub(self.limit())
+    }
+
+    /// Returns the number of free slots within the limit.
     pub fn free(&self, now: Instant) -> u32 {
-        self.registration.slots.saturating_sub(self.load(now))
+        self.limit().saturating_sub(self.load(now))
     }
 
     /// Moves an object to the front of the recent ones; returns its previous position.
--- a/tests/edge_upstream_capacity.rs
+++ b/tests/edge_upstream_capacity.rs
@@ -7,6 +7,7 @@
 
 use cardamomroad::{
     edge::{
+        concurrency_limit::ConcurrencyLimit,
         datagram::{
             Datagram,
             Finished,
@@ -32,6 +33,7 @@
     Load,
     Moment,
     ROUTE,
+    SLOTS,
     Simulation,
     UNCACHED_WORK,
     registration,
@@ -105,6 +107,7 @@
             let moment = Moment {
                 upstream: d.upstream,
                 at: d.placed,
+                running: 1,
             };
             spells(moment) > 1.0
         };
@@ -284,3 +287,99 @@
         assert_eq!(read, msg);
     }
 }
+
+/// Records a request every 20 ms for `seconds`; `next` returns the number in flight and the relative
+/// work of the n-th one under a limit. 3 in 100 take seven times as long.
+fn learn(
+    limit: &mut ConcurrencyLimit,
+    now: &mut Instant,
+    seconds: u64,
+    next: impl Fn(u32, u32) -> (u32, f64),
+) {
+    for n in 0..seconds * 50 {
+        *now += Duration::from_millis(20);
+        limit.probe(*now);
+        let (running, ratio) = next(n as u32, limit.limit(SLOTS));
+        let tail = if n % 33 == 7 { 7.0 } else { 1.0 };
+        limit.record(*now, CACHED_WORK, (running, SLOTS), ratio * tail);
+    }
+}
+
+fn slow_above_half(running: u32) -> f64 {
+    if running > SLOTS / 2 { 2.5 } else { 1.0 }
+}
+
+/// An upstream that slows down when more than half of its slots are taken, and that stops doing so.
+/// Without the limit it gets all of its slots and answers fewer requests than with half of them.
+#[test]
+fn the_limit_falls_to_the_best_throughput_and_rises_when_the_upstream_recovers() {
+    let (mut limit, mut now) = (ConcurrencyLimit::default(), Instant::now());
+    learn(&mut limit, &mut now, 20, |n, limit| {
+        let running = n % limit + 1;
+        (running, slow_above_half(running))
+    });
+    assert_eq!(limit.limit(SLOTS), SLOTS / 2);
+    learn(&mut limit, &mut now, 120, |n, limit| (n % limit + 1, 1.0));
+    assert_eq!(limit.limit(SLOTS), SLOTS);
+}
+
+/// A sustained overload from the start: the upstream has never been seen at fewer requests.
+#[test]
+fn a_lower_limit_is_tried_on_an_upstream_that_is_slow_and_full() {
+    let (mut limit, mut now) = (ConcurrencyLimit::default(), Instant::now());
+    let overload = |_, limit| (limit, slow_above_half(limit));
+    learn(&mut limit, &mut now, 30, overload);
+    // A higher limit may be on trial at a single moment.
+    let mut at_half = 0;
+    for _ in 0..60 {
+        learn(&mut limit, &mut now, 1, overload);
+        at_half += u32::from(limit.limit(SLOTS) == SLOTS / 2);
+    }
+    assert!(at_half >= 45, "{at_half} of 60 s");
+}
+
+/// An upstream that is slow at any load, and one of the usual speed whose single requests have a
+/// long tail, gain nothing from fewer requests. A limit would take capacity away.
+#[test]
+fn uneven_speeds_and_a_long_tail_lower_no_limit() {
+    for speed in [1.0, 3.0] {
+        let (mut limit, mut now) = (ConcurrencyLimit::default(), Instant::now());
+        for _ in 0..120 {
+            learn(&mut limit, &mut now, 1, |n, limit| (n % limit + 1, speed));
+            assert_eq!(limit.limit(SLOTS), SLOTS, "speed {speed}");
+        }
+    }
+}
+
+/// An overloaded upstream that slows down above half of its slots. Its limit must reach placement,
+/// and a new start of it must not inherit the limit.
+#[test]
+fn placement_keeps_to_the_limit_until_the_upstream_starts_again() {
+    let mut simulation = Simulation::new(1, 7);
+    let load = |rate, seconds| Load {
+        rate,
+        objects: 6,
+        span: Duration::from_secs(seconds),
+    };
+    simulation.run(load(10, 5), |m| slow_above_half(m.running));
+    simulation.run(load(24, 10), |m| slow_above_half(m.running));
+    let key = simulation.key(0);
+    let u = simulation.upstreams.find(key).expect("known");
+    assert!(u.limit() < SLOTS);
+    let (now, free) = (
+        simulation.now,
+        u.limit().saturating_sub(u.load(simulation.now)),
+    );
+    assert_eq!(u.free(now), free);
+    let zone = u.zone_hash;
+    let within = |s: &Simulation| {
+        s.upstreams
+            .pool(&service())
+            .map(|p| p.slots_within_limits(zone))
+    };
+    assert_eq!(within(&simulation), Some(u.limit()));
+    simulation.upstreams.register(now, registration(0, 2), None);
+    let u = simulation.upstreams.find(key).expect("known");
+    assert_eq!(u.limit(), SLOTS);
+    assert_eq!(within(&simulation), Some(SLOTS));
+}
--- a/tests/support/uneven_upstreams.rs
+++ b/tests/support/uneven_upstreams.rs
@@ -48,6 +48,8 @@
 pub const ROUTE: u64 = 1;
 /// Longest time that a request waits for a better upstream.
 const WAIT_MAX: Duration = Duration::from_millis(300);
+/// Time after which a waiting request is refused.
+const REFUSED_AFTER: Duration = Duration::from_secs(10);
 /// Step in which the work of a request is integrated over changing paces.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -58,6 +60,8 @@
     pub upstream: usize,
     /// Time since the start of the simulation.
     pub at: Duration,
+    /// Requests that the upstream runs, including the one in question.
+    pub running: u32,
 }
 
 /// Requests of a simulated load.
@@ -160,11 +164,12 @@
     }
 
     /// Time since the start of the simulation.
-    fn at(&self) -> Duration {
+    pub fn at(&self) -> Duration {
         self.now - self.started
     }
 
-    /// Sends requests at an even rate. `pace` is the factor by which work takes longer.
+    /// Sends requests at an even rate. `pace` is the factor by which work takes longer, with
+    /// the number of running requests at its start.
     pub fn run(&mut self, load: Load, pace: impl Fn(Moment) -> f64) {
         let end = self.now + load.span;
         let gap = Duration::from_secs(1) / load.rate;
@@ -177,6 +182,7 @@
                 self.finish((at, id), &pace);
             }
             self.now = next;
+            self.upstreams.probe_limits(self.now);
             let object = self.rng.random_range(0..load.objects);
             let object = object.wrapping_mul(0x9E37_79B9_7F4A_7C15);
             self.waiting.push(Waiting {
@@ -202,6 +208,7 @@
             let pool = self.upstreams.pool(&service()).expect("pool");
             match pick(pool, zone_hash(&zone()), &wish, self.now) {
                 Pick::Upstream(key) => self.start(&w, key, pace),
+                Pick::Wait(_) if self.now >= w.arrived + REFUSED_AFTER => {}
                 Pick::Wait(_) => self.waiting.push(w),
             }
         }
@@ -225,6 +232,7 @@
             let moment = Moment {
                 upstream,
                 at: end - self.started,
+                running: self.running[upstream],
             };
             let factor = pace(moment);
             let step = STEP.as_secs_f64().min(left * factor);
@@ -249,6 +257,7 @@
         let moment = Moment {
             upstream: run.upstream,
             at: self.at(),
+            running,
         };
         let percent = format!("{:.0}", pace(moment) * 100.0);
         let pace_report = PaceReport::parse(&percent).filter(|_| self.reports_pace);
