--- a/src/edge.rs
+++ b/src/edge.rs
@@ -10,6 +10,7 @@
 pub mod answer_size;
 pub mod caller_timeouts;
 pub mod cold_pace;
+pub mod concurrency_limit;
 pub mod config_versions;
 pub mod connection_limits;
 pub mod datagram;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -122,6 +122,8 @@
     pub slow_machines: Gauge,
     /// Queries about where a request would go.
     pub explanations: Counter,
+    /// Ready upstreams that get fewer requests at once than their registered slots.
+    pub limited_upstreams: Gauge,
     /// Other hosts that take requests, according to their recent messages.
     pub hosts: Gauge,
     /// Connections that clients have open.
@@ -157,6 +159,7 @@
             upstreams: Gauge::default(),
             slow_machines: Gauge::default(),
             explanations: Counter::default(),
+            limited_upstreams: Gauge::default(),
             hosts: Gauge::default(),
             client_connections: Gauge::default(),
             held_bytes: Gauge::default(),
@@ -250,6 +253,11 @@
             "Queries about where a request would go",
             self.explanations.clone(),
         );
+        r.register(
+            "upstreams_limited",
+            "Upstreams that get fewer requests at once than their slots, as learned from their times",
+            self.limited_upstreams.clone(),
+        );
         r.register(
             "hosts",
             "Other hosts that were heard lately",
