Keep a small zone from loading more objects than it can cache

With large answers each zone serves its own callers, so a zone with one upstream that caches 28 of 46 objects evicted them in turn. Its scheduler now declines a request of its own zone if the object prefers another zone of the region, is not cached here, and there is no room for it.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -36,3 +36,4 @@
 pub mod topic;
 pub mod topic_watch;
 pub mod upstreams;
+pub mod zone_cache;
--- a/src/edge/dispatcher/domains.rs
+++ b/src/edge/dispatcher/domains.rs
@@ -23,6 +23,7 @@
             UpstreamKey,
             zone_hash, //
         },
+        zone_cache,
     },
     util::id::{
         HostName,
@@ -122,6 +123,45 @@
         domains
     }
 
+    /// Returns whether the zone that a large request would stay in cannot keep its object cached, so
+    /// that the zone of the region that the object prefers should serve it.
+    pub(super) fn is_kept_elsewhere(&self, now: Instant, waiting: &WaitingRequest) -> bool {
+        let Some(Domain::Zone(zone)) = &waiting.domain else {
+            return false;
+        };
+        let (job, hash) = (&waiting.job, zone_hash(zone));
+        let is_scheduled_here = waiting.view == View::Scheduler && job.has_object;
+        if !is_scheduled_here || job.bytes == 0 || self.serving_zone(waiting) != zone {
+            return false;
+        }
+        let Some(pool) = self.upstreams.pool(&job.service) else {
+            return false;
+        };
+        if !needs_home_per_zone(job.bytes, pool.work_of(job.route)) {
+            return false;
+        }
+        let region = self.settings.region_of(zone);
+        let (mut slots, mut preferred) = (0, None);
+        for (other, other_region) in &self.settings.regions {
+            let other_hash = zone_hash(other);
+            let other_slots = pool.slots_in(other_hash);
+            let is_open = other_slots > 0 && !self.evacuated_zones.contains(other);
+            if Some(other_region) != region || !is_open {
+                continue;
+            }
+            slots += other_slots;
+            let rank = weighted_rank(job.object, other_hash, other_slots);
+            if preferred.is_none_or(|(least, _)| rank < least) {
+                preferred = Some((rank, other));
+            }
+        }
+        if preferred.is_none_or(|(_, preferred)| preferred == zone) {
+            return false;
+        }
+        let preferring = f64::from(pool.slots_in(hash)) / f64::from(slots.max(1));
+        !zone_cache::keeps_object(pool, hash, job.route, job.object, preferring, now)
+    }
+
     /// Returns another region that may have a slot for a request. All requests for an object
     /// overflow to the same region; objects are distributed in proportion to the slots.
     pub(super) fn overflow_region(
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -61,7 +61,7 @@
 
     /// Places a request, queues it, or ends its wait at once if it would expire in the queue.
     pub(super) fn place_or_enqueue(&mut self, now: Instant, waiting: WaitingRequest) {
-        if self.would_expire_in_queue(now, &waiting) {
+        if self.would_expire_in_queue(now, &waiting) || self.is_kept_elsewhere(now, &waiting) {
             return self.expire_wait(now, waiting);
         }
         let Some(waiting) = self.try_place(now, waiting) else {
@@ -151,7 +151,7 @@
 
     /// Returns the zone of the host that serves the caller; the body and the answer pass between
     /// that zone and the upstream's.
-    fn serving_zone(&self, waiting: &WaitingRequest) -> &ZoneName {
+    pub(super) fn serving_zone(&self, waiting: &WaitingRequest) -> &ZoneName {
         let zone = match &waiting.requester {
             Requester::Local(_) => None,
             Requester::Remote(sender, _) => self.peers.zone(&sender.host),
--- a/src/edge/object_recency.rs
+++ b/src/edge/object_recency.rs
@@ -35,6 +35,11 @@
         self.0.iter().position(|&o| o == object)
     }
 
+    /// Returns the objects, the most recent one first.
+    pub fn iter(&self) -> impl Iterator<Item = u64> {
+        self.0.iter().copied()
+    }
+
     /// Returns the number of objects in the list.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -121,6 +126,25 @@
             .unwrap_or(WORK_PRIOR.as_secs_f64())
     }
 
+    /// Estimates at how many positions objects are still cached; `None` if no measured class of
+    /// positions takes about as much work as unlisted objects.
+    pub fn cached_positions(&self) -> Option<f64> {
+        let uncached = self.means[CLASS_COUNT - 1]?;
+        let cached = self.means[0]?;
+        let mut positions = 0.0;
+        for class in 0..CLASS_COUNT - 1 {
+            let start = CLASS_STARTS[class];
+            let end = CLASS_STARTS.get(class + 1).unwrap_or(&RECENT_OBJECTS_MAX);
+            let mean = self.means[class].unwrap_or(cached);
+            let part = (uncached - mean) / (uncached - cached).max(f64::EPSILON);
+            positions += (end - start) as f64 * part.clamp(0.0, 1.0);
+            if class > 0 && !self.is_warm(Some(start)) {
+                return Some(positions);
+            }
+        }
+        None
+    }
+
     /// Returns whether an object at this position takes significantly less work than an unlisted
     /// one.
     pub fn is_warm(&self, list_index: Option<usize>) -> bool {
