Order waiting requests by the organisation's rank, then the route's

The organisation's rank replaced the route's, so requests of one organisation were served by arrival, whatever their routes. The route's rank now orders requests whose first rank is the same, also at other hosts' schedulers (claims carry it). Requests without an organisation's rank keep the route's as the first.

A further test has one scheduler for two zones and checks that it prices the zone of the host that claims.

--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -182,6 +182,9 @@
     pub left_ms: u32,
     /// Upstreams that this request was already sent to.
     pub tried: SmallVec<[UpstreamKey; 2]>,
+    /// Priority of the route; it orders requests whose `priority` is the same.
+    #[serde(default)]
+    pub route_priority: Priority,
 }
 
 /// The scheduler's decision on a claim.
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -146,6 +146,7 @@
             aim_ms: ms(job.latency_target),
             left_ms: ms(job.deadline.saturating_duration_since(now)),
             tried: self.excluded_for_own(now, job).into_iter().collect(),
+            route_priority: job.route_priority,
         };
         self.send_datagram(vec![address], Datagram::Claim(msg));
         let round_trip = self
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -24,7 +24,10 @@
             Started, //
         },
         message::Job,
-        model::Regions,
+        model::{
+            Priority,
+            Regions, //
+        },
         peers::Domain,
         placement::{
             self,
@@ -83,7 +86,7 @@
         let is_ahead = |w: &&WaitingRequest| {
             w.domain == waiting.domain
                 && w.job.service == waiting.job.service
-                && w.job.priority <= waiting.job.priority
+                && w.rank() <= waiting.rank()
         };
         let ahead = self.queue.iter().filter(is_ahead).count();
         let slots: f64 = waiting
@@ -246,6 +249,7 @@
             service: msg.service,
             organisation: None,
             priority: msg.priority,
+            route_priority: msg.route_priority,
             route: msg.route,
             bytes: msg.bytes,
             object: msg.object,
@@ -354,7 +358,7 @@
         }
         self.drain_rounds = self.drain_rounds.wrapping_add(1);
         queue_order::sort_waiting(self.drain_rounds, &mut queue, |w| {
-            (w.job.priority, w.job.received)
+            (w.rank(), w.job.received)
         });
         for waiting in queue {
             if let Some(waiting) = self.try_place(now, waiting) {
@@ -363,3 +367,10 @@
         }
     }
 }
+
+impl WaitingRequest {
+    /// Returns the rank among waiting requests: that of the organisation, then that of the route.
+    fn rank(&self) -> (Priority, Priority) {
+        (self.job.priority, self.job.route_priority)
+    }
+}
--- a/src/edge/forward/job.rs
+++ b/src/edge/forward/job.rs
@@ -86,6 +86,7 @@
         service: choose_service(route, id),
         organisation: organisation.map(|o| o.name.clone()),
         priority: organisation_priority.unwrap_or(route.priority),
+        route_priority: route.priority,
         route: route_hash,
         bytes: 0,
         object,
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -112,6 +112,8 @@
     pub organisation: Option<OrganisationName>,
     /// Priority of the organisation, or else of the route.
     pub priority: Priority,
+    /// Priority of the route; it orders requests whose `priority` is the same.
+    pub route_priority: Priority,
     /// Hash of the route's path prefix.
     pub route: u64,
     /// Bytes that pass between this host and the upstream: the length of the body, and the expected
--- a/tests/edge_queue_order.rs
+++ b/tests/edge_queue_order.rs
@@ -49,3 +49,50 @@
     let served = serve(3, 3000);
     assert!(served[0] > served[1] + served[2], "{served:?}");
 }
+
+/// A burst of 300 requests of a lower rank waits when requests of a higher rank begin to arrive, one
+/// every two turns. The higher rank waits for the turns in rotation at most, although it arrived
+/// later; the burst still gets the turns that are left.
+#[test]
+fn a_burst_of_a_lower_rank_delays_a_higher_one_by_the_rotation_only() {
+    let t0 = Instant::now();
+    let (high, low) = ((Priority(0), Priority(1)), (Priority(0), Priority(2)));
+    let mut waiting = vec![(low, t0); 300];
+    let mut served_low = 0;
+    for turn in 0..600_u32 {
+        let now = t0 + Duration::from_millis(u64::from(turn));
+        if turn.is_multiple_of(2) {
+            waiting.push((high, now));
+        }
+        sort_waiting(turn, &mut waiting, |w| *w);
+        let (rank, since) = waiting.remove(0);
+        if rank == high {
+            let waited = now - since;
+            assert!(waited <= Duration::from_millis(3), "{waited:?}");
+        } else {
+            served_low += 1;
+        }
+    }
+    assert!(served_low >= 250, "{served_low}");
+}
+
+/// The organisation's rank comes first, then the route's, then the arrival.
+#[test]
+fn ranks_come_before_arrival() {
+    let t0 = Instant::now();
+    let request = |organisation, route, ms| {
+        let rank = (Priority(organisation), Priority(route));
+        (rank, t0 + Duration::from_millis(ms))
+    };
+    let sorted = [
+        request(0, 0, 9),
+        request(0, 2, 3),
+        request(0, 2, 5),
+        request(1, 0, 1),
+        request(1, 1, 0),
+    ];
+    let mut waiting = sorted;
+    waiting.reverse();
+    sort_waiting(1, &mut waiting, |w| *w);
+    assert_eq!(waiting, sorted);
+}
--- a/tests/edge_scheduling.rs
+++ b/tests/edge_scheduling.rs
@@ -300,3 +300,35 @@
     assert!(large < 0.05, "{large}");
     assert!(small > 0.25, "{small}");
 }
+
+/// One scheduler serves both zones of a small region, and the callers of each zone request other
+/// objects. The answers pass to the zone of the host that serves the caller, which is not always
+/// that of the scheduler; each object is therefore cached in the zone of its callers.
+#[tokio::test(start_paused = true)]
+async fn a_scheduler_prices_the_zone_of_the_host_that_claims() {
+    let mut plan = plan_with_answers(90_000);
+    for zone in &mut plan.zones {
+        zone.2 = 3;
+    }
+    let fleet = TestFleet::start(plan).await;
+    let hosts: Vec<_> = ["bac-a", "bac-b"].map(|z| fleet.hosts_in_zone(z)).concat();
+    let mut before = fleet.stats().clone();
+    for round in 0..4 {
+        // In the first round, the hosts learn the size of the answers.
+        if round == 1 {
+            before = fleet.stats().clone();
+        }
+        for object in 0..10 {
+            for (n, host) in hosts.iter().enumerate() {
+                let seed = u64::from(round == 0) * 1000 + n as u64 * 20 + object;
+                let object = (seed + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+                drop(fleet.send(host, object));
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+    sleep(Duration::from_secs(2)).await;
+    let after = fleet.stats().clone();
+    let own_zone = (after.own_zone - before.own_zone) as f64 / (after.runs - before.runs) as f64;
+    assert!(own_zone > 0.9, "{own_zone}");
+}
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -428,6 +428,7 @@
             service: service(),
             organisation: None,
             priority: Priority(1),
+            route_priority: Priority(1),
             route: 1,
             bytes: 0,
             object,
