--- a/src/edge/object_recency.rs
+++ b/src/edge/object_recency.rs
@@ -132,8 +132,7 @@
         let uncached = self.means[CLASS_COUNT - 1]?;
         let cached = self.means[0]?;
         let mut positions = 0.0;
-        for class in 0..CLASS_COUNT - 1 {
-            let start = CLASS_STARTS[class];
+        for (class, &start) in CLASS_STARTS.iter().enumerate() {
             let end = CLASS_STARTS.get(class + 1).unwrap_or(&RECENT_OBJECTS_MAX);
             let mean = self.means[class].unwrap_or(cached);
             let part = (uncached - mean) / (uncached - cached).max(f64::EPSILON);
