--- a/tests/edge_explain.rs
+++ b/tests/edge_explain.rs
@@ -85,6 +85,7 @@
         body_bytes_max: 1000,
         unreadable_parts: 0,
         requires_keys: true,
+        client_limits: Default::default(),
     }
 }
 
