edge: bound the noise of the learned limits

Cause: the first sample of a level set its median, so that one request of the long tail could, and the noise margin shrank with all samples although the median follows about the last 200. Upstreams of even, random work were limited by chance.

Change: the median of a level begins at the usual work, and the margin shrinks with at most 200 samples.

The tests of the limit pass as before.

--- a/src/edge/concurrency_limit.rs
+++ b/src/edge/concurrency_limit.rs
@@ -30,6 +30,8 @@
 const SAMPLES_MIN: u32 = 16;
 /// Samples of a level that is tried again before the limit is decided.
 const PROBE_SAMPLES_MIN: u32 = 8;
+/// Number of recent samples that the median follows, as its smallest step implies.
+const SAMPLES_REMEMBERED: u32 = 200;
 /// Smallest relative step of the estimated median.
 const STEP_MIN: f64 = 0.01;
 /// Relative step of the estimated median after the first sample; it shrinks with the samples.
@@ -118,7 +120,7 @@
     /// Returns by which factor the work of this level must exceed that of `other` samples to count as
     /// longer; `noise` is the additional part for a single sample.
     fn rise_min(&self, other: u32, noise: f64) -> f64 {
-        let samples = self.samples.min(other).max(1);
+        let samples = self.samples.min(other).clamp(1, SAMPLES_REMEMBERED);
         RISE_MIN * (1.0 + noise / f64::from(samples).sqrt())
     }
 
@@ -128,11 +130,14 @@
             return false;
         }
         self.last = Some(now);
+        if self.samples == 0 {
+            // The first sample may be an outlier.
+            self.median = 1.0;
+        }
         self.samples = self.samples.saturating_add(1);
         // The long tail of single requests moves the median by one step at most.
         let step = (STEP_FIRST / f64::from(self.samples)).max(STEP_MIN);
         self.median = match () {
-            () if self.samples == 1 => ratio,
             () if ratio > self.median => (self.median * (1.0 + step)).min(ratio),
             () => (self.median / (1.0 + step)).max(ratio),
         };
