--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -451,6 +451,7 @@
                 service: "desk".parse().expect("service"),
                 organisation: None,
                 priority: Priority(1),
+                route_priority: Default::default(),
                 route: 1,
                 bytes: 0,
                 object: n.wrapping_mul(0x9E37_79B9_7F4A_7C15),
