End the wait of a follower's query after 30 s

Cause: a follower names the time that the answer to its query may wait for changes. A waiting query counts as a request in progress, so that its connection is never closed under pressure; a crowd that asks for an endless wait would keep all descriptors.

Change: an answer waits at most 30 s; hosts ask for a few seconds.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -54,6 +54,9 @@
 
 /// Changes of a topic that are kept for followers.
 const CHANGE_LOG_MAX: usize = 2048;
+/// The longest time that an answer waits for changes, whatever the query asks for; hosts ask for a
+/// few seconds. A waiting query holds a connection that is not closed when descriptors run short.
+const ANSWER_WAIT_MAX: Duration = Duration::from_secs(30);
 
 /// An instant whose age includes the time that the machine was suspended.
 #[derive(Clone, Copy, Debug)]
@@ -354,7 +357,8 @@
     pub async fn answer(&self, query: &RelayQuery) -> RelayAnswer {
         let received_at = SuspendAwareInstant::now();
         let mut changed = self.changed.subscribe();
-        let end = Instant::now().saturating_add(Duration::from_millis(query.wait_ms));
+        let wait = Duration::from_millis(query.wait_ms).min(ANSWER_WAIT_MAX);
+        let end = Instant::now().saturating_add(wait);
         loop {
             let (answer, is_new) = self.current_answer(query, received_at);
             if is_new || Instant::now() >= end {
--- a/tests/edge_relay.rs
+++ b/tests/edge_relay.rs
@@ -99,3 +99,18 @@
         assert_eq!(cfg.version, ConfigVersion(300));
     }
 }
+
+/// A follower that asks to wait without end kept its connection, which is not closed under
+/// pressure, so that a crowd of them used up the descriptors.
+#[tokio::test(start_paused = true)]
+async fn no_query_waits_without_end() {
+    let (address, _mailbox) = Mailbox::unbounded();
+    let caches = TopicCaches::new(address);
+    let after = [Some(Revision(1)); Topic::ALL.len()];
+    let query = RelayQuery {
+        after,
+        wait_ms: u64::MAX,
+    };
+    let answered = tokio::time::timeout(std::time::Duration::from_secs(60), caches.answer(&query));
+    assert!(answered.await.is_ok());
+}
