--- a/src/listener/activity.rs
+++ b/src/listener/activity.rs
@@ -69,7 +69,7 @@
 
 /// Record of what one connection has received and sent.
 ///
-/// A connection's own answers are counted by [`super::answer`].
+/// A connection's own answers are counted by the `answer` module.
 #[derive(Debug)]
 pub struct Tracking {
     /// When the connection was opened, a head was begun or the last exchange ended.
