Spread returning callers only where a small region refused them

Now only callers whose region has at most 36 slots of the service are spread, where random arrivals vary by a sixth of their mean or more.

--- a/src/edge/dispatcher/preview.rs
+++ b/src/edge/dispatcher/preview.rs
@@ -263,10 +263,7 @@
         Target {
             region: waiting.region.to_string(),
             is_overflow: waiting.is_overflow,
-            position: region_balance::position(
-                waiting.job.object,
-                !waiting.job.lost_time.is_zero(),
-            ),
+            position: region_balance::position(waiting.job.object),
             shares: shares
                 .into_iter()
                 .flatten()
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -45,7 +45,8 @@
         upstreams::{
             TryEnd,
             Upstream,
-            UpstreamKey, //
+            UpstreamKey,
+            zone_hash, //
         },
     },
     util::{
@@ -155,11 +156,16 @@
         let home = self.settings.region.clone();
         // The position depends only on the object, so that all hosts of a region send requests
         // for an object to the same region.
-        let position = region_balance::position(job.object, !job.lost_time.is_zero());
-        let region = match self.demand.get(&job.service) {
+        let region_at = |position| match self.demand.get(&job.service) {
             Some(demand) => demand.shares.region_at(&home, position),
             None => home.clone(),
         };
+        let mut region = region_at(region_balance::position(job.object));
+        if !job.lost_time.is_zero()
+            && region_balance::is_small(self.region_slots(&job.service, &region))
+        {
+            region = region_at(region_balance::position_of_returning(job.object));
+        }
         let is_allowed = |r: &RegionName| job.regions.is_empty() || job.regions.contains(r);
         if is_allowed(&region) && !self.is_region_unreachable(now, &region) {
             return region;
@@ -170,6 +176,16 @@
         }
     }
 
+    /// Returns the registered slots of a service's ready upstreams in a region.
+    fn region_slots(&self, service: &ServiceName, region: &RegionName) -> u32 {
+        let Some(pool) = self.upstreams.pool(service) else {
+            return 0;
+        };
+        let zones = self.settings.regions.iter();
+        let zones = zones.filter(|(_, r)| *r == region);
+        zones.map(|(zone, _)| pool.slots_in(zone_hash(zone))).sum()
+    }
+
     /// Looks for a slot in the next domain that may have one. Refuses the request if no domain is
     /// left.
     pub(super) fn find_slot(&mut self, now: Instant, waiting: WaitingRequest) {
--- a/src/edge/region_balance.rs
+++ b/src/edge/region_balance.rs
@@ -35,6 +35,10 @@
 /// the leading bits of both points are independent.
 const RETURNING_ROTATION_BITS: u32 = 32;
 
+/// Slots of a service up to which a region counts as small. The standard deviation of random
+/// arrivals is a sixth or more of their mean there.
+const SMALL_REGION_SLOTS_MAX: u32 = 36;
+
 /// Capacity and demand of one region, for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionLoad {
@@ -62,17 +66,23 @@
 pub type Shares = BTreeMap<RegionName, f64>;
 
 /// Returns the point, from 0 to 1, by which the regions' shares assign an object's requests.
-///
-/// Requests of callers that return after a refusal have a point of their own. The regions that
-/// refuse most are the smallest ones; if their callers returned to the same region, it would refuse
-/// them again, and the mixture of regions would change as soon as mostly such callers send requests.
-pub fn position(object: u64, is_returning: bool) -> f64 {
-    let point = match is_returning {
-        false => object,
-        true => object.rotate_left(RETURNING_ROTATION_BITS),
-    };
+pub fn position(object: u64) -> f64 {
     // A float holds 53 bits exactly.
-    (point >> 11) as f64 / (1u64 << 53) as f64
+    (object >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Returns the point for callers that a small region has refused.
+///
+/// Random peaks of the demand are largest in small regions, so that these refuse most. If their
+/// callers returned to the same region, it would refuse them again, and the mixture of regions would
+/// change as soon as mostly such callers send requests.
+pub fn position_of_returning(object: u64) -> f64 {
+    position(object.rotate_left(RETURNING_ROTATION_BITS))
+}
+
+/// Returns whether random peaks of the demand exceed the slots of a region often.
+pub fn is_small(slots: u32) -> bool {
+    slots <= SMALL_REGION_SLOTS_MAX
 }
 
 /// Returns the assumed demand of one zone's callers, in slots, to add to the measured demand.
--- a/tests/edge_region_balance.rs
+++ b/tests/edge_region_balance.rs
@@ -14,6 +14,7 @@
         assumed_demand,
         local_utilisation_limit,
         position,
+        position_of_returning,
         shares, //
     },
     retry::RateMeter,
@@ -260,12 +261,10 @@
     const SMALLEST_SHARE: f64 = 0.2;
     let mut rng = SmallRng::seed_from_u64(1);
     let objects = (0..20_000).map(|_| rng.random::<u64>());
-    let refused: Vec<u64> = objects
-        .filter(|o| position(*o, false) < SMALLEST_SHARE)
-        .collect();
+    let refused: Vec<u64> = objects.filter(|o| position(*o) < SMALLEST_SHARE).collect();
     let again = refused
         .iter()
-        .filter(|o| position(**o, true) < SMALLEST_SHARE);
+        .filter(|o| position_of_returning(**o) < SMALLEST_SHARE);
     let fraction = again.count() as f64 / refused.len() as f64;
     assert!(
         (fraction - SMALLEST_SHARE).abs() < 0.03,
