Do not count a body against the limit of its head

What callers saw: 502 for answered requests on kept connections, if the head and more than 64 KiB of the body were read at once. Cause: the limit of a head counted all bytes of one read, and the read buffer grows beyond the limit.

--- a/src/connection/limited_stream.rs
+++ b/src/connection/limited_stream.rs
@@ -31,6 +31,10 @@
 /// The most bytes that may be received from the start of a request to the end of its answer's head.
 pub(super) const HEAD_MAX_BYTES: usize = 64 * 1024;
 
+/// How often a read may find the limit used up before the connection fails. The sender lifts the
+/// limit when it is next scheduled after the head was read.
+const EXHAUSTED_READS_MAX: u32 = 64;
+
 /// The number of bytes that may still be received, shared with the connection's sender.
 #[derive(Clone, Debug)]
 pub(super) struct ReadLimit(Arc<AtomicU64>);
@@ -50,14 +54,18 @@
         self.0.store(u64::MAX, Ordering::Relaxed);
     }
 
-    /// Deducts received bytes; returns false if they exceed the limit.
-    fn consume(&self, bytes: usize) -> bool {
+    /// Returns the number of bytes that may still be received.
+    fn remaining(&self) -> usize {
+        usize::try_from(self.0.load(Ordering::Relaxed)).unwrap_or(usize::MAX)
+    }
+
+    /// Deducts received bytes, unless the limit was lifted meanwhile.
+    fn consume(&self, bytes: usize) {
         let remaining = self.0.load(Ordering::Relaxed);
-        let Some(remaining) = remaining.checked_sub(bytes as u64) else {
-            return false;
-        };
-        self.0.store(remaining, Ordering::Relaxed);
-        true
+        if remaining != u64::MAX {
+            let remaining = remaining.saturating_sub(bytes as u64);
+            self.0.store(remaining, Ordering::Relaxed);
+        }
     }
 }
 
@@ -66,11 +74,17 @@
 pub(super) struct LimitedStream {
     stream: TcpStream,
     read_limit: ReadLimit,
+    /// Reads in a row that found the limit used up.
+    exhausted_reads: u32,
 }
 
 impl LimitedStream {
     pub(super) fn new(stream: TcpStream, read_limit: ReadLimit) -> Self {
-        Self { stream, read_limit }
+        Self {
+            stream,
+            read_limit,
+            exhausted_reads: 0,
+        }
     }
 }
 
@@ -80,16 +94,30 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let received = buf.filled().len() - before;
-        if self.read_limit.consume(received) {
-            return read;
+        let remaining = self.read_limit.remaining();
+        if remaining == 0 {
+            self.exhausted_reads += 1;
+            if self.exhausted_reads > EXHAUSTED_READS_MAX {
+                let cause = format!(
+                    "received more than {HEAD_MAX_BYTES} bytes before the end of the answer's head"
+                );
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
+            }
+            // The head may be complete, and the limit be lifted as soon as the sender runs.
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
         }
-        let cause = format!(
-            "received more than {HEAD_MAX_BYTES} bytes before the end of the answer's head"
-        );
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)))
+        self.exhausted_reads = 0;
+        // The head and a part of the body may arrive together, so that a longer read does not mean
+        // that the head is too large.
+        let mut limited = buf.take(remaining);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut limited);
+        let (initialized, received) = (limited.initialized().len(), limited.filled().len());
+        // SAFETY: `limited` is a view of the unfilled part of `buf`, and has initialized these bytes.
+        unsafe { buf.assume_init(initialized) };
+        buf.advance(received);
+        self.read_limit.consume(received);
+        read
     }
 }
 
