--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -4,6 +4,7 @@
 mod longer_grace;
 mod lost_tail;
 mod slow_reader;
+mod unread_answers;
 mod withdrawn_key;
 
 use std::{io, path::Path};
@@ -17,6 +18,7 @@
         "longer-grace" => longer_grace::run(folder, with_trouble, record),
         "lost-tail" => lost_tail::run(folder, with_trouble, record),
         "slow-reader" => slow_reader::run(folder, with_trouble, record),
+        "unread-answers" => unread_answers::run(folder, with_trouble, record),
         "withdrawn-key" => withdrawn_key::run(folder, with_trouble, record),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
--- a/review/stand-2/cases/earlier_claim.rs
+++ b/review/stand-2/cases/earlier_claim.rs
@@ -69,6 +69,7 @@
         cpu_share,
         grace: "6s",
         bootstrap: false,
+        memory_mb: 260,
         store: store.address,
     };
     let first = Host::start(folder, 1, &settings("edge-north-a-1", "0.4"), record)?;
--- a/review/stand-2/cases/longer_grace.rs
+++ b/review/stand-2/cases/longer_grace.rs
@@ -73,6 +73,7 @@
         cpu_share: "0.2",
         grace,
         bootstrap: false,
+        memory_mb: 260,
         store: store.address,
     };
     let first = match with_trouble {
--- a/review/stand-2/cases/slow_reader.rs
+++ b/review/stand-2/cases/slow_reader.rs
@@ -77,6 +77,7 @@
         cpu_share: "0.2",
         grace: "6s",
         bootstrap: false,
+        memory_mb: 260,
         store: store.address,
     };
     let host = Host::start(folder, 1, &settings, record)?;
--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -42,6 +42,7 @@
     pub cpu_share: &'a str,
     pub grace: &'a str,
     pub bootstrap: bool,
+    pub memory_mb: u32,
     pub store: SocketAddr,
 }
 
@@ -64,7 +65,7 @@
             "bind_addresses.frontend={ip}:8388\nbind_addresses.ready={ip}:8384\n\
              bind_addresses.control_plane={ip}:8381\nbind_addresses.directory={ip}:8383\n\
              internal_port_range=7560,7575\nseed_nodes=\nbootstrap={}\nfault_counted=false\n\
-             limits.cpu_share={}\nlimits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
+             limits.cpu_share={}\nlimits.cores=1\nlimits.memory_mb={}\nlimits.max_fds=4100\n\
              limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=directory\n\
              heartbeat=1500ms\ncontracts=base,drain,config,cost,retry,recover,places,tenants,\
              quota,platform\nfault_tolerance.machines=2\nfault_tolerance.zones=1\n\
@@ -79,7 +80,7 @@
              bounds.ttl_max=5s\nbounds.max_shift=0.15\nplatform.address={}\n\
              platform.form=objects\nplatform.writes_per_s=400\nplatform.reads_per_s=2000\n\
              platform.history=20s\nplatform.value_bytes=1048576\nplatform.min_ttl=1000ms\n",
-            self.bootstrap, self.cpu_share, self.grace, self.store
+            self.bootstrap, self.cpu_share, self.memory_mb, self.grace, self.store
         ));
         text
     }
@@ -154,6 +155,15 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the memory of the process that is in use, in kilobytes; 0 if it has ended.
+    pub fn memory_kb(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(status).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the address for clients.
     pub fn frontend(&self) -> SocketAddr {
         (self.ip, 8388).into()
