edge: tell the processes of a host, and the starts of an upstream, apart

Cause: a reply to a claim named only the number of the attempt, and each process numbers its attempts from 1. A slot granted to the ended process answered another claim of the next one; the upstream was then looked up among those of all services.

Change: a reply names the process that asked, and a slot is used only if its upstream belongs to the service of the request. The related paths: all messages of an ended process are ignored once the next one was heard; its claims and runs are dropped then; a claim that an ended scheduler had queued looks for a slot again; rate tokens lent to an ended process are not added; the end of a run at an earlier start of an upstream changes nothing but the count of runs.

--- a/src/edge/datagram.rs
+++ b/src/edge/datagram.rs
@@ -150,6 +150,9 @@
     pub grants: Vec<(OrganisationName, u64)>,
     /// Organisations for which the receiver requested tokens but the sender has none.
     pub denied: Vec<OrganisationName>,
+    /// The process whose request this answers; `None` if this is a request.
+    #[serde(default)]
+    pub answers: Option<Incarnation>,
 }
 
 /// Number of one attempt of a request, assigned by the host that serves the request.
@@ -228,6 +231,10 @@
     pub run: RunId,
     /// The decision.
     pub outcome: ClaimOutcome,
+    /// The process that sent the claim. Each process numbers its attempts from 1, so that an
+    /// earlier process of the same host may have used the same number.
+    #[serde(default)]
+    pub answers: Incarnation,
 }
 
 /// Informs the scheduler about a request that was sent without a claim.
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -167,6 +167,16 @@
 
     /// Handles a scheduler's reply to a claim.
     pub(super) fn handle_claim_reply(&mut self, now: Instant, msg: &ClaimReply) {
+        if msg.answers != self.incarnation {
+            // The scheduler releases the slot once it hears from this process.
+            log::info!(
+                event = "claim-reply-of-earlier-process",
+                scheduler:% = msg.from.host,
+                run = msg.run.0;
+                ""
+            );
+            return;
+        }
         let Some(mut pending) = self.claims.open.remove(&msg.run) else {
             // The claim was dropped in the meantime, so a granted slot is released.
             if let ClaimOutcome::Granted { upstream, .. } = msg.outcome {
@@ -205,7 +215,7 @@
     /// Returns whether a granted request is still wanted and the upstream is usable according to
     /// this host's own state.
     fn may_send(&self, now: Instant, key: UpstreamKey, waiting: &WaitingRequest) -> bool {
-        let Some(u) = self.upstreams.find(key) else {
+        let Some(u) = self.upstreams.get(&waiting.job.service, key) else {
             return false;
         };
         let is_wanted = match &waiting.requester {
@@ -221,6 +231,18 @@
             && !self.quarantine.is_refused(now, waiting.job.suspect)
     }
 
+    /// Looks for slots again for the claims that an earlier process of a scheduler has queued.
+    pub(super) fn repeat_queued_claims(&mut self, now: Instant, scheduler: &HostName) {
+        let open = self.claims.open.iter();
+        let lost = open.filter(|(_, c)| c.queued && c.scheduler == *scheduler);
+        let lost: Vec<RunId> = lost.map(|(run, _)| *run).collect();
+        for run in lost {
+            if let Some(pending) = self.claims.open.remove(&run) {
+                self.find_slot(now, pending.waiting);
+            }
+        }
+    }
+
     /// Releases a slot, or cancels a queued claim, by reporting the run as abandoned.
     fn release_slot(&mut self, scheduler: HostName, run: RunId, upstream: UpstreamKey) {
         let msg = Finished {
@@ -294,7 +316,14 @@
     pub(super) fn finish_run(&mut self, now: Instant, msg: &AttemptEnded) {
         let settings = self.settings.clone();
         let is_own_region = |zone: &_| settings.region_of(zone) == Some(&settings.region);
-        self.upstreams.record_end(now, msg, is_own_region);
+        let run = self.local_runs.remove(&msg.run);
+        let upstream = self.upstreams.find(msg.key).map(|u| u.registration.start());
+        match &run {
+            Some(run) if upstream.is_some_and(|start| start != run.start) => {
+                self.upstreams.record_end_at_earlier_start(msg.key);
+            }
+            _ => self.upstreams.record_end(now, msg, is_own_region),
+        }
         if let Some(suspect) = msg.answered {
             self.quarantine.on_answer(now, suspect);
         }
@@ -303,7 +332,7 @@
             end: msg.end.as_str(),
         };
         self.metrics.tries.get_or_create(&labels).inc();
-        if let Some(run) = self.local_runs.remove(&msg.run) {
+        if let Some(run) = run {
             let held_ms = u32::try_from(msg.held.as_millis()).unwrap_or(u32::MAX);
             let finished = Finished {
                 from: self.sender(),
--- a/src/edge/dispatcher/domains.rs
+++ b/src/edge/dispatcher/domains.rs
@@ -25,6 +25,7 @@
         },
         zone_cache,
     },
+    quarantine::UpstreamStart,
     util::id::{
         HostName,
         RegionName,
@@ -44,6 +45,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct LocalRun {
     pub(super) upstream: UpstreamKey,
+    /// The start of the upstream that the run was sent to.
+    pub(super) start: UpstreamStart,
     pub(super) domain: Domain,
 }
 
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Dispatcher,
+    Requester,
     host_registration, //
 };
 use crate::{
@@ -29,7 +30,10 @@
             Candidate, //
         },
         model::HostRegistration,
-        peers::CROSS_REGION_DIGEST_BEATS,
+        peers::{
+            CROSS_REGION_DIGEST_BEATS,
+            SenderProcess, //
+        },
         quota::QuotaHosts,
         topic_watch::UpdateSource,
     },
@@ -49,6 +53,16 @@
 
 impl Dispatcher {
     pub(super) fn handle_datagram(&mut self, now: Instant, msg: Datagram) {
+        match self.peers.identify(now, msg.from()) {
+            // The list of hosts may not have it yet.
+            SenderProcess::UnknownHost | SenderProcess::Current => {}
+            SenderProcess::New => self.replace_process(now, &msg.from().clone()),
+            SenderProcess::Ended => {
+                let from = msg.from();
+                log::debug!(event = "message-of-ended-process", host:% = from.host; "");
+                return;
+            }
+        }
         match msg {
             Datagram::Report(msg) => {
                 self.peers.handle_report(now, &msg);
@@ -69,11 +83,36 @@
         }
     }
 
+    /// Drops what earlier processes of a host have requested and promised: their claims and runs
+    /// here, and their announcements that claims of this host are queued.
+    fn replace_process(&mut self, now: Instant, process: &Sender) {
+        self.queue.retain(|w| match &w.requester {
+            Requester::Remote(sender, _) => {
+                sender.host != process.host || sender.incarnation == process.incarnation
+            }
+            Requester::Local(_) => true,
+        });
+        let changes = self
+            .runs
+            .forget_earlier(now, &process.host, process.incarnation);
+        self.upstreams.change_remote_running(&changes);
+        if !changes.is_empty() {
+            self.drain_queue(now, None);
+        }
+        self.repeat_queued_claims(now, &process.host);
+    }
+
     fn handle_loan(&mut self, now: Instant, msg: Loan) {
         // Ignores duplicates: a loan applied twice would add tokens.
         if !self.peers.record_message(now, &msg.from) {
             return;
         }
+        if msg
+            .answers
+            .is_some_and(|process| process != self.incarnation)
+        {
+            return;
+        }
         for (organisation, granted) in &msg.grants {
             self.quotas.add_borrowed(now, organisation, *granted);
         }
@@ -111,6 +150,7 @@
                 wants: Vec::new(),
                 grants,
                 denied,
+                answers: Some(msg.from.incarnation),
             };
             self.send_datagram(vec![address], Datagram::Loan(reply));
         }
@@ -152,6 +192,7 @@
                 wants,
                 grants: Vec::new(),
                 denied: Vec::new(),
+                answers: None,
             };
             self.send_datagram(vec![address], Datagram::Loan(msg));
         }
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -26,7 +26,8 @@
         message::Job,
         model::{
             Priority,
-            Regions, //
+            Regions,
+            Registration, //
         },
         peers::Domain,
         placement::{
@@ -173,9 +174,11 @@
         let list_index = self
             .upstreams
             .record_grant(now, key, job.affinity_hash(), cold);
-        let load = self.upstreams.find(key).map_or(0, |u| u.load(now));
+        let upstream = self.upstreams.find(key);
+        let load = upstream.map_or(0, |u| u.load(now));
         let run = Run {
             upstream: key,
+            start: upstream.map(|u| u.registration.start()),
             route: Some(job.route),
             list_index,
             since: now,
@@ -235,6 +238,7 @@
             from: self.sender(),
             run,
             outcome,
+            answers: to.incarnation,
         };
         if let Some(address) = self.peers.address(&to.host) {
             self.send_datagram(vec![address], Datagram::ClaimReply(msg));
@@ -285,8 +289,10 @@
         let list_index = self
             .upstreams
             .record_grant(now, msg.upstream, msg.object, None);
+        let upstream = self.upstreams.find(msg.upstream);
         let run = Run {
             upstream: msg.upstream,
+            start: upstream.map(|u| u.registration.start()),
             route: Some(msg.route),
             list_index,
             since: now,
@@ -298,19 +304,26 @@
 
     /// Handles the end of another host's run. If the run is not known, drops its queued claim.
     pub(super) fn handle_finished(&mut self, now: Instant, msg: &Finished) {
-        let Some(run) = self.runs.finish(&msg.from.host, msg.run) else {
+        let from = &msg.from;
+        let Some(run) = self.runs.finish(&from.host, from.incarnation, msg.run) else {
             self.queue.retain(|w| match &w.requester {
-                Requester::Remote(sender, run) => *run != msg.run || sender.host != msg.from.host,
+                Requester::Remote(sender, run) => {
+                    *run != msg.run
+                        || sender.host != from.host
+                        || sender.incarnation != from.incarnation
+                }
                 Requester::Local(_) => true,
             });
             return;
         };
         self.upstreams.change_remote_running(&[(run.upstream, -1)]);
-        let zone = self
-            .upstreams
-            .find(run.upstream)
-            .map(|u| &u.registration.zone);
-        let region = zone.and_then(|zone| self.settings.region_of(zone));
+        let upstream = self.upstreams.find(run.upstream).map(|u| &u.registration);
+        let start = upstream.map(Registration::start);
+        if run.start.is_some() && run.start != start {
+            // The upstream has restarted: the end says nothing about its present process.
+            return self.drain_queue(now, Some(run.upstream));
+        }
+        let region = upstream.and_then(|u| self.settings.region_of(&u.zone));
         let from = self.peers.zone(&msg.from.host);
         let is_same_region =
             region.is_some() && from.and_then(|z| self.settings.region_of(z)) == region;
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -330,7 +330,7 @@
         let local_list_index =
             self.upstreams
                 .record_start(now, &job.service, key, job.affinity_hash(), cold);
-        let Some(u) = self.upstreams.find(key) else {
+        let Some(u) = self.upstreams.get(&job.service, key) else {
             let verdict = self.refusal(now, &job, RefusalReason::NoUpstream);
             return send_verdict(reply, verdict);
         };
@@ -347,8 +347,12 @@
             };
             self.notify_scheduler(now, &domain, Datagram::Started(msg));
         }
-        let upstream = key;
-        self.local_runs.insert(run, LocalRun { upstream, domain });
+        let local_run = LocalRun {
+            upstream: key,
+            start: registration.start(),
+            domain,
+        };
+        self.local_runs.insert(run, local_run);
         self.record_placement(now, &job, key, list_index, load);
         let ended = AttemptEnded {
             run,
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -104,6 +104,19 @@
     }
 }
 
+/// Which process of a host has sent a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SenderProcess {
+    /// The host is not registered.
+    UnknownHost,
+    /// The same process as that of the previous message.
+    Current,
+    /// A later process than that of the previous message.
+    New,
+    /// A process that has ended: a later one has sent messages since.
+    Ended,
+}
+
 /// State of one other host.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -111,8 +124,11 @@
     /// Hash of the name; breaks ties between hosts of the same size.
     tie_breaker: u64,
     incarnation: Incarnation,
+    /// Number of the last report, digest or loan of this process.
     sequence: u64,
-    /// When the last message from the host itself arrived.
+    /// When the last message of any kind from this process arrived.
+    process_heard_at: Option<Instant>,
+    /// When the last report, digest or loan from the host itself arrived.
     last_message: Option<Instant>,
     state: HostState,
     offered: Vec<OfferedRate>,
@@ -127,6 +143,7 @@
             entry,
             incarnation: Incarnation::default(),
             sequence: 0,
+            process_heard_at: None,
             last_message: None,
             state: HostState::Stale,
             offered: Vec::new(),
@@ -328,28 +345,46 @@
         self.regions.get(zone) == self.regions.get(&self.own.zone)
     }
 
+    /// Determines which process of a host has sent a message, and records the process if it is a
+    /// new one.
+    pub fn identify(&mut self, now: Instant, from: &Sender) -> SenderProcess {
+        let silence = self.heartbeat_interval() * STALE_PROCESS_BEATS;
+        let Some(peer) = self.peers.get_mut(&from.host) else {
+            return SenderProcess::UnknownHost;
+        };
+        let process = if from.incarnation == peer.incarnation {
+            SenderProcess::Current
+        } else if from.incarnation > peer.incarnation
+            // After the clock has stepped back, a later process has the smaller number.
+            || peer.process_heard_at.is_none_or(|at| now >= at + silence)
+        {
+            peer.incarnation = from.incarnation;
+            peer.sequence = 0;
+            SenderProcess::New
+        } else {
+            return SenderProcess::Ended;
+        };
+        peer.process_heard_at = Some(now);
+        process
+    }
+
     /// Records a message of a host; returns whether it is newer than all earlier ones.
     ///
     /// Messages of unknown hosts are ignored, since there is no address to answer to.
     pub fn record_message(&mut self, now: Instant, from: &Sender) -> bool {
-        let silence = self.heartbeat_interval() * STALE_PROCESS_BEATS;
+        match self.identify(now, from) {
+            SenderProcess::UnknownHost | SenderProcess::Ended => return false,
+            SenderProcess::Current | SenderProcess::New => {}
+        }
         let Some(peer) = self.peers.get_mut(&from.host) else {
             return false;
         };
-        // After the clock has stepped back, a later process has the smaller number.
-        let is_newer = match from.incarnation == peer.incarnation {
-            true => from.sequence > peer.sequence,
-            false => {
-                from.incarnation > peer.incarnation
-                    || peer.last_message.is_none_or(|at| now >= at + silence)
-            }
-        };
-        if is_newer {
-            peer.incarnation = from.incarnation;
-            peer.sequence = from.sequence;
-            peer.last_message = Some(now);
+        if from.sequence <= peer.sequence {
+            return false;
         }
-        is_newer
+        peer.sequence = from.sequence;
+        peer.last_message = Some(now);
+        true
     }
 
     /// Handles the report of a host of this host's zone.
--- a/src/edge/remote_runs.rs
+++ b/src/edge/remote_runs.rs
@@ -15,9 +15,12 @@
     datagram::RunId,
     upstreams::UpstreamKey, //
 };
-use crate::util::id::{
-    HostName,
-    Incarnation, //
+use crate::{
+    quarantine::UpstreamStart,
+    util::id::{
+        HostName,
+        Incarnation, //
+    },
 };
 
 /// How long a granted run may be missing from its host's list of runs, since the grant may still be
@@ -29,6 +32,8 @@
 pub struct Run {
     /// The upstream that serves the request.
     pub upstream: UpstreamKey,
+    /// The start of the upstream when the run began; `None` if it is not known.
+    pub start: Option<UpstreamStart>,
     /// Hash of the request's route; `None` if the run is known only from its host's list of runs.
     pub route: Option<u64>,
     /// Position of the request's object in the upstream's most-recently-used list when the run
@@ -90,9 +95,26 @@
         changes
     }
 
-    /// Removes a run that has ended; returns `None` if it was not known.
-    pub fn finish(&mut self, host: &HostName, id: RunId) -> Option<Run> {
-        self.hosts.get_mut(host)?.runs.remove(&id)
+    /// Removes a run of a process that has ended; returns `None` if it was not known.
+    pub fn finish(&mut self, host: &HostName, incarnation: Incarnation, id: RunId) -> Option<Run> {
+        let runs = self.hosts.get_mut(host)?;
+        if runs.incarnation != incarnation {
+            return None;
+        }
+        runs.runs.remove(&id)
+    }
+
+    /// Removes the runs of a host's earlier processes, and returns the changes in the upstreams'
+    /// numbers of runs.
+    pub fn forget_earlier(
+        &mut self,
+        now: Instant,
+        host: &HostName,
+        incarnation: Incarnation,
+    ) -> Vec<RunChange> {
+        let mut changes = Vec::new();
+        self.host_runs(now, host, incarnation, &mut changes);
+        changes
     }
 
     /// Replaces a host's runs by its full list, except for runs granted only recently. Returns the
@@ -119,6 +141,7 @@
                 changes.push((upstream, 1));
                 Run {
                     upstream,
+                    start: None,
                     route: None,
                     list_index: None,
                     since: now,
--- a/src/edge/upstreams.rs
+++ b/src/edge/upstreams.rs
@@ -357,6 +357,12 @@
         }
     }
 
+    /// Returns an upstream of a service by its key.
+    pub fn get(&self, service: &ServiceName, key: UpstreamKey) -> Option<&Upstream> {
+        let pool = self.pools.get(service)?;
+        pool.upstreams.get(*pool.index.get(&key)?)
+    }
+
     /// Returns an upstream of a service by its key.
     pub fn get_mut(&mut self, service: &ServiceName, key: UpstreamKey) -> Option<&mut Upstream> {
         self.pools.get_mut(service)?.get_mut(key)
@@ -413,6 +419,14 @@
         u.record_object(object)
     }
 
+    /// Records the end of an attempt of this host at an earlier start of an upstream, which says
+    /// nothing about the present one.
+    pub fn record_end_at_earlier_start(&mut self, key: UpstreamKey) {
+        if let Some(u) = self.find_mut(key) {
+            u.running = u.running.saturating_sub(1);
+        }
+    }
+
     /// Records how an attempt of this host ended.
     pub fn record_end(
         &mut self,
@@ -420,7 +434,8 @@
         ended: &AttemptEnded,
         is_near: impl Fn(&ZoneName) -> bool,
     ) {
-        let Some(u) = self.get_mut(&ended.service, ended.key) else {
+        // It may have registered for another service since.
+        let Some(u) = self.find_mut(ended.key) else {
             return;
         };
         u.running = u.running.saturating_sub(1);
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -21,7 +21,10 @@
 use arc_swap::ArcSwapOption;
 use cardamomroad::{
     edge::{
-        datagram::Outgoing,
+        datagram::{
+            Datagram,
+            Outgoing, //
+        },
         dispatcher::{
             Dispatcher,
             host_registration, //
@@ -65,6 +68,7 @@
             key_of, //
         },
     },
+    post::post,
     quarantine::Suspect,
     util::id::{
         Incarnation,
@@ -163,10 +167,42 @@
 pub struct Host {
     pub settings: Arc<Settings>,
     pub dispatcher: Address<Dispatcher>,
+    /// The configuration in force.
+    pub configuration: Arc<ArcSwapOption<Configuration>>,
     partitioned: Arc<Mutex<bool>>,
+    /// Messages to this host that were lost because one of the two hosts was partitioned.
+    undelivered: Arc<Mutex<Vec<Datagram>>>,
 }
 
 impl Host {
+    /// Delivers a message as if another host had sent it.
+    pub async fn receive(&self, msg: Datagram) {
+        let delivered = self.dispatcher.send(DatagramReceived { msg }).await;
+        delivered.expect("dispatcher is running");
+    }
+
+    /// Submits a request; the receiver yields where it is sent.
+    pub async fn submit(&self, job: Job) -> oneshot::Receiver<PlacementDecision> {
+        let (reply, verdict) = oneshot::channel();
+        let submitted = self.dispatcher.send(Submit { job, reply }).await;
+        submitted.expect("dispatcher is running");
+        verdict
+    }
+
+    /// Queues a change of one record for the dispatcher.
+    pub fn publish(&self, topic: Topic, name: &str, record: Record) {
+        let mut msg = full_update(topic, vec![(name.to_owned(), record)]);
+        if let TopicUpdate::Whole(changes) = msg.news {
+            msg.news = TopicUpdate::Since(changes);
+        }
+        post(&self.dispatcher, msg);
+    }
+
+    /// Takes the messages to this host that a partition has held up.
+    pub fn take_undelivered(&self) -> Vec<Datagram> {
+        std::mem::take(&mut self.undelivered.lock().expect("lock is not poisoned"))
+    }
+
     /// Partitions the host from all others, or reconnects it.
     pub fn set_partitioned(&self, partitioned: bool) {
         *self.partitioned.lock().expect("lock is not poisoned") = partitioned;
@@ -228,7 +264,8 @@
     }
 }
 
-fn upstream(zone: &str, zone_index: usize, n: usize, slots: u32) -> Registration {
+/// Returns the registration of an upstream of [`service`].
+pub fn upstream(zone: &str, zone_index: usize, n: usize, slots: u32) -> Registration {
     Registration {
         id: format!("i-{zone}-{n}").parse().expect("id"),
         service: service(),
@@ -241,7 +278,8 @@
     }
 }
 
-fn configuration() -> Configuration {
+/// Returns the configuration of a fleet without organisations.
+pub fn configuration() -> Configuration {
     Configuration {
         version: ConfigVersion(1),
         routes: HashMap::new(),
@@ -289,10 +327,11 @@
             for n in 0..*count {
                 let settings = Arc::new(settings(&plan, zone, zone_index, n));
                 let (tx, rx) = mpsc::channel(4096);
+                let configuration = Arc::new(ArcSwapOption::empty());
                 let dispatcher = Dispatcher::new(
                     settings.clone(),
                     Incarnation(1),
-                    Arc::new(ArcSwapOption::empty()),
+                    configuration.clone(),
                     tx,
                     watch::channel(UpdateSource::default()).0,
                     Arc::new(EdgeMetrics::new()),
@@ -302,7 +341,9 @@
                 hosts.push(Host {
                     settings,
                     dispatcher,
+                    configuration,
                     partitioned: Arc::default(),
+                    undelivered: Arc::default(),
                 });
                 outgoing.push(rx);
             }
@@ -374,7 +415,13 @@
                     stats.lock().expect("lock is not poisoned").messages += 1;
                     let is_lost = rng.random_range(0..1000)
                         < *loss_milli.lock().expect("lock is not poisoned");
-                    if is_lost || from.is_partitioned() || host.is_partitioned() {
+                    if from.is_partitioned() || host.is_partitioned() {
+                        let mut undelivered =
+                            host.undelivered.lock().expect("lock is not poisoned");
+                        undelivered.push(msg.clone());
+                        continue;
+                    }
+                    if is_lost {
                         continue;
                     }
                     let delay = match host.settings.region == from.settings.region {
@@ -421,7 +468,8 @@
         hosts.cloned().collect()
     }
 
-    fn job(&self, object: u64) -> Job {
+    /// Returns a new request for an object.
+    pub fn job(&self, object: u64) -> Job {
         let id = self.next_request.get();
         self.next_request.set(id + 1);
         let now = Instant::now();
@@ -454,12 +502,7 @@
         let (upstreams, stats) = (self.upstreams.clone(), self.stats.clone());
         tokio::spawn(async move {
             let start = job.received;
-            let (reply, verdict) = oneshot::channel();
-            let msg = Submit { job, reply };
-            host.dispatcher
-                .send(msg)
-                .await
-                .expect("dispatcher is running");
+            let verdict = host.submit(job).await;
             let outcome = match verdict.await.expect("dispatcher sends a verdict") {
                 PlacementDecision::Refused(refused) => {
                     Outcome::Refused(refused.reason, start.elapsed())
