edge: check a key against the configuration that was confirmed

Cause: a request found its key in the configuration in force, and only then asked the dispatcher whether the keys were current. The update that brought the withdrawal, and confirmed the keys, came in between.

Change: the dispatcher answers with the configuration that it confirms, in one message, and the key is looked up in that one; so is the key that is checked again before the request is sent. Requests without a key are routed as before.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -71,9 +71,9 @@
     message::{
         AttemptEnded,
         BeginShutdown,
+        ConfirmedConfiguration,
         DatagramReceived,
         EraChanged,
-        IsFresh,
         IsReady,
         Job,
         Lookup,
@@ -485,12 +485,19 @@
     }
 }
 
-impl Handler<IsFresh> for Dispatcher {
-    type Return = bool;
+impl Handler<ConfirmedConfiguration> for Dispatcher {
+    type Return = Option<Arc<Configuration>>;
 
-    async fn handle(&mut self, _: IsFresh, _: &mut Context<Self>) -> bool {
+    async fn handle(
+        &mut self,
+        _: ConfirmedConfiguration,
+        _: &mut Context<Self>,
+    ) -> Option<Arc<Configuration>> {
         self.freshness.observe_suspension(suspended_time());
-        self.keys_are_fresh(Instant::now())
+        match self.keys_are_fresh(Instant::now()) {
+            true => self.configuration.load_full(),
+            false => None,
+        }
     }
 }
 
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -62,7 +62,7 @@
     dispatcher::Dispatcher,
     log_limit::LogRateLimit,
     message::{
-        IsFresh,
+        ConfirmedConfiguration,
         Job,
         PlacementDecision,
         RefundToken,
@@ -226,18 +226,19 @@
         body: Incoming,
     ) -> Result<Call, RequestError> {
         let key_checked_at = SuspendAwareInstant::now();
-        let cfg = self
+        let mut cfg = self
             .configuration
             .load_full()
             .ok_or(RequestError::NotReady)?;
         let id = head.id.clone().ok_or(RequestError::BadHead)?;
-        let routed = route(&cfg, &parts, &head);
-        if head.key.is_some() || matches!(routed, Err(RequestError::Key)) {
-            // A host with stale data may have missed the revocation of a key.
-            let fresh = self.dispatcher.send(IsFresh).await.unwrap_or(false);
-            if !fresh {
-                return Err(RequestError::NotReady);
-            }
+        if head.key.is_some() {
+            cfg = self.confirmed_configuration().await?;
+        }
+        let mut routed = route(&cfg, &parts, &head);
+        let confirmed;
+        if head.key.is_none() && matches!(routed, Err(RequestError::Key)) {
+            confirmed = self.confirmed_configuration().await?;
+            routed = route(&confirmed, &parts, &head);
         }
         let routed = routed?;
         let caller_timeout = head.caller_timeout.unwrap_or(routed.route.timeout);
@@ -318,6 +319,13 @@
         }
     }
 
+    /// Returns the configuration to check keys against. Fails while it may lack the withdrawal of
+    /// a key.
+    async fn confirmed_configuration(&self) -> Result<Arc<Configuration>, RequestError> {
+        let confirmed = self.dispatcher.send(ConfirmedConfiguration).await;
+        confirmed.ok().flatten().ok_or(RequestError::NotReady)
+    }
+
     /// Checks the caller's key again if the last check is older than the limit.
     async fn check_key(&self, call: &mut Call) -> Result<(), RequestError> {
         let Some(key) = &call.key else {
@@ -327,13 +335,7 @@
             return Ok(());
         }
         let key_checked_at = SuspendAwareInstant::now();
-        if !self.dispatcher.send(IsFresh).await.unwrap_or(false) {
-            return Err(RequestError::NotReady);
-        }
-        let cfg = self
-            .configuration
-            .load_full()
-            .ok_or(RequestError::NotReady)?;
+        let cfg = self.confirmed_configuration().await?;
         let index = cfg.keys.get(key);
         let organisation = index.and_then(|&index| cfg.organisations.get(index));
         if organisation.map(|o| &o.name) != call.job.organisation.as_ref() {
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -410,9 +410,12 @@
 #[derive(Debug)]
 pub struct IsReady;
 
-/// Asks whether the configuration is recent enough to check keys.
+/// Asks for the configuration to check keys against; the answer is `None` while it may lack the
+/// withdrawal of a key.
+///
+/// A configuration that is loaded elsewhere may be an earlier one than the one that was confirmed.
 #[derive(Debug)]
-pub struct IsFresh;
+pub struct ConfirmedConfiguration;
 
 /// Announces that the host is about to stop.
 #[derive(Debug)]
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -33,8 +33,8 @@
             host_registration, //
         },
         message::{
+            ConfirmedConfiguration,
             DatagramReceived,
-            IsFresh,
             Job,
             Lookup,
             PlacementDecision,
@@ -412,7 +412,8 @@
 impl Host {
     /// Returns whether requests with keys may run.
     pub async fn is_fresh(&self) -> bool {
-        self.dispatcher.send(IsFresh).await.expect("it runs")
+        let confirmed = self.dispatcher.send(ConfirmedConfiguration).await;
+        confirmed.expect("it runs").is_some()
     }
 
     /// Returns the hosts that a new one has to know.
