edge: count a relay's answer as recent news only if it was applied

Cause: the time of a relayed read was recorded before its changes were applied. If the host had read the store itself meanwhile, they were dropped, but the next read of the store was put off as if they had been applied.

Change: the time is recorded with the changes. The delay was at most that of one query, so that no bound was broken; found while looking for decisions that read one state and confirm it against another.

Evidence: the new test of tests/edge_relay.rs failed before and passes now.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -447,7 +447,8 @@
         self.lock()[topic.index()].relayed
     }
 
-    /// Applies an update to position `base` and sends it to the dispatcher.
+    /// Applies an update to position `base` and sends it to the dispatcher. Returns whether it
+    /// still applied.
     fn apply(
         &self,
         topic: Topic,
@@ -456,14 +457,17 @@
         era: Era,
         read_at: SuspendAwareInstant,
         origin: UpdateOrigin,
-    ) {
+    ) -> bool {
         let mut caches = self.lock();
         // The era may have risen since this answer was checked.
         if !matches!(news, TopicUpdate::Outage) && self.era() != Some(era) {
-            return;
+            return false;
         }
         if !caches[topic.index()].apply(topic, base, &mut news, era, read_at) {
-            return;
+            return false;
+        }
+        if origin == UpdateOrigin::Relay {
+            caches[topic.index()].relayed = Some(read_at);
         }
         let is_change = news.is_change();
         // Sent under the lock, so that the dispatcher receives updates in the same order.
@@ -480,6 +484,7 @@
         if is_change {
             self.changed.send_modify(|n| *n += 1);
         }
+        true
     }
 
     /// Returns when the relay last answered, even if it had no records.
@@ -550,7 +555,7 @@
                 continue;
             }
             let base = query.after[relayed.topic.index()];
-            self.lock()[relayed.topic.index()].relayed = Some(read_at);
+            // Does not apply if this host has read the store itself meanwhile.
             self.apply(
                 relayed.topic,
                 base,
--- a/tests/edge_relay.rs
+++ b/tests/edge_relay.rs
@@ -15,6 +15,8 @@
         Configuration, //
     },
     relay::{
+        RelayAnswer,
+        RelayNews,
         RelayQuery,
         SuspendAwareInstant,
         TopicCaches, //
@@ -134,3 +136,29 @@
     let answered = tokio::time::timeout(std::time::Duration::from_secs(60), caches.answer(&query));
     assert!(answered.await.is_ok());
 }
+
+/// Guards against a host that puts off its own read of the store because of a relay's answer whose
+/// changes it could not apply.
+#[tokio::test]
+async fn an_answer_that_no_longer_applies_is_no_recent_news() {
+    let (dispatcher, _mailbox) = Mailbox::unbounded();
+    let caches = TopicCaches::new(dispatcher);
+    let (topic, now) = (Topic::Configuration, SuspendAwareInstant::now());
+    let news = |version| changes(version, configuration(version));
+    caches.apply_read(topic, None, TopicUpdate::Whole(news(1)), now);
+    let query = RelayQuery {
+        after: caches.positions(),
+        wait_ms: 0,
+        configuration: None,
+    };
+    let base = Some(position(1));
+    caches.apply_read(topic, base, TopicUpdate::Since(news(2)), now);
+    let topics = vec![RelayNews {
+        topic,
+        age_ms: 0,
+        news: TopicUpdate::Since(news(3)),
+    }];
+    caches.apply_relayed(&query, RelayAnswer { topics }, now);
+    assert_eq!(caches.position(topic), Some(position(2)));
+    assert!(caches.relayed(topic).is_none());
+}
