Count the bytes of answers before they are kept

Cause: what was read of an answer counted only once it was handed on; room was asked for once, when a request began.

Change: the buffers of answers and heads count as they grow, against the same limit as what is held for clients; when it is reached, answers are passed on as they arrive. The connections to upstreams read 16 KiB at once, so that their buffers stay at 32 KiB.

The check of a body that is too large now names its own error, TooLarge, instead of Broken.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -8,7 +8,6 @@
 
 use std::{
     collections::HashMap,
-    error::Error,
     io::ErrorKind,
     net::SocketAddr,
     sync::{
@@ -20,11 +19,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
+use bytes::{
+    Bytes,
+    BytesMut, //
 };
+use http_body_util::BodyExt;
 use hyper::{
     Request,
     Response,
@@ -58,6 +57,7 @@
 };
 use crate::{
     body::ProxyBody,
+    held_bytes::HeldBytes,
     util::time::SaturatingAdd, //
 };
 
@@ -71,8 +71,8 @@
 /// How long sent data may stay unacknowledged before the connection fails (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The largest body that [`Connections::call`] reads by default, in bytes.
-const CALL_BODY_BYTES_DEFAULT: usize = 64 << 20;
+/// How many bytes of bodies [`Connections::call`] reads at a time by default.
+const CALL_BODY_BYTES_DEFAULT: u64 = 64 << 20;
 
 /// A failure to get the head of an answer, by whether the request may have started.
 #[derive(Debug, Error)]
@@ -105,7 +105,10 @@
     Send(#[from] SendError),
     /// The connection failed in the answer's body, or the body is larger than allowed.
     #[error("the answer's body is incomplete: {0}")]
-    Broken(Box<dyn Error + Send + Sync>),
+    Broken(#[from] hyper::Error),
+    /// The body, with those of other calls, is larger than allowed.
+    #[error("the answer's body is too large")]
+    TooLarge,
 }
 
 /// The request sender of one connection, and the read limit of its stream.
@@ -142,8 +145,9 @@
 pub struct Connections {
     pools: Arc<Mutex<HashMap<SocketAddr, Pool>>>,
     idle_resets: Arc<Mutex<IdleResetDetector>>,
-    /// Maximum size of a body that [`Connections::call`] reads, in bytes.
-    call_body_bytes_max: usize,
+    /// Bytes of the bodies that [`Connections::call`] is reading, of all calls together.
+    call_bodies: HeldBytes,
+    held: HeldBytes,
 }
 
 impl Default for Connections {
@@ -151,7 +155,8 @@
         Self {
             pools: Arc::default(),
             idle_resets: Arc::default(),
-            call_body_bytes_max: CALL_BODY_BYTES_DEFAULT,
+            call_bodies: HeldBytes::new(CALL_BODY_BYTES_DEFAULT),
+            held: HeldBytes::default(),
         }
     }
 }
@@ -184,6 +189,7 @@
         if self.sender.requests.is_closed() {
             return;
         }
+        self.sender.read_limit.end_answer();
         let mut pools = self.connections.lock_pools();
         let idle = &mut pools.entry(self.address).or_default().idle;
         if idle.len() < IDLE_PER_ADDRESS_MAX {
@@ -203,9 +209,16 @@
         Self::default()
     }
 
-    /// Sets the size of the largest body that [`Connections::call`] reads, in bytes.
+    /// Sets how many bytes of bodies [`Connections::call`] reads, in all calls at a time together.
     pub fn with_call_body_max(mut self, bytes: usize) -> Self {
-        self.call_body_bytes_max = bytes;
+        self.call_bodies = HeldBytes::new(bytes as u64);
+        self
+    }
+
+    /// Counts the bytes that new connections buffer in `held`. While that is full, a connection
+    /// fails that receives a long head.
+    pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
+        self.held = held;
         self
     }
 
@@ -252,7 +265,7 @@
             }
         }
         let start = Instant::now();
-        let sender = match connect(address).await {
+        let sender = match connect(address, self.held.clone()).await {
             Ok(sender) => sender,
             Err(cause) => {
                 return Err(SendError::NotSent {
@@ -298,12 +311,25 @@
         }
         let exchange = self.send(address, req).await?;
         let (parts, body) = exchange.res.into_parts();
-        let body = Limited::new(body, self.call_body_bytes_max).collect().await;
-        let bytes = body.map_err(CallError::Broken)?.to_bytes();
+        let bytes = self.read_call_body(body).await?;
         exchange.lease.give_back();
         Ok(Response::from_parts(parts, bytes))
     }
 
+    async fn read_call_body(&self, mut body: Incoming) -> Result<Bytes, CallError> {
+        let (mut read, mut holder) = (BytesMut::new(), self.call_bodies.holder());
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            if !holder.set((read.len() + data.len()) as u64) {
+                return Err(CallError::TooLarge);
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+
     /// Takes the reusable connection that was idle for the shortest time, and returns it with
     /// that time.
     fn take_idle(&self, address: SocketAddr) -> Option<(Sender, Duration)> {
@@ -376,7 +402,7 @@
     matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, String> {
+async fn connect(address: SocketAddr, held: HeldBytes) -> Result<Sender, String> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(e.to_string()),
@@ -385,7 +411,7 @@
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let unacknowledged_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
     sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms).map_err(|e| e.to_string())?;
-    let read_limit = ReadLimit::new();
+    let read_limit = ReadLimit::new(held);
     let stream = LimitedStream::new(stream, read_limit.clone());
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(HEAD_MAX_BYTES)
--- a/src/connection/limited_stream.rs
+++ b/src/connection/limited_stream.rs
@@ -1,4 +1,5 @@
-//! Limits the bytes that an upstream may send before the head of its answer is complete.
+//! Limits the bytes that an upstream may send before the head of its answer is complete, and counts
+//! those that the HTTP client buffers.
 //!
 //! A faulty upstream may send an endless stream of invalid data or of interim responses.
 //! Without a limit, reading it would use the whole bandwidth of the link.
@@ -28,45 +29,102 @@
     net::TcpStream,
 };
 
+use crate::held_bytes::HeldBytes;
+
 /// The most bytes that may be received from the start of a request to the end of its answer's head.
 pub(super) const HEAD_MAX_BYTES: usize = 64 * 1024;
 
+/// The most bytes that are read at once. The HTTP client's buffer grows to twice this size.
+const READ_MAX_BYTES: usize = 16 * 1024;
+/// The most bytes that a connection buffers while an answer's body is read.
+const BODY_BUFFER_BYTES: u64 = 2 * READ_MAX_BYTES as u64;
+
 /// How often a read may find the limit used up before the connection fails. The sender lifts the
 /// limit when it is next scheduled after the head was read.
 const EXHAUSTED_READS_MAX: u32 = 64;
 
-/// The number of bytes that may still be received, shared with the connection's sender.
+/// The number of bytes that may still be received, and the bytes that count as held for the
+/// connection. Shared with the connection's sender.
 #[derive(Clone, Debug)]
-pub(super) struct ReadLimit(Arc<AtomicU64>);
+pub(super) struct ReadLimit(Arc<LimitState>);
+
+#[derive(Debug)]
+struct LimitState {
+    remaining: AtomicU64,
+    counted: AtomicU64,
+    held: HeldBytes,
+}
+
+impl Drop for LimitState {
+    fn drop(&mut self) {
+        self.held.subtract(*self.counted.get_mut());
+    }
+}
 
 impl ReadLimit {
-    pub(super) fn new() -> Self {
-        Self(Arc::new(AtomicU64::new(HEAD_MAX_BYTES as u64)))
+    pub(super) fn new(held: HeldBytes) -> Self {
+        Self(Arc::new(LimitState {
+            remaining: AtomicU64::new(HEAD_MAX_BYTES as u64),
+            counted: AtomicU64::new(0),
+            held,
+        }))
     }
 
     /// Sets the limit for the head of the next answer.
     pub(super) fn limit_head(&self) {
-        self.0.store(HEAD_MAX_BYTES as u64, Ordering::Relaxed);
+        self.set_remaining(HEAD_MAX_BYTES as u64);
     }
 
     /// Lifts the limit for an answer's body, which is read only as fast as it is consumed.
     pub(super) fn lift_limit(&self) {
-        self.0.store(u64::MAX, Ordering::Relaxed);
+        self.set_remaining(u64::MAX);
+        let counted = self.0.counted.load(Ordering::Relaxed);
+        self.count(counted.min(BODY_BUFFER_BYTES));
+    }
+
+    /// Records that the answer has ended, so that nothing is buffered.
+    pub(super) fn end_answer(&self) {
+        self.count(0);
+    }
+
+    fn set_remaining(&self, bytes: u64) {
+        self.0.remaining.store(bytes, Ordering::Relaxed);
     }
 
-    /// Returns the number of bytes that may still be received.
-    fn remaining(&self) -> usize {
-        usize::try_from(self.0.load(Ordering::Relaxed)).unwrap_or(usize::MAX)
+    /// Changes the number of bytes that count as held for the connection.
+    fn count(&self, bytes: u64) {
+        self.0.held.add(bytes);
+        let before = self.0.counted.swap(bytes, Ordering::Relaxed);
+        self.0.held.subtract(before);
     }
 
-    /// Deducts received bytes, unless the limit was lifted meanwhile.
-    fn consume(&self, bytes: usize) {
-        let remaining = self.0.load(Ordering::Relaxed);
-        if remaining != u64::MAX {
-            let remaining = remaining.saturating_sub(bytes as u64);
-            self.0.store(remaining, Ordering::Relaxed);
+    /// Returns the most bytes that the next read may take.
+    fn next_read(&self) -> usize {
+        match self.0.remaining.load(Ordering::Relaxed) {
+            u64::MAX => READ_MAX_BYTES,
+            remaining => {
+                usize::try_from(remaining).map_or(READ_MAX_BYTES, |n| n.min(READ_MAX_BYTES))
+            }
         }
     }
+
+    /// Deducts received bytes, unless the limit was lifted meanwhile, and counts them. Returns
+    /// whether the process may hold them.
+    fn consume(&self, bytes: usize) -> bool {
+        if bytes == 0 {
+            return true;
+        }
+        let remaining = self.0.remaining.load(Ordering::Relaxed);
+        let counted = self.0.counted.load(Ordering::Relaxed) + bytes as u64;
+        if remaining == u64::MAX {
+            self.count(counted.min(BODY_BUFFER_BYTES));
+            return true;
+        }
+        self.set_remaining(remaining.saturating_sub(bytes as u64));
+        self.count(counted);
+        // The first read of an answer may hold a part of the body.
+        counted <= READ_MAX_BYTES as u64 || !self.0.held.is_full()
+    }
 }
 
 /// A TCP stream whose reads fail once the limit is exceeded.
@@ -94,8 +152,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let remaining = self.read_limit.remaining();
-        if remaining == 0 {
+        let next_read = self.read_limit.next_read();
+        if next_read == 0 {
             self.exhausted_reads += 1;
             if self.exhausted_reads > EXHAUSTED_READS_MAX {
                 let cause = format!(
@@ -110,13 +168,16 @@
         self.exhausted_reads = 0;
         // The head and a part of the body may arrive together, so that a longer read does not mean
         // that the head is too large.
-        let mut limited = buf.take(remaining);
+        let mut limited = buf.take(next_read);
         let read = Pin::new(&mut self.stream).poll_read(cx, &mut limited);
         let (initialized, received) = (limited.initialized().len(), limited.filled().len());
         // SAFETY: `limited` is a view of the unfilled part of `buf`, and has initialized these bytes.
         unsafe { buf.assume_init(initialized) };
         buf.advance(received);
-        self.read_limit.consume(received);
+        if !self.read_limit.consume(received) {
+            let cause = "the process holds as many bytes as it may, and the answer's head is long";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::OutOfMemory, cause)));
+        }
         read
     }
 }
--- a/src/edge/connection_limits.rs
+++ b/src/edge/connection_limits.rs
@@ -2,10 +2,7 @@
 
 use std::{
     hint::black_box,
-    sync::{
-        Arc,
-        atomic::Ordering, //
-    },
+    sync::Arc,
     time::Duration, //
 };
 
@@ -137,9 +134,8 @@
         }
         table.sweep(Instant::now());
         metrics.client_connections.set(table.open() as i64);
-        let held = held.load(Ordering::Relaxed);
         metrics
             .held_bytes
-            .set(i64::try_from(held).unwrap_or(i64::MAX));
+            .set(i64::try_from(held.total()).unwrap_or(i64::MAX));
     }
 }
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -95,6 +95,7 @@
         self,
         remove_hop_by_hop, //
     },
+    held_bytes::HeldBytes,
     post::post,
     quarantine::Suspect,
     util::{
@@ -137,7 +138,7 @@
     /// Bytes of request bodies that may be buffered at once.
     pub buffered_bytes_max: u64,
     /// Bytes that are held for clients now, apart from the bodies of their requests.
-    pub held_bytes: Arc<AtomicU64>,
+    pub held_bytes: HeldBytes,
     /// Limits the log lines for answered requests.
     pub answered_lines: LogRateLimit,
     /// Limits the log lines for requests that got no answer from an upstream.
@@ -417,7 +418,8 @@
                 true => TryEnd::Misdirected,
                 false => TryEnd::Shed,
             });
-            let is_whole = matches!(collect(body, until).await, Collected::Whole(_));
+            let collected = collect(body, until, &self.held_bytes).await;
+            let is_whole = matches!(collected, Collected::Whole(_));
             if !head.misdirected && is_whole {
                 return_connection(exchange.lease, &head);
             }
@@ -473,7 +475,7 @@
     ) -> TryOutcome {
         remove_hop_by_hop(&mut parts.headers);
         let until = call.job.deadline.saturating_add(LATE_ANSWER_GRACE);
-        let bytes = match collect(body, until).await {
+        let bytes = match collect(body, until, &self.held_bytes).await {
             Collected::Whole(bytes) => bytes,
             Collected::Partial(read, rest) if is_usable(&parts, &head) => {
                 let suspect = call.job.suspect;
--- a/src/edge/forward/body.rs
+++ b/src/edge/forward/body.rs
@@ -153,7 +153,7 @@
     fn check_memory(&self) -> Result<(), RequestError> {
         // A body's copy on the way to the upstream takes its size again, so that bytes held for
         // clients take room for half as many bytes of bodies.
-        let held = self.held_bytes.load(Ordering::Relaxed) / 2;
+        let held = self.held_bytes.total() / 2;
         let buffered = self.buffered_bytes.load(Ordering::Relaxed);
         match buffered.saturating_add(held) > self.buffered_bytes_max {
             true => Err(RequestError::NotRun(
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -216,7 +216,7 @@
     let gw = Arc::new(Gateway {
         dispatcher: dispatcher.clone(),
         configuration,
-        connections: Connections::new(),
+        connections: Connections::new().with_held_bytes(clients.held()),
         dialect,
         caller_timeouts: Mutex::default(),
         metrics: metrics.clone(),
@@ -392,7 +392,7 @@
     match req.uri().path() {
         METRICS_PATH => operators::metrics_response(gw.metrics.encode()),
         EXPLAIN_PATH => explain(&gw, &req).await,
-        _ => serve_follower(caches, req).await,
+        _ => serve_follower(caches, req, &gw.held_bytes).await,
     }
 }
 
--- a/src/edge/topic_watch.rs
+++ b/src/edge/topic_watch.rs
@@ -13,11 +13,11 @@
     Limited, //
 };
 use hyper::{
-    Method,
-    Request,
-    Response,
-    StatusCode,
-    body::Incoming, //
+    Method, Request, Response, StatusCode,
+    body::{
+        Body,
+        Incoming, //
+    },
 };
 use thiserror::Error;
 use tokio::{
@@ -62,6 +62,7 @@
         CallError,
         Connections, //
     },
+    held_bytes::HeldBytes,
 };
 
 /// The pause after the first failed read; it doubles with each further failure up to
@@ -441,9 +442,20 @@
     Ok(rmp_serde::from_slice(res.body())?)
 }
 
-/// Answers a query of a follower; waits for changes as long as the query allows.
-pub async fn serve_follower(caches: TopicCaches, req: Request<Incoming>) -> Response<ProxyBody> {
+/// Answers a query of a follower; waits for changes as long as the query allows. The query counts as
+/// held while it is read.
+pub async fn serve_follower(
+    caches: TopicCaches,
+    req: Request<Incoming>,
+    held: &HeldBytes,
+) -> Response<ProxyBody> {
     let mut res = Response::new(empty());
+    let declared = req.body().size_hint().exact();
+    let mut holder = held.holder();
+    if !holder.set(declared.unwrap_or(u64::MAX).min(QUERY_BYTES_MAX as u64)) {
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return res;
+    }
     let body = Limited::new(req.into_body(), QUERY_BYTES_MAX).collect();
     let result = match timeout(QUERY_READ_TIMEOUT, body).await {
         Ok(Ok(body)) => {
@@ -460,6 +472,7 @@
             return res;
         }
     };
+    drop(holder);
     match rmp_serde::to_vec(&caches.answer(&query).await) {
         Ok(bytes) => *res.body_mut() = full(bytes),
         Err(e) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod explain;
 pub mod fairness;
 pub mod gateway;
+pub mod held_bytes;
 pub mod host;
 pub mod lease;
 pub mod ledger;
--- a/src/listener/answer.rs
+++ b/src/listener/answer.rs
@@ -27,9 +27,12 @@
 };
 
 use super::disconnect::ReadAheadStream;
-use crate::body::{
-    BodyError,
-    ProxyBody, //
+use crate::{
+    body::{
+        BodyError,
+        ProxyBody, //
+    },
+    held_bytes::HeldBytes,
 };
 
 /// Bodies of at most this many bytes are in memory as a whole before they are sent; longer ones
@@ -40,13 +43,13 @@
 #[derive(Clone, Debug)]
 pub(super) struct HeldCounters {
     pub(super) connection: Arc<AtomicU64>,
-    pub(super) process: Arc<AtomicU64>,
+    pub(super) process: HeldBytes,
 }
 
 impl HeldCounters {
     fn add(&self, bytes: u64) {
         self.connection.fetch_add(bytes, Ordering::Relaxed);
-        self.process.fetch_add(bytes, Ordering::Relaxed);
+        self.process.add(bytes);
     }
 }
 
@@ -80,9 +83,7 @@
         self.counters
             .connection
             .fetch_sub(self.bytes, Ordering::Relaxed);
-        self.counters
-            .process
-            .fetch_sub(self.bytes, Ordering::Relaxed);
+        self.counters.process.subtract(self.bytes);
     }
 }
 
--- a/src/listener/disconnect.rs
+++ b/src/listener/disconnect.rs
@@ -12,7 +12,6 @@
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
-            AtomicU64,
             AtomicUsize,
             Ordering, //
         },
@@ -48,6 +47,7 @@
     limits::Limits,
     table::Registered,
 };
+use crate::held_bytes::HeldBytes;
 
 /// The most bytes that are read ahead on one connection.
 const READ_AHEAD_MAX_BYTES: usize = 16 * 1024;
@@ -80,11 +80,8 @@
         let bytes = self.tracking.bytes() + self.read_ahead.len() as u64;
         match bytes.checked_sub(self.counted) {
             Some(0) => {}
-            Some(more) => drop(self.held.process.fetch_add(more, Ordering::Relaxed)),
-            None => {
-                let less = self.counted - bytes;
-                self.held.process.fetch_sub(less, Ordering::Relaxed);
-            }
+            Some(more) => self.held.process.add(more),
+            None => self.held.process.subtract(self.counted - bytes),
         }
         self.counted = bytes;
     }
@@ -119,7 +116,7 @@
 
 impl Drop for Inner {
     fn drop(&mut self) {
-        self.held.process.fetch_sub(self.counted, Ordering::Relaxed);
+        self.held.process.subtract(self.counted);
     }
 }
 
@@ -129,7 +126,7 @@
 
 impl ReadAheadStream {
     /// Wraps a stream; `held` counts all bytes that the process holds for clients.
-    pub(super) fn new(stream: TcpStream, limits: &Limits, held: Arc<AtomicU64>) -> Self {
+    pub(super) fn new(stream: TcpStream, limits: &Limits, held: HeldBytes) -> Self {
         let mut inner = Inner {
             stream,
             read_ahead: BytesMut::new(),
--- a/src/listener/table.rs
+++ b/src/listener/table.rs
@@ -5,11 +5,10 @@
     fmt,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     time::Duration,
 };
@@ -29,6 +28,7 @@
     },
     limits::Limits,
 };
+use crate::held_bytes::HeldBytes;
 
 /// When a limit is reached, this fraction of it is freed at once, so that a crowd does not need a
 /// choice for each of its connections.
@@ -102,8 +102,7 @@
 pub struct ConnectionTable {
     state: Mutex<State>,
     limits: Mutex<Limits>,
-    held: Arc<AtomicU64>,
-    held_max: AtomicU64,
+    held: HeldBytes,
     on_close: OnClose,
 }
 
@@ -119,8 +118,7 @@
         Self {
             state: Mutex::default(),
             limits: Mutex::new(limits),
-            held: Arc::default(),
-            held_max: AtomicU64::new(limits.held_bytes_max),
+            held: HeldBytes::new(limits.held_bytes_max),
             on_close,
         }
     }
@@ -137,12 +135,11 @@
     /// Changes the limits of new connections.
     pub fn set_limits(&self, limits: Limits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
-        self.held_max
-            .store(limits.held_bytes_max, Ordering::Relaxed);
+        self.held.set_max(limits.held_bytes_max);
     }
 
-    /// Returns the counter of the bytes that are held for clients.
-    pub fn held(&self) -> Arc<AtomicU64> {
+    /// Returns the count of the bytes that are held for clients and for their requests.
+    pub fn held(&self) -> HeldBytes {
         self.held.clone()
     }
 
@@ -175,8 +172,7 @@
 
     /// Returns whether more bytes may be held, after connections were closed for them if needed.
     pub(super) fn has_bytes_left(&self) -> bool {
-        let is_below = self.held.load(Ordering::Relaxed) < self.held_max.load(Ordering::Relaxed);
-        is_below || self.make_room(usize::MAX, Instant::now())
+        !self.held.is_full() || self.make_room(usize::MAX, Instant::now())
     }
 
     /// Closes a batch of connections after the process ran out of descriptors.
@@ -194,10 +190,10 @@
     /// Closes connections if more are open, or more bytes are held, than allowed. Returns whether
     /// there is room then.
     fn make_room(&self, connections_max: usize, now: Instant) -> bool {
-        let bytes_max = self.held_max.load(Ordering::Relaxed);
+        let bytes_max = self.held.max();
         let (open, held) = {
             let state = self.lock();
-            let held = self.held.load(Ordering::Relaxed);
+            let held = self.held.total();
             (state.open(), held.saturating_sub(state.closing_bytes))
         };
         let mut need = Need::default();
--- a/tests/edge_explain.rs
+++ b/tests/edge_explain.rs
@@ -2,7 +2,6 @@
 //! request itself would get. Runs without a network, in virtual time.
 
 #[path = "support/simulated_fleet.rs"]
-#[allow(dead_code, reason = "each test file uses only some of the items")]
 mod simulated_fleet;
 
 use std::{
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -3,6 +3,8 @@
 //! Real dispatchers exchange messages through an in-memory transport with delay and loss.
 //! Upstreams are simulated; they process a request faster if its object is in their cache.
 
+#![allow(dead_code, reason = "each test file uses only some of the items")]
+
 use std::{
     cell::Cell,
     collections::{
