listener: close a connection only when its last answer is delivered

Cause: the host closes the connection when the last byte is in the socket's send buffer. With a request of the client unread, closing the socket resets the connection and drops what is not delivered yet.

Change: after the HTTP server has ended a connection, what the client sends is discarded until everything sent is acknowledged or the client closes, for 10 s at most; a stop waits for it within the grace period. A connection of which everything is acknowledged is closed at once, so that stops take no longer.

The new test failed before with "Connection reset by peer", and passes.

--- a/src/listener.rs
+++ b/src/listener.rs
@@ -8,6 +8,7 @@
 pub mod table;
 
 use std::{
+    convert::Infallible,
     error::Error,
     future::{
         Future,
@@ -51,7 +52,10 @@
         TcpListener,
         TcpStream, //
     },
-    sync::watch,
+    sync::{
+        mpsc,
+        watch, //
+    },
     time::Instant,
 };
 
@@ -76,6 +80,8 @@
 
 /// How long a client may take to send the head of an HTTP/1.1 request.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a connection is kept open after its last answer was written, until that is delivered.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The pause after a failed `accept`, for example with too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Retry-After value of a request that is refused for lack of memory, in seconds.
@@ -115,11 +121,13 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
+    let (alive, mut all_ended) = mpsc::channel(1);
     let acceptor = Acceptor {
         graceful: GracefulShutdown::new(),
         table,
         role,
         handler,
+        alive,
     };
     loop {
         let accepted = tokio::select! {
@@ -134,7 +142,13 @@
         acceptor.serve_accepted(accepted).await;
     }
     drop(listener);
-    acceptor.graceful.shutdown().await;
+    let Acceptor {
+        graceful, alive, ..
+    } = acceptor;
+    drop(alive);
+    graceful.shutdown().await;
+    // Nothing is sent: this waits until the last connection's task has dropped its sender.
+    let _: Option<Infallible> = all_ended.recv().await;
 }
 
 /// Serves the connections of one listener.
@@ -143,6 +157,8 @@
     table: Arc<ConnectionTable>,
     role: ListenerRole,
     handler: H,
+    /// Held by the task of each connection.
+    alive: mpsc::Sender<Infallible>,
 }
 
 impl<H, F> Acceptor<H>
@@ -195,7 +211,7 @@
                         }
                     };
                     drop(guard);
-                    Ok::<_, std::convert::Infallible>(exchange.answer(answer))
+                    Ok::<_, Infallible>(exchange.answer(answer))
                 }
             })
         };
@@ -203,11 +219,17 @@
             .serve_connection(TokioIo::new(stream.clone()), service)
             .into_owned();
         let connection = self.graceful.watch(connection);
-        let connection = CancelOnDisconnect::new(connection, stream.clone(), in_flight, registered);
+        let connection =
+            CancelOnDisconnect::new(connection, stream.clone(), in_flight, self.table.clone());
         let table = self.table.clone();
+        let alive = self.alive.clone();
         let task = tokio::spawn(async move {
+            let (_registered, _alive) = (registered, alive);
             let ended = connection.await;
             let mut violation = stream.take_violation();
+            if ended.is_ok() && violation.is_none() {
+                stream.discard_until_delivered(DELIVERY_TIMEOUT).await;
+            }
             if let Err(e) = ended {
                 if is_body_error(&*e) {
                     stream.reset_when_dropped();
--- a/src/listener/disconnect.rs
+++ b/src/listener/disconnect.rs
@@ -6,7 +6,11 @@
 //! While a request is in flight, received data is therefore read ahead, up to a limit.
 
 use std::{
-    future::Future,
+    ffi::c_int,
+    future::{
+        Future,
+        poll_fn, //
+    },
     io,
     pin::Pin,
     sync::{
@@ -21,12 +25,18 @@
         Poll,
         ready, //
     },
+    time::Duration,
 };
 
 use bytes::{
     Buf,
     BytesMut, //
 };
+use rustix::ioctl::{
+    Getter,
+    Opcode,
+    ioctl, //
+};
 use tokio::{
     io::{
         AsyncRead,
@@ -34,7 +44,10 @@
         ReadBuf, //
     },
     net::TcpStream,
-    time::Instant,
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use super::{
@@ -45,7 +58,7 @@
     answer::HeldCounters,
     eviction::Snapshot,
     limits::Limits,
-    table::Registered,
+    table::ConnectionTable,
 };
 use crate::held_bytes::HeldBytes;
 
@@ -53,6 +66,14 @@
 const READ_AHEAD_MAX_BYTES: usize = 16 * 1024;
 /// Buffer size of a single read, in bytes.
 const READ_CHUNK_BYTES: usize = 2048;
+/// How often it is checked whether an answer has been delivered.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Request of `ioctl` for the number of bytes that were sent and not acknowledged.
+const TIOCOUTQ: Opcode = 0x5411;
+/// The end of the stream counts as one byte until it is acknowledged.
+const END_OF_STREAM_BYTES: c_int = 1;
+/// The most reads of discarded data before other tasks run.
+const READS_PER_TURN_MAX: usize = 16;
 
 /// A client's TCP stream and the data read ahead from it.
 #[derive(Debug)]
@@ -220,6 +241,48 @@
         }
     }
 
+    /// Discards what the client still sends until everything has been delivered to it or it has
+    /// closed the connection, for at most `max`.
+    ///
+    /// Closing a socket with unread data resets the connection, and data that is not delivered yet is
+    /// lost, for example the end of an answer. The HTTP server has closed its sending side before.
+    pub(super) async fn discard_until_delivered(&self, max: Duration) {
+        let end = Instant::now() + max;
+        while Instant::now() < end && self.has_undelivered() {
+            if timeout(DELIVERY_CHECK_INTERVAL, self.discard_until_closed())
+                .await
+                .is_ok()
+            {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether sent bytes are not acknowledged; true if the system does not tell.
+    fn has_undelivered(&self) -> bool {
+        let inner = self.lock();
+        // SAFETY: `TIOCOUTQ` writes one C `int`, whatever the type of the socket.
+        let unacknowledged = unsafe { ioctl(&inner.stream, Getter::<TIOCOUTQ, c_int>::new()) };
+        unacknowledged.map_or(true, |bytes| bytes > END_OF_STREAM_BYTES)
+    }
+
+    async fn discard_until_closed(&self) {
+        poll_fn(|cx| {
+            let mut inner = self.lock();
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            for _ in 0..READS_PER_TURN_MAX {
+                let mut buf = ReadBuf::new(&mut chunk);
+                let read = ready!(Pin::new(&mut inner.stream).poll_read(cx, &mut buf));
+                if read.is_err() || buf.filled().is_empty() {
+                    return Poll::Ready(());
+                }
+            }
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        })
+        .await;
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -353,7 +416,7 @@
     connection: Pin<Box<C>>,
     stream: ReadAheadStream,
     in_flight: InFlightCounter,
-    registered: Registered,
+    table: Arc<ConnectionTable>,
 }
 
 impl<C> CancelOnDisconnect<C> {
@@ -361,13 +424,13 @@
         connection: C,
         stream: ReadAheadStream,
         in_flight: InFlightCounter,
-        registered: Registered,
+        table: Arc<ConnectionTable>,
     ) -> Self {
         Self {
             connection: Box::pin(connection),
             stream,
             in_flight,
-            registered,
+            table,
         }
     }
 }
@@ -384,7 +447,7 @@
             return Poll::Ready(ended);
         }
         // What this client has sent may have used up the bytes; then others or this one are closed.
-        self.registered.table().has_bytes_left();
+        self.table.has_bytes_left();
         if self.in_flight.is_busy() && self.stream.poll_disconnected(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
--- a/src/listener/table.rs
+++ b/src/listener/table.rs
@@ -298,12 +298,6 @@
     pub(super) id: u64,
 }
 
-impl Registered {
-    pub(super) fn table(&self) -> &ConnectionTable {
-        &self.table
-    }
-}
-
 impl Drop for Registered {
     fn drop(&mut self) {
         let mut state = self.table.lock();
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -23,6 +23,7 @@
     },
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     sync::watch,
@@ -96,6 +97,38 @@
     wait_for_running(&running, 0, CANCEL_TIME_MAX).await;
 }
 
+/// Guards against an answer whose end is lost when the server stops: closing a connection with unread
+/// requests resets it, and the client loses what is still on the way.
+#[tokio::test]
+async fn a_stop_delivers_an_answer_to_a_client_that_sent_more_requests() {
+    const ANSWER_BYTES: usize = 4 << 20;
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    let served = tokio::spawn(listener::serve(socket, stopped, async |_, _| {
+        Response::new(full(vec![b'x'; ANSWER_BYTES]))
+    }));
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // The client reads slowly, so that the end of the answer waits in the server's buffer.
+    socket.set_recv_buffer_size(32 * 1024).expect("a buffer");
+    let mut caller = socket.connect(address).await.expect("a connection");
+    caller.write_all(&SLOW.repeat(2)).await.expect("requests");
+    let mut chunk = [0; 32 * 1024];
+    let mut read = caller.read(&mut chunk).await.expect("the answer begins");
+    stop.send_replace(true);
+    caller.write_all(SLOW).await.expect("another request");
+    loop {
+        sleep(Duration::from_millis(1)).await;
+        match caller.read(&mut chunk).await.expect("the rest") {
+            0 => break,
+            len => read += len,
+        }
+    }
+    assert!(read > ANSWER_BYTES, "{read} bytes");
+    drop(caller);
+    served.await.expect("the server ends");
+}
+
 /// Guards against a disconnect that goes unnoticed: the server doesn't read pipelined requests
 /// before the current one is answered, so the end of the stream stays behind unread data.
 #[tokio::test]
