edge: refuse what may not end before a stopping host exits

Callers saw: in a planned stop, requests that came late in the grace period were passed on, ran, and were cut with no answer, among them requests that may not be repeated (a report of other operators). A second fault on the same path: a grace period that was changed in the settings of a running process was not used, so that its stop cut requests that would have ended in time.

Cause: requests were sent to upstreams until the exit, whatever time they needed: one whose head or body arrives slowly, or that waits for a slot, gets past the time until which new connections are accepted. And the shutdown took the bounds from the start of the process.

The shutdown and the answers to look-ups follow a change of the settings.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -38,6 +38,7 @@
 pub mod routing;
 pub mod serve;
 pub mod settings;
+pub mod shutdown;
 pub mod store_era;
 pub mod tasks;
 pub mod topic;
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -212,6 +212,8 @@
     hosts_known_at: Option<Instant>,
     path_chosen: bool,
     leaving: bool,
+    /// When the shutdown began.
+    stopped_at: Option<Instant>,
     rng: SmallRng,
 }
 
@@ -271,6 +273,7 @@
             hosts_known_at: None,
             path_chosen: false,
             leaving: false,
+            stopped_at: None,
             settings,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -507,6 +510,7 @@
     async fn handle(&mut self, _: BeginShutdown, _: &mut Context<Self>) {
         let now = Instant::now();
         self.leaving = true;
+        self.stopped_at.get_or_insert(now);
         self.last_heartbeat_at = None;
         self.peers.leave(now);
         self.send_heartbeat(now);
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -228,6 +228,7 @@
             && !self.evacuated_zones.contains(&u.registration.zone)
             && !waiting.job.tried.contains(&key)
             && !u.is_paused(now)
+            && !self.may_exit_before_end(now, &waiting.job)
             && !self.quarantine.is_refused(now, waiting.job.suspect)
     }
 
@@ -258,14 +259,18 @@
         }
     }
 
-    /// Drops claims that are overdue, whose caller disconnected or whose scheduler changed.
+    /// Drops claims that are overdue, whose caller disconnected or whose scheduler changed, and those
+    /// that this host cannot wait for because it stops.
     pub(super) fn expire_claims(&mut self, now: Instant) {
         let overdue: Vec<RunId> = self
             .claims
             .open
             .iter()
             .filter(|(_, c)| {
-                c.overdue_at <= now || c.is_abandoned() || self.scheduler_changed(now, c)
+                c.overdue_at <= now
+                    || c.is_abandoned()
+                    || self.scheduler_changed(now, c)
+                    || self.may_exit_before_end(now, &c.waiting.job)
             })
             .map(|(run, _)| *run)
             .collect();
--- a/src/edge/dispatcher/queue.rs
+++ b/src/edge/dispatcher/queue.rs
@@ -109,7 +109,7 @@
             self.drop_abandoned(now, waiting);
             return None;
         }
-        waiting = self.refuse_quarantined(now, waiting)?;
+        waiting = self.refuse_unservable(now, waiting)?;
         if !waiting.has_token {
             waiting = self.acquire_token(now, waiting)?;
             if !waiting.has_token {
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -24,6 +24,10 @@
             RunId,
             Started, //
         },
+        forward::{
+            LATE_ANSWER_GRACE,
+            STOPPING_RETRY_AFTER, //
+        },
         log_limit::comma_separated,
         message::{
             AttemptEnded,
@@ -42,6 +46,7 @@
         },
         quota::Debit,
         region_balance,
+        shutdown::ShutdownSchedule,
         upstreams::{
             TryEnd,
             Upstream,
@@ -189,7 +194,7 @@
     /// Looks for a slot in the next domain that may have one. Refuses the request if no domain is
     /// left.
     pub(super) fn find_slot(&mut self, now: Instant, waiting: WaitingRequest) {
-        let Some(mut waiting) = self.refuse_quarantined(now, waiting) else {
+        let Some(mut waiting) = self.refuse_unservable(now, waiting) else {
             return;
         };
         if let Some(until) = self.all_paused_until(now, &waiting.job) {
@@ -521,14 +526,45 @@
         }))
     }
 
-    /// Refuses a request of this host whose fingerprint has crashed too many upstreams since it
-    /// began to wait. Returns the request if it may run.
-    pub(super) fn refuse_quarantined(
+    /// Returns whether this host may exit before a request ends that is sent to an upstream now.
+    pub(super) fn may_exit_before_end(&self, now: Instant, job: &Job) -> bool {
+        let Some(stopped_at) = self.stopped_at else {
+            return false;
+        };
+        let pool = self.upstreams.pool(&job.service);
+        let work = pool.and_then(|p| p.work_of(job.route).longest_seconds());
+        let work = work.map(Duration::from_secs_f64);
+        let deadline = job.deadline.saturating_add(LATE_ANSWER_GRACE);
+        !ShutdownSchedule::new(stopped_at, &self.settings.bounds).lets_end(now, deadline, work)
+    }
+
+    /// Returns the refusal of a request of this host that may not end before the host exits.
+    fn stopping_refusal(
+        &self,
+        now: Instant,
+        waiting: &WaitingRequest,
+    ) -> Option<PlacementDecision> {
+        let is_own = matches!(waiting.requester, Requester::Local(_));
+        if !is_own || !self.may_exit_before_end(now, &waiting.job) {
+            return None;
+        }
+        self.log_refused(now, &waiting.job, RefusalReason::Stopping);
+        Some(PlacementDecision::Refused(Refused {
+            reason: RefusalReason::Stopping,
+            retry_after: STOPPING_RETRY_AFTER,
+        }))
+    }
+
+    /// Refuses a request that must not be sent any more: since it began to wait, its fingerprint has
+    /// crashed too many upstreams, or this host has begun to stop. Returns the request if it may
+    /// run.
+    pub(super) fn refuse_unservable(
         &mut self,
         now: Instant,
         waiting: WaitingRequest,
     ) -> Option<WaitingRequest> {
-        let Some(verdict) = self.quarantine_refusal(now, &waiting.job) else {
+        let refusal = self.quarantine_refusal(now, &waiting.job);
+        let Some(verdict) = refusal.or_else(|| self.stopping_refusal(now, &waiting)) else {
             return Some(waiting);
         };
         if waiting.has_token {
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -27,10 +27,14 @@
     },
 };
 use tokio::{
-    sync::oneshot,
+    sync::{
+        oneshot,
+        watch, //
+    },
     time::{
         Instant,
         sleep,
+        sleep_until,
         timeout_at, //
     },
 };
@@ -106,7 +110,7 @@
 
 /// How long after the deadline an upstream's answer is still accepted; it may be in
 /// transit when the deadline passes.
-const LATE_ANSWER_GRACE: Duration = Duration::from_millis(120);
+pub(super) const LATE_ANSWER_GRACE: Duration = Duration::from_millis(120);
 /// The shortest time in which an upstream can answer; a request with less time left is
 /// not sent.
 const ANSWER_TIME_MIN: Duration = Duration::from_millis(20);
@@ -118,6 +122,8 @@
 const KEY_CHECK_MAX_AGE: Duration = Duration::from_millis(300);
 /// Retry-after value for a caller whose request found no usable upstream.
 pub(super) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-after value of a host that is stopping; the retry goes to another host.
+pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// State shared by all requests of a host.
 pub struct Gateway<D> {
@@ -139,6 +145,8 @@
     pub buffered_bytes_max: u64,
     /// Bytes that are held for clients now, apart from the bodies of their requests.
     pub held_bytes: HeldBytes,
+    /// When the last answers are given, once the host is stopping.
+    pub last_answer_at: watch::Receiver<Option<Instant>>,
     /// Limits the log lines for answered requests.
     pub answered_lines: LogRateLimit,
     /// Limits the log lines for requests that got no answer from an upstream.
@@ -320,6 +328,21 @@
         }
     }
 
+    /// Waits until the host is stopping and the last answers are due.
+    async fn last_answers_due(&self) {
+        let mut last_answer_at = self.last_answer_at.clone();
+        loop {
+            let Ok(at) = last_answer_at.wait_for(Option::is_some).await.map(|at| *at) else {
+                return std::future::pending().await;
+            };
+            tokio::select! {
+                () = sleep_until(at.unwrap_or_else(Instant::now)) => return,
+                // The grace period has changed.
+                Ok(()) = last_answer_at.changed() => {}
+            }
+        }
+    }
+
     /// Returns the configuration to check keys against. Fails while it may lack the withdrawal of
     /// a key.
     async fn confirmed_configuration(&self) -> Result<Arc<Configuration>, RequestError> {
--- a/src/edge/forward/body.rs
+++ b/src/edge/forward/body.rs
@@ -21,9 +21,11 @@
 
 use super::{
     BUSY_RETRY_AFTER,
-    Gateway, //
+    Gateway,
+    STOPPING_RETRY_AFTER, //
 };
 use crate::edge::{
+    dialect::Dialect,
     message::RefusalReason,
     request_error::RequestError, //
 };
@@ -98,7 +100,7 @@
     }
 }
 
-impl<D> Gateway<D> {
+impl<D: Dialect> Gateway<D> {
     /// Reads a request's body into memory. Fails if the body is too long, the buffers of
     /// the host are full, or the body is not complete by the deadline.
     pub(super) async fn read_body(
@@ -117,7 +119,16 @@
         if body.is_end_stream() {
             return Ok((Bytes::new(), buffered));
         }
-        match timeout_at(deadline, self.collect_body(body, max_bytes, &mut buffered)).await {
+        let whole = tokio::select! {
+            whole = timeout_at(deadline, self.collect_body(body, max_bytes, &mut buffered)) => whole,
+            () = self.last_answers_due() => {
+                return Err(RequestError::NotRun(
+                    RefusalReason::Stopping,
+                    STOPPING_RETRY_AFTER,
+                ));
+            }
+        };
+        match whole {
             Ok(Ok(whole)) => Ok((whole, buffered)),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(RequestError::NotRun(RefusalReason::Busy, BUSY_RETRY_AFTER)),
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -210,6 +210,8 @@
     Quarantine,
     /// The limit for buffered bodies is reached.
     Memory,
+    /// The host is stopping, and may exit before the request ends.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -224,6 +226,7 @@
             Self::TriesExhausted => "tries",
             Self::Quarantine => "quarantine",
             Self::Memory => "memory",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/src/edge/object_recency.rs
+++ b/src/edge/object_recency.rs
@@ -98,6 +98,11 @@
         *mean = Some(previous + (sample - previous) * SAMPLE_WEIGHT);
     }
 
+    /// Returns the longest mean work of the positions, in seconds; `None` before the first answer.
+    pub fn longest_seconds(&self) -> Option<f64> {
+        self.means.iter().copied().flatten().reduce(f64::max)
+    }
+
     /// Returns the expected work for an object at this position, in seconds.
     pub fn expected_seconds(&self, list_index: Option<usize>) -> f64 {
         let class = class(list_index);
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -32,11 +32,13 @@
         mpsc,
         watch, //
     },
+    task::JoinHandle,
     time::{
+        Instant,
         MissedTickBehavior,
         interval,
         sleep,
-        timeout, //
+        sleep_until, //
     },
 };
 use xtra::{
@@ -79,6 +81,7 @@
     model::ClientLimits,
     relay::TopicCaches,
     settings::Settings,
+    shutdown::ShutdownSchedule,
     tasks::{
         TaskEnded,
         Tasks, //
@@ -132,12 +135,6 @@
 const OUTGOING_QUEUE_MAX: usize = 1024;
 /// The pause after a failed registration.
 const REGISTER_RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Callers may use the answer to a look-up for up to this many times its time to live.
-const LOOKUP_TTL_OVERRUN: u32 = 3;
-/// A stopping host accepts new connections for at most the grace period divided by this.
-const LINGER_DIVISOR: u32 = 2;
-/// How long before the end of the grace period a stopping host exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
 /// A failure to start or run the daemon.
 #[derive(Debug, Error)]
@@ -213,6 +210,7 @@
     let (address, mailbox) = Mailbox::unbounded();
     tasks.spawn("dispatcher", xtra::run(mailbox, dispatcher));
     let dispatcher: Address<Dispatcher> = address;
+    let (last_answer_at, last_answer_at_rx) = watch::channel(None);
     let gw = Arc::new(Gateway {
         dispatcher: dispatcher.clone(),
         configuration,
@@ -223,6 +221,7 @@
         buffered_bytes: Arc::default(),
         buffered_bytes_max: (settings.memory_bytes as f64 * BODY_MEMORY_FRACTION) as u64,
         held_bytes: clients.held(),
+        last_answer_at: last_answer_at_rx,
         answered_lines: LogRateLimit::default(),
         ended_lines: LogRateLimit::default(),
     });
@@ -253,7 +252,7 @@
         register(source, settings.clone(), caches.clone()),
     );
     spawn_peer_tasks(&mut tasks, &dispatcher, socket, outgoing_rx);
-    let ttl = settings.bounds.lookup_ttl;
+    let (settings_tx, current_settings) = watch::channel(settings.clone());
     // Look-ups and readiness are answered until the process ends.
     let (_open_tx, open) = watch::channel(false);
     let peer_gw = gw.clone();
@@ -267,8 +266,10 @@
         ("look-ups' listener", lookups),
     ] {
         let (gw, table) = (gw.clone(), clients.clone());
+        let settings = current_settings.clone();
         let listener =
             listener::serve_limited(listener, open.clone(), table, others, move |req, _| {
+                let ttl = settings.borrow().bounds.lookup_ttl;
                 serve_platform(gw.clone(), req, ttl)
             });
         tasks.spawn(name, listener);
@@ -296,7 +297,7 @@
     );
     tasks.spawn(
         "settings reload",
-        reload(settings.clone(), dispatcher.clone(), load),
+        reload(settings_tx, dispatcher.clone(), load),
     );
     let failure = tokio::select! {
         signal = wait_for_stop_signal() => {
@@ -318,24 +319,70 @@
     if dispatcher.send(BeginShutdown).await.is_err() {
         log::error!(event = "actor-gone"; "");
     }
-    let grace = settings.bounds.grace;
     // A process that cannot place requests takes no more connections.
-    let linger = match failure {
-        None => (ttl * LOOKUP_TTL_OVERRUN).min(grace / LINGER_DIVISOR),
-        Some(_) => Duration::ZERO,
+    let lingers = failure.is_none();
+    let shutdown = Shutdown {
+        stopped_at: Instant::now(),
+        settings: current_settings,
+        last_answer_at,
     };
-    sleep(linger).await;
-    stop.send_replace(true);
-    let drain_time = grace.saturating_sub(linger + EXIT_MARGIN);
-    if !serving.is_finished() {
-        match timeout(drain_time, serving).await {
-            Ok(_) => log::info!(event = "stopped", host:% = settings.host; ""),
-            Err(_) => log::warn!(event = "stopped-busy", host:% = settings.host; ""),
-        }
+    let is_idle = shutdown.complete(serving, stop, lingers).await;
+    match is_idle {
+        true => log::info!(event = "stopped", host:% = settings.host; ""),
+        false => log::warn!(event = "stopped-busy", host:% = settings.host; ""),
     }
     failure.map_or(Ok(()), |ended| Err(ended.into()))
 }
 
+/// A shutdown in progress. The settings may still change, also the grace period.
+struct Shutdown {
+    stopped_at: Instant,
+    settings: watch::Receiver<Arc<Settings>>,
+    last_answer_at: watch::Sender<Option<Instant>>,
+}
+
+impl Shutdown {
+    fn schedule(&mut self) -> ShutdownSchedule {
+        let schedule =
+            ShutdownSchedule::new(self.stopped_at, &self.settings.borrow_and_update().bounds);
+        self.last_answer_at
+            .send_replace(Some(schedule.last_answer_at()));
+        schedule
+    }
+
+    /// Waits until a time of the schedule, which is computed again when the settings change.
+    async fn wait_until(&mut self, time: impl Fn(ShutdownSchedule) -> Instant) {
+        loop {
+            let until = time(self.schedule());
+            tokio::select! {
+                () = sleep_until(until) => return,
+                Ok(()) = self.settings.changed() => {}
+            }
+        }
+    }
+
+    /// Ends the listener of the callers, after the linger time if the host `lingers`. Returns
+    /// whether all connections have ended before the exit.
+    async fn complete(
+        mut self,
+        mut serving: JoinHandle<()>,
+        stop: watch::Sender<bool>,
+        lingers: bool,
+    ) -> bool {
+        if lingers {
+            self.wait_until(|schedule| schedule.linger_until).await;
+        }
+        stop.send_replace(true);
+        if serving.is_finished() {
+            return true;
+        }
+        tokio::select! {
+            _ = &mut serving => true,
+            () = self.wait_until(|schedule| schedule.exit_at) => false,
+        }
+    }
+}
+
 fn spawn_peer_tasks(
     tasks: &mut Tasks,
     dispatcher: &Address<Dispatcher>,
@@ -433,7 +480,7 @@
 /// change; the name, zone, addresses and all other settings keep their values from
 /// the start.
 async fn reload<L: Fn() -> Option<Settings>>(
-    mut settings: Arc<Settings>,
+    settings: watch::Sender<Arc<Settings>>,
     dispatcher: Address<Dispatcher>,
     load: L,
 ) {
@@ -454,16 +501,15 @@
         };
         let loaded = Settings {
             bounds: loaded.bounds,
-            ..Settings::clone(&settings)
+            ..Settings::clone(&settings.borrow())
         };
-        if loaded == *settings {
+        if loaded == **settings.borrow() {
             continue;
         }
         log::info!(event = "settings-reloaded"; "");
-        settings = Arc::new(loaded);
-        let msg = Reload {
-            settings: settings.clone(),
-        };
+        let loaded = Arc::new(loaded);
+        settings.send_replace(loaded.clone());
+        let msg = Reload { settings: loaded };
         if dispatcher.send(msg).await.is_err() {
             return;
         }
