edge: keep the slot of a run whose grant arrives twice

Cause: a grant without an open claim was taken for one that came too late, and its slot was released. A second copy of a grant, whose claim has been answered by the first one, released the slot of a run that was at work, so that the scheduler gave it to another request. Found while looking for replies that are taken for others.

Change: a grant for a run that is at work is ignored.

Evidence: the new test failed before (the host reported the run as abandoned) and passes.

--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -177,6 +177,10 @@
             );
             return;
         }
+        if self.local_runs.contains_key(&msg.run) {
+            // The same grant has arrived before, and its slot is in use.
+            return;
+        }
         let Some(mut pending) = self.claims.open.remove(&msg.run) else {
             // The claim was dropped in the meantime, so a granted slot is released.
             if let ClaimOutcome::Granted { upstream, .. } = msg.outcome {
--- a/tests/edge_process_restart.rs
+++ b/tests/edge_process_restart.rs
@@ -1,5 +1,6 @@
 //! A process of a host or of an upstream ends, and the next one has the same name. Messages of, to
-//! and about the ended process arrive at the next one, or after its first message.
+//! and about the ended process arrive at the next one, or after its first message. Or a message
+//! arrives twice.
 
 #[path = "support/simulated_fleet.rs"]
 mod simulated_fleet;
@@ -172,6 +173,28 @@
     }
 }
 
+/// Guards against a slot that is given to others while it is in use: a second copy of its grant was
+/// taken for one that came too late, and the slot was released.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_grant_does_not_release_its_slot() {
+    let (fleet, scheduler, host) = start_partitioned().await;
+    let verdict = host.submit(fleet.job(1)).await;
+    let grant = ClaimOutcome::Granted {
+        upstream: own_upstream(),
+        place: None,
+        load: 0,
+    };
+    host.receive(reply(&scheduler, PROCESS, grant)).await;
+    let placed = verdict.await.expect("a verdict");
+    assert!(matches!(placed, PlacementDecision::Send(_)));
+    host.receive(reply(&scheduler, PROCESS, grant)).await;
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    let sent = scheduler.take_undelivered();
+    let is_end = |msg: &Datagram| matches!(msg, Datagram::Finished(_));
+    assert!(!sent.iter().any(is_end), "{sent:?}");
+    drop(placed);
+}
+
 /// Guards against slots that are granted to processes that have ended, and freed by their late
 /// messages while the next process uses them.
 #[tokio::test(start_paused = true)]
