--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -535,7 +535,7 @@
         let work = pool.and_then(|p| p.work_of(job.route).longest_seconds());
         let work = work.map(Duration::from_secs_f64);
         let deadline = job.deadline.saturating_add(LATE_ANSWER_GRACE);
-        !ShutdownSchedule::new(stopped_at, &self.settings.bounds).lets_end(now, deadline, work)
+        !ShutdownSchedule::new(stopped_at, &self.settings.bounds).ends_in_time(now, deadline, work)
     }
 
     /// Returns the refusal of a request of this host that may not end before the host exits.
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -245,6 +245,7 @@
         }
         let mut routed = route(&cfg, &parts, &head);
         let confirmed;
+        // A key may be missing on a route that needs none any more.
         if head.key.is_none() && matches!(routed, Err(RequestError::Key)) {
             confirmed = self.confirmed_configuration().await?;
             routed = route(&confirmed, &parts, &head);
--- a/src/edge/shutdown.rs
+++ b/src/edge/shutdown.rs
@@ -53,7 +53,7 @@
     ///
     /// After the linger time the deadline alone counts, since the requests that come then have been
     /// held up.
-    pub fn lets_end(&self, now: Instant, deadline: Instant, work: Option<Duration>) -> bool {
+    pub fn ends_in_time(&self, now: Instant, deadline: Instant, work: Option<Duration>) -> bool {
         let last_answer_at = self.last_answer_at();
         if deadline <= last_answer_at {
             return true;
--- a/tests/edge_shutdown.rs
+++ b/tests/edge_shutdown.rs
@@ -32,12 +32,12 @@
     let at = |ms| start + Duration::from_millis(ms);
     let work = |ms| Some(Duration::from_millis(ms));
     let stop = schedule(start, Duration::from_secs(6));
-    assert!(stop.lets_end(at(0), at(2000), None));
-    assert!(!stop.lets_end(at(0), at(9000), None));
-    assert!(stop.lets_end(at(1000), at(9000), work(500)));
-    assert!(!stop.lets_end(at(1000), at(9000), work(2000)));
+    assert!(stop.ends_in_time(at(0), at(2000), None));
+    assert!(!stop.ends_in_time(at(0), at(9000), None));
+    assert!(stop.ends_in_time(at(1000), at(9000), work(500)));
+    assert!(!stop.ends_in_time(at(1000), at(9000), work(2000)));
     // Held up until new connections are no longer accepted.
-    assert!(!stop.lets_end(at(3100), at(9000), work(100)));
-    assert!(stop.lets_end(at(3100), at(5500), work(100)));
-    assert!(schedule(start, Duration::from_secs(12)).lets_end(at(1000), at(9000), work(2000)));
+    assert!(!stop.ends_in_time(at(3100), at(9000), work(100)));
+    assert!(stop.ends_in_time(at(3100), at(5500), work(100)));
+    assert!(schedule(start, Duration::from_secs(12)).ends_in_time(at(1000), at(9000), work(2000)));
 }
