--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -16,7 +16,7 @@
     Outcome, Record,
     host::{Host, SIGTERM},
     http::Reader,
-    server::{Server, sound},
+    server::{Server, sound, work},
     store::Store,
 };
 
@@ -118,29 +118,29 @@
     late.is_none()
 }
 
-/// A lookup of the load, as its client saw it.
+/// A request of the load, as its client saw it.
 #[derive(Clone, Debug)]
-struct Lookup {
+struct Sent {
     at: Instant,
     status: u16,
     host: usize,
 }
 
-/// Clients that send lookups to hosts on kept connections until they are stopped.
+/// Clients that send lookups or bookings to hosts on kept connections until they are stopped.
 struct Load {
     stop: Arc<AtomicBool>,
-    clients: Vec<thread::JoinHandle<HashMap<String, Lookup>>>,
+    clients: Vec<thread::JoinHandle<HashMap<String, Sent>>>,
 }
 
 impl Load {
-    fn start(hosts: &[Host], clients_per_host: usize) -> Self {
+    fn start(hosts: &[Host], lookups_per_host: usize, bookings_per_host: usize) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let mut clients = Vec::new();
         for (n, host) in hosts.iter().enumerate() {
-            for client in 0..clients_per_host {
+            for client in 0..lookups_per_host + bookings_per_host {
                 let (address, stop) = (host.frontend(), stop.clone());
                 clients.push(thread::spawn(move || {
-                    Self::client(n, address, client, &stop)
+                    Self::client(n, address, client, client >= lookups_per_host, &stop)
                 }));
             }
         }
@@ -151,8 +151,9 @@
         host: usize,
         address: SocketAddr,
         client: usize,
+        books: bool,
         stop: &AtomicBool,
-    ) -> HashMap<String, Lookup> {
+    ) -> HashMap<String, Sent> {
         let mut sent = HashMap::new();
         while !stop.load(Ordering::Relaxed) {
             let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
@@ -165,13 +166,16 @@
             while !stop.load(Ordering::Relaxed) {
                 let n = sent.len();
                 let id = format!("h{host}c{client}n{n}");
-                let text = lookup(&id, (n * 7 + client * 13) % 97);
+                let text = match books {
+                    true => booking(&id, &format!("/book/{id}"), "visit"),
+                    false => lookup(&id, (n * 7 + client * 13) % 97),
+                };
                 let at = Instant::now();
                 if reader.stream.write_all(text.as_bytes()).is_err() {
                     break;
                 }
                 let status = status(&mut reader);
-                sent.insert(id, Lookup { at, status, host });
+                sent.insert(id, Sent { at, status, host });
                 if status == 0 {
                     break;
                 }
@@ -182,18 +186,18 @@
     }
 
     /// Stops the clients; returns what they have sent, by request id.
-    fn end(self, record: &mut Record) -> HashMap<String, Lookup> {
+    fn end(self, record: &mut Record) -> HashMap<String, Sent> {
         self.stop.store(true, Ordering::Relaxed);
         let mut sent = HashMap::new();
         for client in self.clients {
             sent.extend(client.join().expect("a client ends"));
         }
         let mut statuses: HashMap<u16, usize> = HashMap::new();
-        for lookup in sent.values() {
-            *statuses.entry(lookup.status).or_default() += 1;
+        for request in sent.values() {
+            *statuses.entry(request.status).or_default() += 1;
         }
         record.note(&format!(
-            "{} lookups; how often each status came: {statuses:?}",
+            "{} requests of the load; how often each status came: {statuses:?}",
             sent.len()
         ));
         sent
@@ -203,10 +207,10 @@
 /// Counts the requests that reached servers later than `drain` after their leaving was acknowledged.
 fn requests_after_drain(
     left: &[(Server, Instant)],
-    sent: &HashMap<String, Lookup>,
+    sent: &HashMap<String, Sent>,
     record: &mut Record,
 ) -> usize {
-    let mut late_count = 0;
+    let (mut late_count, mut lost_count) = (0, 0);
     for (server, left_at) in left {
         let arrivals = server.arrivals();
         let after: Vec<_> = arrivals.iter().filter(|a| a.at > *left_at).collect();
@@ -235,7 +239,15 @@
             ));
         }
         late_count += late.len();
+        lost_count += late
+            .iter()
+            .filter(|a| sent.get(&a.id).is_some_and(|s| s.status != 200))
+            .count();
     }
+    record.note(&format!(
+        "{late_count} requests reached servers later than {DRAIN:?} after they left; {lost_count} of \
+         them got no answer of a server"
+    ));
     late_count
 }
 
@@ -251,6 +263,7 @@
         let (crashes, own) = (crashes.clone(), server.clone());
         server.set_script(Arc::new(move |head, _, out| {
             if !head.line.contains("/book/poison") {
+                work(head);
                 return out.write_all(&sound(head, &own.id)).is_ok();
             }
             let id = head.get("request-id").unwrap_or("").to_owned();
@@ -269,6 +282,7 @@
 fn check_late_retries(
     crashes: &[Crash],
     sent: &HashMap<String, Instant>,
+    load: &HashMap<String, Sent>,
     record: &mut Record,
 ) -> Outcome {
     let Some((third, ..)) = crashes.get(2) else {
@@ -290,6 +304,13 @@
         crashes.len(),
         late.len()
     ));
+    let lost = load
+        .values()
+        .filter(|s| s.at > *third + STABILITY_WINDOW && s.status == 502);
+    record.note(&format!(
+        "{} bookings of other clients, sent later than that, ended with 502",
+        lost.count()
+    ));
     match late.len() > LATE_RETRIES_MAX {
         true => Outcome::Broken,
         false => Outcome::Held,
@@ -328,6 +349,7 @@
     }
     sleep(Duration::from_secs(8));
     record.note("three machines, one in each zone, have been ready for 8 s");
+    let load = Load::start(&hosts, 0, 3);
     let known: Vec<_> = hosts
         .iter()
         .map(|host| host.resolve("trung-a", "trung"))
@@ -353,13 +375,16 @@
         }
         sleep(STABILITY_WINDOW);
     }
+    let load = load.end(record);
     let crashes = crashes.lock().expect("no panic holds the lock").clone();
-    check_late_retries(&crashes, &sent, record)
+    check_late_retries(&crashes, &sent, &load, record)
 }
 
 /// DRAIN: a server leaves without reporting it, as the store cuts off the watches that wait.
 fn cut_watches(trouble: bool, record: &mut Record) -> Outcome {
     const LEAVING: usize = 8;
+    /// How long a server serves after its entry is removed: `drain` and a little longer.
+    const SERVES_ON: Duration = Duration::from_millis(2800);
     let store = Store::start();
     store.put("config", "main", &configuration(1));
     let mut servers = Vec::new();
@@ -380,7 +405,7 @@
     }
     sleep(Duration::from_secs(5));
     record.note("three machines have been ready for 5 s");
-    let load = Load::start(&hosts, 6);
+    let load = Load::start(&hosts, 4, 4);
     sleep(Duration::from_secs(2));
     let mut left: Vec<(Server, Instant)> = Vec::new();
     for n in 0..LEAVING {
@@ -396,6 +421,11 @@
         let old = servers.remove(0);
         store.remove("servers", &old.id);
         left.push((old.clone(), Instant::now()));
+        let leaving = old.clone();
+        thread::spawn(move || {
+            sleep(SERVES_ON);
+            leaving.exit();
+        });
         if trouble {
             sleep(Duration::from_millis(200));
             store.cut_watches();
@@ -430,6 +460,7 @@
     }
     sleep(Duration::from_secs(6));
     record.note("twelve machines have been ready for 6 s");
+    let load = Load::start(&hosts, 0, 2);
     let start = Instant::now();
     let mut clients = Vec::new();
     for (k, host) in hosts.iter().enumerate() {
@@ -459,8 +490,9 @@
             *statuses.entry(status).or_default() += 1;
         }
     }
+    let load = load.end(record);
     record.note(&format!(
-        "{} bookings; how often each status came: {statuses:?}",
+        "{} times the request was sent; how often each status came: {statuses:?}",
         sent.len()
     ));
     let crashes = crashes.lock().expect("no panic holds the lock").clone();
@@ -476,7 +508,7 @@
             false => Outcome::CouldNotRun,
         };
     }
-    check_late_retries(&crashes, &sent, record)
+    check_late_retries(&crashes, &sent, &load, record)
 }
 
 /// DRAIN: another writer overwrites the entry of a draining server by one without `born` and
@@ -504,7 +536,7 @@
     }
     sleep(Duration::from_secs(5));
     record.note("three machines have been ready for 5 s");
-    let load = Load::start(&hosts, 6);
+    let load = Load::start(&hosts, 6, 0);
     sleep(Duration::from_secs(2));
     let mut left: Vec<(Server, Instant)> = Vec::new();
     for n in 0..LEAVING {
--- a/review/stand-3/server.rs
+++ b/review/stand-3/server.rs
@@ -16,6 +16,9 @@
 /// How long a server is down after a crash.
 const DOWN_TIME: Duration = Duration::from_secs(3);
 
+/// How long a server works on a booking.
+const BOOKING_WORK: Duration = Duration::from_millis(150);
+
 /// A request that reached the server.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -35,6 +38,15 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     script: Arc<Mutex<Script>>,
     crashed: Arc<AtomicBool>,
+    /// Whether the server does not start again after its process has ended.
+    is_gone: Arc<AtomicBool>,
+}
+
+/// Works on a request: a booking takes a while.
+pub fn work(head: &Head) {
+    if head.line.starts_with("POST") {
+        thread::sleep(BOOKING_WORK);
+    }
 }
 
 /// A sound answer: 200 with the stamp and a body that tells the request's id.
@@ -54,14 +66,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let stamp = id.to_owned();
-        let script: Script =
-            Arc::new(move |head, _, out| out.write_all(&sound(head, &stamp)).is_ok());
+        let script: Script = Arc::new(move |head, _, out| {
+            work(head);
+            out.write_all(&sound(head, &stamp)).is_ok()
+        });
         let server = Self {
             id: id.to_owned(),
             address,
             arrivals: Arc::default(),
             script: Arc::new(Mutex::new(script)),
             crashed: Arc::default(),
+            is_gone: Arc::default(),
         };
         let shared = server.clone();
         thread::spawn(move || shared.listen(listener));
@@ -74,6 +89,9 @@
         let mut listener = Some(listener);
         loop {
             let Some(open) = listener.take() else {
+                if self.is_gone.load(Ordering::SeqCst) {
+                    return;
+                }
                 thread::sleep(DOWN_TIME);
                 self.crashed.store(false, Ordering::SeqCst);
                 listener = TcpListener::bind(address).ok();
@@ -104,6 +122,12 @@
         self.crashed.store(true, Ordering::SeqCst);
     }
 
+    /// Ends the server's process for good.
+    pub fn exit(&self) {
+        self.is_gone.store(true, Ordering::SeqCst);
+        self.crash();
+    }
+
     pub fn set_script(&self, script: Script) {
         *self.script.lock().expect("no panic holds the lock") = script;
     }
