edge: ask the scheduler again when a granted upstream has left

Cause: the scheduler went on granting slots of an upstream that its followers knew to have left. They declined the grant, and the request then counted the whole domain as full and tried no other upstream of it.

Change: the request claims again, and the host's claims exclude the upstream for 2 s or until it is registered as ready. The exclusion is the claiming host's own, so that a host with outdated data takes no slots from others.

Evidence: a_request_tries_other_upstreams_when_a_granted_one_has_left failed before ("0: Refused(Busy, 2ms)") and passes; the other 12 tests of tests/edge_scheduling.rs pass.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -105,7 +105,10 @@
     rollback::Rollback,
     settings::Settings,
     topic_watch::UpdateSource,
-    upstreams::Upstreams,
+    upstreams::{
+        UpstreamKey,
+        Upstreams, //
+    },
 };
 use crate::{
     quarantine::Quarantine,
@@ -168,6 +171,9 @@
     runs: Runs,
     /// Requests waiting for a slot from another host's scheduler.
     claims: Claims,
+    /// Upstreams whose slots this host has declined, with the time until which its claims exclude
+    /// them.
+    declined_upstreams: HashMap<UpstreamKey, Instant>,
     /// Runs in progress that this host sent to upstreams.
     local_runs: HashMap<RunId, LocalRun>,
     next_run: u32,
@@ -241,6 +247,7 @@
             peers: Peers::new(host_registration(&settings), settings.regions.clone()),
             runs: Runs::default(),
             claims: Claims::default(),
+            declined_upstreams: HashMap::new(),
             local_runs: HashMap::new(),
             next_run: 0,
             quotas: Quotas::default(),
@@ -317,6 +324,7 @@
         self.choose_path(now);
         self.update_shares(now);
         self.upstreams.probe_limits(now);
+        self.declined_upstreams.retain(|_, until| now < *until);
         self.expire_claims(now);
         self.drain_queue(now, None);
     }
--- a/src/edge/dispatcher/claims.rs
+++ b/src/edge/dispatcher/claims.rs
@@ -45,6 +45,9 @@
 const MISSED_REPLIES_MAX: u32 = 2;
 /// How long a silent scheduler is sent no claims.
 const SILENT_BACKOFF: Duration = Duration::from_millis(500);
+/// How long claims exclude an upstream whose slot was declined. By then the scheduler knows, too,
+/// that it is unusable.
+const DECLINED_KEPT: Duration = Duration::from_secs(2);
 /// Margin added to the queueing time announced by the scheduler.
 const QUEUE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -208,7 +211,7 @@
                 let is_overdue = now >= pending.overdue_at;
                 if is_overdue || !self.may_send(now, upstream, &pending.waiting) {
                     self.release_slot(msg.from.host.clone(), msg.run, upstream);
-                    return self.try_next_domain(now, pending.waiting);
+                    return self.decline_grant(now, pending.waiting, upstream, is_overdue);
                 }
                 let place = place.map(|p| p as usize);
                 self.send_to(now, pending.waiting, upstream, msg.run, Some((place, load)));
@@ -219,21 +222,44 @@
     /// Returns whether a granted request is still wanted and the upstream is usable according to
     /// this host's own state.
     fn may_send(&self, now: Instant, key: UpstreamKey, waiting: &WaitingRequest) -> bool {
+        !waiting.is_abandoned()
+            && self.is_usable(now, key, waiting)
+            && !self.may_exit_before_end(now, &waiting.job)
+            && !self.quarantine.is_refused(now, waiting.job.suspect)
+    }
+
+    /// Returns whether this host's own state permits to send a request to an upstream.
+    fn is_usable(&self, now: Instant, key: UpstreamKey, waiting: &WaitingRequest) -> bool {
         let Some(u) = self.upstreams.get(&waiting.job.service, key) else {
             return false;
         };
-        let is_wanted = match &waiting.requester {
-            Requester::Local(reply) => !reply.is_closed(),
-            Requester::Remote(..) => true,
-        };
-        is_wanted
-            && u.registration.standing == Standing::Ready
+        u.registration.standing == Standing::Ready
             && !u.is_replaced()
             && !self.evacuated_zones.contains(&u.registration.zone)
             && !waiting.job.tried.contains(&key)
             && !u.is_paused(now)
-            && !self.may_exit_before_end(now, &waiting.job)
-            && !self.quarantine.is_refused(now, waiting.job.suspect)
+    }
+
+    /// Looks for another slot for a request whose granted one is not used. If the scheduler does not
+    /// know yet that the upstream is unusable, the request tries the other upstreams of the domain.
+    fn decline_grant(
+        &mut self,
+        now: Instant,
+        waiting: WaitingRequest,
+        key: UpstreamKey,
+        is_overdue: bool,
+    ) {
+        if waiting.is_abandoned() {
+            return self.drop_abandoned(now, waiting);
+        }
+        if is_overdue || now >= waiting.expires_at || self.is_usable(now, key, &waiting) {
+            return self.try_next_domain(now, waiting);
+        }
+        if self.refused_log_budget.allows("grant-declined") {
+            log::info!(event = "grant-declined", id:% = waiting.job.id, upstream = key; "");
+        }
+        self.declined_upstreams.insert(key, now + DECLINED_KEPT);
+        self.find_slot(now, waiting);
     }
 
     /// Looks for slots again for the claims that an earlier process of a scheduler has queued.
--- a/src/edge/dispatcher/notices.rs
+++ b/src/edge/dispatcher/notices.rs
@@ -114,12 +114,14 @@
         }
     }
 
-    /// Returns the upstreams that this host must not send a request to.
+    /// Returns the upstreams that this host must not send a request to, with those whose slots it
+    /// has declined recently.
     pub(super) fn excluded_for_own(&self, now: Instant, job: &Job) -> ExcludedUpstreams {
         let mut excluded: ExcludedUpstreams = job.tried.iter().copied().collect();
         let pool = self.upstreams.pool(&job.service);
         let paused = pool.iter().flat_map(|p| &p.upstreams);
         excluded.extend(paused.filter(|u| u.is_paused(now)).map(|u| u.key));
+        excluded.extend(self.declined_upstreams.keys().copied());
         excluded
     }
 
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -19,13 +19,15 @@
         },
         model::{
             ConfigVersion,
-            Configuration, //
+            Configuration,
+            Standing, //
         },
         topic::{
             Change,
             Record,
             Topic, //
         },
+        upstreams::key_of,
     },
     util::id::{
         HostName,
@@ -132,6 +134,9 @@
             }
             Some(Record::Upstream(entry)) => {
                 self.pending_removals.remove(&entry.id);
+                if entry.standing == Standing::Ready {
+                    self.declined_upstreams.remove(&key_of(&entry.id));
+                }
                 let cfg = self.configuration.load_full();
                 let service = cfg.as_ref().and_then(|c| c.services.get(&entry.service));
                 self.upstreams.register(now, *entry, service);
--- a/tests/edge_scheduling.rs
+++ b/tests/edge_scheduling.rs
@@ -7,7 +7,14 @@
 
 use std::time::Duration;
 
-use cardamomroad::edge::message::RefusalReason;
+use cardamomroad::edge::{
+    message::RefusalReason,
+    model::Standing,
+    topic::{
+        Record,
+        Topic, //
+    },
+};
 use rand::{
     RngExt,
     SeedableRng,
@@ -16,7 +23,8 @@
 use simulated_fleet::{
     Outcome,
     Plan,
-    TestFleet, //
+    TestFleet,
+    upstream, //
 };
 use tokio::time::sleep;
 
@@ -332,3 +340,28 @@
     let own_zone = (after.own_zone - before.own_zone) as f64 / (after.runs - before.runs) as f64;
     assert!(own_zone > 0.9, "{own_zone}");
 }
+
+/// Guards against requests that are refused although upstreams have room: the scheduler grants the
+/// slot of an upstream that has left, which it does not know yet, and the request tried no other.
+#[tokio::test(start_paused = true)]
+async fn a_request_tries_other_upstreams_when_a_granted_one_has_left() {
+    let fleet = TestFleet::start(Plan {
+        zones: vec![("bac-a", "bac", 2, 3)],
+        ..plan()
+    })
+    .await;
+    let host = &fleet.hosts[1];
+    for n in 0..2 {
+        let mut left = upstream("bac-a", 0, n, fleet.plan.slots);
+        left.standing = Standing::Draining;
+        let id = left.id.to_string();
+        host.publish(Topic::Upstreams, &id, Record::Upstream(Box::new(left)));
+    }
+    for object in 0..12 {
+        let outcome = fleet.send(host, object).await.expect("an outcome");
+        assert!(
+            matches!(outcome, Outcome::Answered(_)),
+            "{object}: {outcome:?}"
+        );
+    }
+}
