peers: find the leaders of other zones among all registered hosts

What callers saw: after all hosts were replaced, a request that crashes upstreams crashed three in each zone, and took bookings of others along.

Cause: in a zone whose leader is unknown, digests went to the two largest registered hosts only. Registrations of hosts that are gone for good stay, so that zones lost each other for ever, and with that suspects, look-ups, relays, loans, the scheduler of the region and its shares.

Change: a leader without a view of a zone sends to its last known leader, or else the largest host, and to the others in turn, two at a time. A host that receives such a digest in its leader's place replies with its leader. Two related paths: the pace of a cold upstream is divided by the hosts that may schedule it, one in each zone that is not heard; and the only living host of a zone has followers if it hears leaders of other zones.

Tests of the package pass.

--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -72,6 +72,7 @@
                 self.peers.handle_digest(now, &msg);
                 self.adopt_shares(now, &msg);
                 self.quarantine.merge(now, &msg.suspects);
+                self.introduce_leader(now, &msg);
             }
             Datagram::Loan(msg) => self.handle_loan(now, msg),
             Datagram::Claim(msg) => self.handle_claim(now, msg),
@@ -102,6 +103,21 @@
         self.repeat_queued_claims(now, &process.host);
     }
 
+    /// Tells the leader of another zone which host leads this one, if it does not know.
+    fn introduce_leader(&mut self, now: Instant, msg: &Digest) {
+        let Some((address, zone)) = self.peers.introduction(now, msg) else {
+            return;
+        };
+        let introduction = Digest {
+            from: self.sender(),
+            state: self.state(now),
+            zones: vec![zone],
+            shares: Vec::new(),
+            suspects: self.quarantine.entries(now, SUSPECTS_PER_MESSAGE),
+        };
+        self.send_datagram(vec![address], Datagram::Digest(introduction));
+    }
+
     fn handle_loan(&mut self, now: Instant, msg: Loan) {
         // Ignores duplicates: a loan applied twice would add tokens.
         if !self.peers.record_message(now, &msg.from) {
@@ -259,9 +275,11 @@
     fn send_digest(&mut self, now: Instant) {
         let offered = self.offered(now);
         let own = self.peers.own_zone(now, &offered, self.announced_version());
-        let mut leaders = self.peers.leader_addresses(now, true);
+        let turn = self.heartbeats as usize;
+        let mut leaders = self.peers.leader_addresses(now, true, turn);
         if self.leaving || self.heartbeats.is_multiple_of(CROSS_REGION_DIGEST_BEATS) {
-            leaders.extend(self.peers.leader_addresses(now, false));
+            let turn = turn / CROSS_REGION_DIGEST_BEATS as usize;
+            leaders.extend(self.peers.leader_addresses(now, false, turn));
         }
         let mut zones = vec![own];
         let state = self.state(now);
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -389,7 +389,10 @@
         let cfg = self.configuration.load();
         let rate = cfg.as_ref()?.services.get(service)?.cold_rate;
         let hosts = match view {
-            View::Scheduler => 1,
+            View::Scheduler => {
+                let domain = self.peers.domain_of(&u.registration.zone);
+                self.peers.possible_schedulers(now, &domain)
+            }
             View::Near | View::Far => self.peers.registered_in(&u.registration.zone).max(1),
         };
         Some((rate, hosts))
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -9,6 +9,8 @@
 //! leader needs exclusive rights: it returns hosts in look-ups, relays data of the store, and
 //! counts the used slots of upstreams.
 
+mod discovery;
+
 use std::{
     collections::{
         BTreeMap,
@@ -23,7 +25,6 @@
     Deserialize,
     Serialize, //
 };
-use smallvec::SmallVec;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -71,8 +72,6 @@
 const FITNESS_DELAY: Duration = Duration::from_millis(2000);
 /// Additional delay of that change for a host that does not lead, in heartbeats.
 const FOLLOWER_EXTRA_BEATS: u32 = 2;
-/// Number of hosts to which digests are sent in a zone whose leader is unknown.
-const LEADER_CANDIDATES_MAX: usize = 2;
 /// Number of waiting steps per heartbeat, for hosts that wait for larger ones to lead.
 const WAIT_STEPS_PER_BEAT: u32 = 2;
 /// Maximum number of steps that a host waits.
@@ -189,6 +188,20 @@
     fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.at)
     }
+
+    /// Returns the state of `zone` to be passed on to other hosts.
+    fn digest(&self, now: Instant, zone: &ZoneName) -> ZoneDigest {
+        ZoneDigest {
+            zone: zone.clone(),
+            leader: self.leader.clone(),
+            age_ms: u32::try_from(self.age(now).as_millis()).unwrap_or(u32::MAX),
+            is_fit: self.is_fit,
+            reads: self.reads,
+            away: self.away.iter().cloned().collect(),
+            offered: self.offered.clone(),
+            configuration: self.configuration,
+        }
+    }
 }
 
 /// The other hosts, and this host's part in leading its zone.
@@ -680,9 +693,27 @@
         }
     }
 
-    /// Returns whether other hosts get updates from this one.
+    /// Returns whether other hosts get updates from this one: those of its zone, or the leaders of
+    /// other zones.
     pub fn has_followers(&self, now: Instant) -> bool {
-        self.leads() && !self.is_isolated(now)
+        let hears_leader = || self.views.keys().any(|z| self.fresh_view(now, z).is_some());
+        self.leads() && (!self.is_isolated(now) || hears_leader())
+    }
+
+    /// Returns how many hosts may be scheduling a domain that this one schedules: itself, and one in
+    /// each zone that it does not hear from, whose hosts may only be cut off from this one.
+    pub fn possible_schedulers(&self, now: Instant, domain: &Domain) -> usize {
+        let own = match self.is_isolated(now) {
+            true => self.registered_in(&self.own.zone),
+            false => 1,
+        };
+        let Domain::Region(region) = domain else {
+            return own;
+        };
+        let others = self.zones_of(region).filter(|z| **z != self.own.zone);
+        let unheard =
+            others.filter(|z| self.registered_in(z) > 0 && self.fresh_view(now, z).is_none());
+        own + unheard.count()
     }
 
     /// Returns the host from which this one gets updates at its start, before any message has
@@ -827,17 +858,7 @@
             .iter()
             .filter(|(zone, _)| **zone != self.own.zone);
         let fresh = others.filter(|(zone, v)| v.age(now) < self.silence_timeout(zone));
-        let digests = fresh.map(|(zone, v)| ZoneDigest {
-            zone: zone.clone(),
-            leader: v.leader.clone(),
-            age_ms: u32::try_from(v.age(now).as_millis()).unwrap_or(u32::MAX),
-            is_fit: v.is_fit,
-            reads: v.reads,
-            away: v.away.iter().cloned().collect(),
-            offered: v.offered.clone(),
-            configuration: v.configuration,
-        });
-        digests.collect()
+        fresh.map(|(zone, v)| v.digest(now, zone)).collect()
     }
 
     /// Returns the addresses of the other hosts of this zone.
@@ -845,30 +866,6 @@
         let zone_hosts = self.hosts_of_zone(&self.own.zone);
         zone_hosts.map(|p| p.entry.peers).collect()
     }
-
-    /// Returns the addresses of the leaders of other zones: those in this host's region if
-    /// `in_region`, or else those in other regions.
-    pub fn leader_addresses(&self, now: Instant, in_region: bool) -> Vec<SocketAddr> {
-        let zones = self.regions.keys().filter(|z| **z != self.own.zone);
-        let zones = zones.filter(|z| self.is_in_own_region(z) == in_region);
-        let leaders = |zone: &ZoneName| -> SmallVec<[SocketAddr; LEADER_CANDIDATES_MAX]> {
-            match self.fresh_view(now, zone) {
-                Some(view) => self.address(&view.leader).into_iter().collect(),
-                None => self.largest_of(zone),
-            }
-        };
-        zones.flat_map(leaders).collect()
-    }
-
-    /// Returns the addresses of the largest registered hosts of a zone, one of which probably leads
-    /// it.
-    fn largest_of(&self, zone: &ZoneName) -> SmallVec<[SocketAddr; LEADER_CANDIDATES_MAX]> {
-        let hosts = self.hosts_of_zone(zone);
-        let mut hosts: Vec<&Peer> = hosts.collect();
-        hosts.sort_unstable_by_key(|p| std::cmp::Reverse((p.entry.millicores, p.tie_breaker)));
-        let largest = hosts.into_iter().take(LEADER_CANDIDATES_MAX);
-        largest.map(|p| p.entry.peers).collect()
-    }
 }
 
 /// Returns the sum of the rates for each service and bound region.
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -58,6 +58,8 @@
     state: HostState,
     /// Whether the host runs and is reachable.
     is_up: bool,
+    /// Whether messages between its zone and others are lost.
+    is_cut_off: bool,
     /// Whether the store answers the host.
     can_read: bool,
     sequence: u64,
@@ -95,6 +97,7 @@
                 peers,
                 state: HostState::Ready,
                 is_up: true,
+                is_cut_off: false,
                 can_read: true,
                 sequence: 0,
                 beats: 0,
@@ -159,27 +162,64 @@
             shares: Vec::new(),
             suspects: Vec::new(),
         };
-        let mut leaders = m.peers.leader_addresses(now, true);
+        let turn = m.beats as usize;
+        let mut leaders = m.peers.leader_addresses(now, true, turn);
         if m.beats.is_multiple_of(CROSS_REGION_DIGEST_BEATS) {
-            leaders.extend(m.peers.leader_addresses(now, false));
+            let turn = turn / CROSS_REGION_DIGEST_BEATS as usize;
+            leaders.extend(m.peers.leader_addresses(now, false, turn));
         }
         let zone = m.peers.zone_addresses();
         let others = m.peers.other_zones(now);
-        self.send(i, leaders, |peers| peers.handle_digest(now, &msg));
+        self.send(i, leaders.clone(), |peers| peers.handle_digest(now, &msg));
+        self.introduce(i, &leaders, &msg);
         msg.zones.extend(others);
         msg.from.sequence += 1;
         self.members[i].sequence += 1;
         self.send(i, zone, |peers| peers.handle_digest(now, &msg));
     }
 
+    /// Delivers the replies of hosts that received the digest of host `to` in their leader's place.
+    fn introduce(&mut self, to: usize, received: &[SocketAddr], msg: &Digest) {
+        for i in 0..self.members.len() {
+            let m = &mut self.members[i];
+            if !m.is_up || !received.contains(&m.entry.peers) {
+                continue;
+            }
+            let Some((address, zone)) = m.peers.introduction(self.now, msg) else {
+                continue;
+            };
+            assert_eq!(address, self.members[to].entry.peers);
+            let m = &mut self.members[i];
+            m.sequence += 1;
+            let reply = Digest {
+                from: Sender {
+                    host: m.entry.name.clone(),
+                    incarnation: Incarnation(1),
+                    sequence: m.sequence,
+                },
+                state: m.state,
+                zones: vec![zone],
+                shares: Vec::new(),
+                suspects: Vec::new(),
+            };
+            let now = self.now;
+            self.send(i, vec![address], |peers| peers.handle_digest(now, &reply));
+        }
+    }
+
     fn send(&mut self, from: usize, to: Vec<SocketAddr>, deliver: impl Fn(&mut Peers)) {
         self.members[from].sent += to.len();
+        let (zone, is_cut_off) = {
+            let m = &self.members[from];
+            (m.entry.zone.clone(), m.is_cut_off)
+        };
         for m in self
             .members
             .iter_mut()
             .filter(|m| to.contains(&m.entry.peers))
         {
-            if m.is_up {
+            let is_lost = m.entry.zone != zone && (m.is_cut_off || is_cut_off);
+            if m.is_up && !is_lost {
                 m.received += 1;
                 deliver(&mut m.peers);
             }
@@ -435,3 +475,73 @@
         assert!(leader <= most, "{leader} messages a second to a leader");
     }
 }
+
+/// Fails where leaders look for one another only among the largest registered hosts of a zone: the
+/// registrations of hosts that are gone for good stay, also where smaller ones took their place.
+#[test]
+fn zones_find_each_other_whatever_other_hosts_are_registered() {
+    for (gone, alive) in [(2, 1), (9, 2), (40, 5)] {
+        let mut hosts = Vec::new();
+        for (index, zone) in ["bac-a", "bac-b", "nam-a"].into_iter().enumerate() {
+            for n in 0..gone + alive {
+                let mut host = host_in(zone, n, if n < gone { 500 } else { 100 });
+                host.peers = SocketAddr::from(([10, 2, index as u8, n], 81));
+                hosts.push(host);
+            }
+        }
+        let mut fleet = TestFleet::new(hosts);
+        let per_zone = usize::from(gone + alive);
+        for (i, m) in fleet.members.iter_mut().enumerate() {
+            m.is_up = i % per_zone >= usize::from(gone);
+        }
+        let living: Vec<usize> = (0..fleet.members.len())
+            .filter(|i| fleet.members[*i].is_up)
+            .collect();
+        let know_each_other = |fleet: &TestFleet| {
+            let mut pairs = living
+                .iter()
+                .flat_map(|by| living.iter().map(move |h| (*by, *h)));
+            pairs.all(|(by, host)| by == host || fleet.is_listed(by, host))
+        };
+        // Each turn tries two of the others, every third heartbeat in other regions.
+        let turns = u32::from(gone + alive).div_ceil(2);
+        let turn = fleet.members[0].peers.heartbeat_interval() * CROSS_REGION_DIGEST_BEATS;
+        let find_max = turn * turns + LISTED_AFTER_END_MAX;
+        fleet.run(find_max);
+        assert!(know_each_other(&fleet), "{gone} gone, {alive} alive");
+        // No view is left after the zones have been cut off from each other.
+        for m in &mut fleet.members {
+            m.is_cut_off = true;
+        }
+        fleet.run(Duration::from_secs(20));
+        assert!(!know_each_other(&fleet), "{gone} gone, {alive} alive");
+        for m in &mut fleet.members {
+            m.is_cut_off = false;
+        }
+        fleet.run(find_max);
+        assert!(
+            know_each_other(&fleet),
+            "cut off, {gone} gone, {alive} alive"
+        );
+    }
+}
+
+/// Fails where hosts that do not hear one another each pace a cold upstream as if they were alone.
+#[test]
+fn zones_that_are_not_heard_count_as_schedulers() {
+    let mut fleet = TestFleet::new(hosts());
+    let domain = Domain::Region("bac".parse().expect("region"));
+    fleet.run(Duration::from_secs(3));
+    let schedulers = |fleet: &TestFleet, host: usize| {
+        fleet.members[host]
+            .peers
+            .possible_schedulers(fleet.now, &domain)
+    };
+    assert_eq!(schedulers(&fleet, LARGEST), 1);
+    for m in &mut fleet.members {
+        m.is_cut_off = true;
+    }
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(schedulers(&fleet, LARGEST), 2);
+    assert_eq!(schedulers(&fleet, 0), 2);
+}
