edge: remove the registrations of hosts that are gone for good

Cause: nothing removed the registration of a host. Hosts that are gone counted for ever: their parts of the organisations' rates lay idle, zones of them kept a part each, heartbeats slowed down with their number, and leaders sent digests to them.

Change: the leader of a zone has the registration of a host removed that was silent for 60 s while others are heard, one each 5 s; the highest leader does so for zones that nobody hears, after 10 min. Silence is no proof: a host that notices that it is not listed registers again, and before that its first message makes it known to the receiver, with or without the store. Its parts of the rates are kept for the age up to which a host uses its own (the bound of withdrawn keys and 20 s) and 5 s more, so that none is used twice.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -53,6 +53,7 @@
         LocalRun,
         ZoneHashes, //
     },
+    peer_messages::ShareHolders,
 };
 use super::{
     answer_size::AnswerSizes,
@@ -74,6 +75,7 @@
         ConfirmedConfiguration,
         DatagramReceived,
         EraChanged,
+        GoneHost,
         IsReady,
         Job,
         Lookup,
@@ -101,6 +103,7 @@
         View, //
     },
     quota::Quotas,
+    relay::SuspendAwareInstant,
     remote_runs::Runs,
     rollback::Rollback,
     settings::Settings,
@@ -113,6 +116,7 @@
 use crate::{
     quarantine::Quarantine,
     util::id::{
+        HostName,
         Incarnation,
         RegionName,
         ServiceName,
@@ -217,6 +221,10 @@
     store_read_at: Option<Instant>,
     /// When the list of upstreams was last read, from the store or the relay.
     upstreams_read_at: Option<Instant>,
+    /// When the latest read of the registered hosts was sent.
+    hosts_read_at: Option<SuspendAwareInstant>,
+    /// Hosts among which the organisations' rates are divided; `None` before they are known.
+    share_holders: Option<ShareHolders>,
     /// When the list of registered hosts was first received.
     hosts_known_at: Option<Instant>,
     path_chosen: bool,
@@ -274,6 +282,8 @@
             shares_updated_at: None,
             store_read_at: None,
             upstreams_read_at: None,
+            hosts_read_at: None,
+            share_holders: None,
             hosts_known_at: None,
             path_chosen: false,
             leaving: false,
@@ -319,6 +329,7 @@
             self.pending_removals.remove(&id);
             self.upstreams.remove(&id);
         }
+        self.update_share_holders(now);
         self.send_heartbeat(now);
         self.request_tokens(now);
         self.choose_path(now);
@@ -493,6 +504,17 @@
     }
 }
 
+impl Handler<GoneHost> for Dispatcher {
+    type Return = Option<HostName>;
+
+    async fn handle(&mut self, _: GoneHost, _: &mut Context<Self>) -> Option<HostName> {
+        match self.leaving {
+            true => None,
+            false => self.peers.gone_host(Instant::now()),
+        }
+    }
+}
+
 impl Handler<IsReady> for Dispatcher {
     type Return = bool;
 
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -22,6 +22,7 @@
             Configuration,
             Standing, //
         },
+        relay::SuspendAwareInstant,
         topic::{
             Change,
             Record,
@@ -77,7 +78,14 @@
             }
             self.peers.listen(now);
             self.choose_path(now);
-            self.quotas.set_quota_hosts(now, self.quota_hosts());
+            let read_at = SuspendAwareInstant {
+                at: msg.read_sent_at,
+                suspended: msg.suspended,
+            };
+            if self.hosts_read_at.is_none_or(|known| known.at < read_at.at) {
+                self.hosts_read_at = Some(read_at);
+            }
+            self.update_share_holders(now);
         }
         self.drain_queue(now, None);
     }
@@ -150,7 +158,7 @@
             Some(Record::Host(entry)) => {
                 self.rollback.hosts.release(&entry.name);
                 if entry.name != self.settings.host {
-                    self.peers.register(*entry);
+                    self.peers.register(now, *entry);
                 }
             }
             None => self.remove(now, topic, &change.name),
@@ -180,7 +188,7 @@
             Topic::Hosts => {
                 if let Ok(host) = HostName::from_external(name) {
                     self.rollback.hosts.release(&host);
-                    self.peers.remove(&host);
+                    self.peers.remove(now, &host);
                 }
             }
         }
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -6,6 +6,7 @@
         HashMap, //
     },
     net::SocketAddr,
+    time::Duration,
 };
 
 use tokio::time::Instant;
@@ -38,6 +39,7 @@
         topic_watch::UpdateSource,
     },
     util::id::{
+        HostName,
         OrganisationName,
         ZoneName, //
     },
@@ -50,6 +52,21 @@
 const HOLDING_INTERVAL_BEATS: u32 = 2;
 /// Missed `Holding` messages after which a host's runs are dropped.
 const HOLDINGS_MISSED_MAX: u32 = 4;
+/// Longest age of the registered hosts while the store is read, at any host.
+const HOSTS_READ_TIME_MAX: Duration = Duration::from_secs(20);
+/// Time between the end of a removed host's use of its part of the rates and the use by others.
+const SHARE_RELEASE_MARGIN: Duration = Duration::from_secs(5);
+
+/// State of the hosts among which the organisations' rates are divided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ShareHolders {
+    /// Number of changes of the registered hosts so far.
+    changes: u64,
+    /// Whether this host has parts.
+    includes_own: bool,
+    /// Number of removed hosts whose parts are still kept for them.
+    removed: usize,
+}
 
 impl Dispatcher {
     pub(super) fn handle_datagram(&mut self, now: Instant, msg: Datagram) {
@@ -172,11 +189,40 @@
         }
     }
 
-    /// Returns the hosts among which the organisations' rates are divided.
-    pub(super) fn quota_hosts(&self) -> QuotaHosts {
-        let mut zones = self.peers.by_zone();
+    /// Divides the organisations' rates among the hosts that may have parts of them, if these have
+    /// changed.
+    pub(super) fn update_share_holders(&mut self, now: Instant) {
+        let Some(read_at) = self.hosts_read_at else {
+            return;
+        };
+        let age_max = self
+            .settings
+            .bounds
+            .revocation
+            .saturating_add(HOSTS_READ_TIME_MAX);
+        // Others use this host's part if its registration was removed and it could not notice. It
+        // serves no requests with keys by then, unless it reads the other topics only.
+        let includes_own = read_at.age() < age_max;
+        let kept = age_max.saturating_add(SHARE_RELEASE_MARGIN);
+        let holders = ShareHolders {
+            changes: self.peers.changes(),
+            includes_own,
+            removed: self.peers.share_holders_removed(now, kept).count(),
+        };
+        if self.share_holders == Some(holders) {
+            return;
+        }
+        self.share_holders = Some(holders);
+        let mut zones = self.peers.share_holders(now, kept);
         let own = zones.entry(self.settings.zone.clone()).or_default();
-        own.push(self.settings.host.clone());
+        if includes_own {
+            own.push(self.settings.host.clone());
+        }
+        self.quotas.set_quota_hosts(now, self.quota_hosts(zones));
+    }
+
+    /// Returns the hosts among which the organisations' rates are divided.
+    fn quota_hosts(&self, zones: BTreeMap<ZoneName, Vec<HostName>>) -> QuotaHosts {
         let (host, zone) = (self.settings.host.clone(), self.settings.zone.clone());
         let region = self.settings.region.clone();
         let in_region = self.settings.regions.iter().filter(|(_, r)| **r == region);
--- a/src/edge/dispatcher/store_rollback.rs
+++ b/src/edge/dispatcher/store_rollback.rs
@@ -96,10 +96,7 @@
         }
         let lost_hosts = self.rollback.hosts.take_expired(now);
         for host in &lost_hosts {
-            self.peers.remove(host);
-        }
-        if !lost_hosts.is_empty() {
-            self.quotas.set_quota_hosts(now, self.quota_hosts());
+            self.peers.remove(now, host);
         }
     }
 }
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -414,6 +414,10 @@
     pub query: LookupQuery,
 }
 
+/// Asks for a host whose registration this host is to remove from the store.
+#[derive(Debug)]
+pub struct GoneHost;
+
 /// Asks whether the host takes requests.
 #[derive(Debug)]
 pub struct IsReady;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -10,6 +10,7 @@
 //! counts the used slots of upstreams.
 
 mod discovery;
+mod gone;
 
 use std::{
     collections::{
@@ -28,6 +29,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::gone::FormerHost;
 use super::{
     datagram::{
         Digest,
@@ -125,6 +127,8 @@
     incarnation: Incarnation,
     /// Number of the last report, digest or loan of this process.
     sequence: u64,
+    /// When the registration became known to this process.
+    registered_at: Option<Instant>,
     /// When the last message of any kind from this process arrived.
     process_heard_at: Option<Instant>,
     /// When the last report, digest or loan from the host itself arrived.
@@ -142,6 +146,7 @@
             entry,
             incarnation: Incarnation::default(),
             sequence: 0,
+            registered_at: None,
             process_heard_at: None,
             last_message: None,
             state: HostState::Stale,
@@ -211,6 +216,10 @@
     own_tie_breaker: u64,
     regions: BTreeMap<ZoneName, RegionName>,
     peers: BTreeMap<HostName, Peer>,
+    /// Hosts whose registrations were removed.
+    former: BTreeMap<HostName, FormerHost>,
+    /// Number of times that a host became known or was removed.
+    changes: u64,
     /// Number of registered hosts of each zone, including this one.
     sizes: BTreeMap<ZoneName, usize>,
     views: BTreeMap<ZoneName, ZoneView>,
@@ -241,6 +250,8 @@
             own,
             regions,
             peers: BTreeMap::new(),
+            former: BTreeMap::new(),
+            changes: 0,
             views: BTreeMap::new(),
             competing_view: None,
             is_ready: false,
@@ -260,29 +271,41 @@
     }
 
     /// Adds or updates the registration of a host.
-    pub fn register(&mut self, entry: HostRegistration) {
+    pub fn register(&mut self, now: Instant, entry: HostRegistration) {
+        self.former.remove(&entry.name);
         if let Some(peer) = self.peers.get_mut(&entry.name) {
             if peer.entry.zone == entry.zone {
                 peer.entry = entry;
+                peer.registered_at = Some(now);
                 return;
             }
             let name = entry.name.clone();
-            self.remove(&name);
+            self.remove(now, &name);
         }
+        self.changes += 1;
         *self.sizes.entry(entry.zone.clone()).or_default() += 1;
-        self.peers.insert(entry.name.clone(), Peer::new(entry));
+        let mut peer = Peer::new(entry);
+        peer.registered_at = Some(now);
+        self.peers.insert(peer.entry.name.clone(), peer);
     }
 
     /// Removes a host whose registration was removed.
-    pub fn remove(&mut self, host: &HostName) {
+    pub fn remove(&mut self, now: Instant, host: &HostName) {
         let Some(peer) = self.peers.remove(host) else {
             return;
         };
+        self.changes += 1;
+        self.keep_former(now, peer.entry.clone());
         if let Some(size) = self.sizes.get_mut(&peer.entry.zone) {
             *size = size.saturating_sub(1);
         }
     }
 
+    /// Returns how many times another host became known or was removed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the names of all other registered hosts.
     pub fn names(&self) -> Vec<HostName> {
         self.peers.keys().cloned().collect()
@@ -309,12 +332,14 @@
         zones.map(|(zone, _)| self.registered_in(zone)).sum()
     }
 
-    /// Returns the other registered hosts by zone.
-    pub fn by_zone(&self) -> BTreeMap<ZoneName, Vec<HostName>> {
+    /// Returns the other hosts by zone that may have parts of the rates: the registered ones, and
+    /// those that were removed less than `kept` ago.
+    pub fn share_holders(&self, now: Instant, kept: Duration) -> BTreeMap<ZoneName, Vec<HostName>> {
         let mut zones: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
-        for peer in self.peers.values() {
-            let hosts = zones.entry(peer.entry.zone.clone()).or_default();
-            hosts.push(peer.entry.name.clone());
+        let registered = self.peers.values().map(|p| &p.entry);
+        for entry in registered.chain(self.share_holders_removed(now, kept)) {
+            let hosts = zones.entry(entry.zone.clone()).or_default();
+            hosts.push(entry.name.clone());
         }
         zones
     }
@@ -361,6 +386,7 @@
     /// Determines which process of a host has sent a message, and records the process if it is a
     /// new one.
     pub fn identify(&mut self, now: Instant, from: &Sender) -> SenderProcess {
+        self.restore(now, &from.host);
         let silence = self.heartbeat_interval() * STALE_PROCESS_BEATS;
         let Some(peer) = self.peers.get_mut(&from.host) else {
             return SenderProcess::UnknownHost;
@@ -696,8 +722,12 @@
     /// Returns whether other hosts get updates from this one: those of its zone, or the leaders of
     /// other zones.
     pub fn has_followers(&self, now: Instant) -> bool {
-        let hears_leader = || self.views.keys().any(|z| self.fresh_view(now, z).is_some());
-        self.leads() && (!self.is_isolated(now) || hears_leader())
+        self.leads() && (!self.is_isolated(now) || self.hears_leaders(now))
+    }
+
+    /// Returns whether this host hears a leader of another zone, or a better one of its own.
+    fn hears_leaders(&self, now: Instant) -> bool {
+        self.views.keys().any(|z| self.fresh_view(now, z).is_some())
     }
 
     /// Returns how many hosts may be scheduling a domain that this one schedules: itself, and one in
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -28,7 +28,10 @@
 };
 use tokio::{
     sync::watch,
-    time::Instant, //
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 use xtra::Address;
 
@@ -76,6 +79,10 @@
 
 /// Changes of a topic that are kept for followers.
 const CHANGE_LOG_MAX: usize = 2048;
+/// How long after a registration was accepted reads of the registered hosts include it.
+const REGISTRATION_LISTED_AFTER: Duration = Duration::from_secs(5);
+/// Interval between two checks whether this host is still registered.
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// How long after its end an outage is reported to followers. Upstreams register again within a few
 /// seconds.
 const OUTAGE_REPORTED: Duration = Duration::from_secs(10);
@@ -416,23 +423,33 @@
         }
     }
 
-    /// Waits until the registered hosts are known in a later era than `registered_in` and a host is
-    /// not among them; returns the era.
+    /// Waits until a host is no longer among the registered ones, or the registered hosts are known
+    /// in a later era than `registered_in` and the host is not among them; returns the era.
     pub async fn registration_lost(&self, host: &HostName, registered_in: Option<Era>) -> Era {
         let mut changed = self.changed.subscribe();
         let mut listed_in = registered_in.or(self.era()).unwrap_or_default();
+        let registered_at = Instant::now();
+        // A read that was sent soon after may return an older list.
+        let includes_registration =
+            |read: &SuspendAwareInstant| read.at >= registered_at + REGISTRATION_LISTED_AFTER;
+        let mut was_listed = false;
         loop {
             {
                 let caches = self.lock();
                 let hosts = &caches[Topic::Hosts.index()];
-                if let Some(position) = hosts.position.filter(|p| p.era > listed_in) {
-                    listed_in = position.era;
-                    if !hosts.records.contains_key(host.as_str()) {
-                        return listed_in;
-                    }
+                let is_listed = hosts.records.contains_key(host.as_str());
+                let era = hosts.position.map(|p| p.era);
+                let is_later = era.is_some_and(|era| era > listed_in);
+                listed_in = era.unwrap_or_default().max(listed_in);
+                let must_be_listed =
+                    was_listed || hosts.read_at.as_ref().is_some_and(includes_registration);
+                if !is_listed && (is_later || must_be_listed) {
+                    return listed_in;
                 }
+                was_listed = is_listed;
             }
-            if changed.changed().await.is_err() {
+            // Reads without changes are not reported.
+            if let Ok(Err(_)) = timeout(REGISTRATION_CHECK_INTERVAL, changed.changed()).await {
                 return std::future::pending().await;
             }
         }
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -72,6 +72,7 @@
     log_limit::LogRateLimit,
     message::{
         BeginShutdown,
+        GoneHost,
         IsReady,
         Lookup,
         Reload,
@@ -133,6 +134,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The most messages to other hosts that may wait to be sent.
 const OUTGOING_QUEUE_MAX: usize = 1024;
+/// The time between two removals of registrations by one host.
+const GONE_HOST_INTERVAL: Duration = Duration::from_secs(5);
 /// The pause after a failed registration.
 const REGISTER_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -249,6 +252,10 @@
         settings.answer_bytes_max(),
     );
     tasks.spawn("relay follower", follower);
+    tasks.spawn(
+        "removal of registrations",
+        remove_gone_hosts(source.clone(), dispatcher.clone()),
+    );
     tasks.spawn_finite(
         "registration",
         register(source, settings.clone(), caches.clone()),
@@ -400,8 +407,25 @@
     tasks.spawn("tick", tick(dispatcher.clone()));
 }
 
-/// Registers this host, retrying until the platform accepts it, and again each time the store has
-/// gone back to a copy without the registration.
+/// Removes the registrations of hosts that are gone for good, one at a time.
+async fn remove_gone_hosts<S: Source>(source: Arc<S>, dispatcher: Address<Dispatcher>) {
+    loop {
+        sleep(GONE_HOST_INTERVAL).await;
+        let Ok(gone) = dispatcher.send(GoneHost).await else {
+            return;
+        };
+        let Some(host) = gone else {
+            continue;
+        };
+        match source.unregister(&host).await {
+            Ok(()) => log::info!(event = "registration-removed", host:%; ""),
+            Err(cause) => log::warn!(event = "unregister-failed", host:%, cause:%; ""),
+        }
+    }
+}
+
+/// Registers this host, retrying until the platform accepts it, and again each time its registration
+/// is lost: the store has gone back to a copy without it, or another host has removed it.
 async fn register<S: Source>(source: Arc<S>, settings: Arc<Settings>, caches: TopicCaches) {
     let host = host_registration(&settings);
     let mut lost_in = None;
--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -18,7 +18,10 @@
     HostRegistration,
     Registration, //
 };
-use crate::util::id::ZoneName;
+use crate::util::id::{
+    HostName,
+    ZoneName, //
+};
 
 /// A list of named records that the platform publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -188,6 +191,9 @@
         host: &HostRegistration,
     ) -> impl Future<Output = Result<Option<Era>, SourceError>> + Send;
 
+    /// Removes the registration of an entry host; succeeds if there is none.
+    fn unregister(&self, host: &HostName) -> impl Future<Output = Result<(), SourceError>> + Send;
+
     /// Returns the era of the latest call that the store refused, once.
     fn take_refusal_era(&self) -> Option<Era> {
         None
--- a/tests/edge_peers.rs
+++ b/tests/edge_peers.rs
@@ -89,7 +89,7 @@
         let member = |own: &HostRegistration| {
             let mut peers = Peers::new(own.clone(), regions.clone());
             for other in hosts.iter().filter(|h| h.name != own.name) {
-                peers.register(other.clone());
+                peers.register(now, other.clone());
             }
             peers.listen(now);
             Member {
@@ -401,7 +401,7 @@
     let now = Instant::now();
     let (own, other) = (host_in("bac-a", 1, 100), host_in("bac-a", 2, 100));
     let mut peers = Peers::new(own, regions());
-    peers.register(other.clone());
+    peers.register(now, other.clone());
     let from = |incarnation, sequence| Sender {
         host: other.name.clone(),
         incarnation: Incarnation(incarnation),
@@ -545,3 +545,75 @@
     assert_eq!(schedulers(&fleet, LARGEST), 2);
     assert_eq!(schedulers(&fleet, 0), 2);
 }
+
+/// Fails where registrations of hosts that are gone stay for ever, or where silence removes a host
+/// for good: one that was only cut off is known again with its first message, and its part of the
+/// rates is kept for it meanwhile.
+#[test]
+fn hosts_that_are_gone_are_removed_and_cut_off_ones_are_found_again() {
+    const KEPT: Duration = Duration::from_secs(30);
+    let mut fleet = TestFleet::new(hosts());
+    fleet.run(Duration::from_secs(3));
+    let cut_off = fleet.members.len() - 1;
+    let name = fleet.members[cut_off].entry.name.clone();
+    fleet.members[cut_off].is_up = false;
+    let silent_since = fleet.now;
+    let gone = |fleet: &TestFleet| -> Vec<_> {
+        let members = fleet.members.iter().filter(|m| m.is_up);
+        members
+            .filter_map(|m| m.peers.gone_host(fleet.now))
+            .collect()
+    };
+    while gone(&fleet).is_empty() {
+        fleet.run(Duration::from_secs(1));
+        assert!(
+            fleet.now < silent_since + Duration::from_secs(90),
+            "never removed"
+        );
+    }
+    assert!(
+        fleet.now >= silent_since + Duration::from_secs(30),
+        "removed too early"
+    );
+    assert_eq!(
+        gone(&fleet),
+        std::slice::from_ref(&name),
+        "named by one host"
+    );
+    let removed_at = fleet.now;
+    for m in fleet.members.iter_mut().filter(|m| m.is_up) {
+        m.peers.remove(removed_at, &name);
+    }
+    assert!(gone(&fleet).is_empty());
+    let zone = fleet.members[cut_off].entry.zone.clone();
+    let holds_share = |fleet: &TestFleet| {
+        let peers = &fleet.members[LARGEST].peers;
+        peers.share_holders(fleet.now, KEPT)[&zone].contains(&name)
+    };
+    assert!(holds_share(&fleet));
+    fleet.run(KEPT);
+    assert!(!holds_share(&fleet));
+    fleet.members[cut_off].is_up = true;
+    fleet.run(Duration::from_secs(3));
+    // Its leader names it again, and the others when it has registered again.
+    assert!(fleet.is_listed(LARGEST, cut_off) && fleet.is_listed(cut_off, 0));
+    assert!(holds_share(&fleet));
+}
+
+/// A host that hears nobody is more likely to be cut off than the only one left.
+#[test]
+fn an_isolated_host_and_separated_regions_remove_no_host_for_minutes() {
+    let mut fleet = TestFleet::new(hosts());
+    fleet.run(Duration::from_secs(3));
+    for (i, m) in fleet.members.iter_mut().enumerate() {
+        m.is_up = i == 0 || i == LARGEST;
+        m.is_cut_off = true;
+    }
+    // The leader of the other zones is cut off; it has no other host in its zone.
+    fleet.run(Duration::from_secs(300));
+    for m in fleet.members.iter().filter(|m| m.is_up) {
+        assert_eq!(m.peers.gone_host(fleet.now), None, "{}", m.entry.name);
+    }
+    fleet.run(Duration::from_secs(400));
+    assert!(fleet.members[LARGEST].peers.gone_host(fleet.now).is_some());
+}
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -79,7 +79,10 @@
         },
     },
     quarantine::Suspect,
-    util::id::Incarnation,
+    util::id::{
+        HostName,
+        Incarnation, //
+    },
 };
 use smallvec::SmallVec;
 use tokio::{
@@ -313,6 +316,11 @@
         self.write(Topic::Hosts, host.name.as_str(), Some(record));
         Ok(self.state().era)
     }
+
+    async fn unregister(&self, host: &HostName) -> Result<(), SourceError> {
+        self.write(Topic::Hosts, host.as_str(), None);
+        Ok(())
+    }
 }
 
 pub fn configuration(version: u64) -> Arc<Configuration> {
