edge: follow the store by the bounds in force

Cause: the waits and retries with which a host follows the store were computed from the settings of its start.

Change: the followers take the bounds from the current settings each time.

Evidence: tightened_bounds_hold_without_a_restart fails with the timings of the start ("3 hosts, phase 1", a silent connection under a bound of 1.4 s) and passes. The three tests of tests/edge_store_outage.rs pass.

--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -92,7 +92,6 @@
         Topic, //
     },
     topic_watch::{
-        FollowTimings,
         UpdateSource,
         follow_relay,
         follow_store,
@@ -228,6 +227,7 @@
         answered_lines: LogRateLimit::default(),
         ended_lines: LogRateLimit::default(),
     });
+    let (settings_tx, current_settings) = watch::channel(settings.clone());
     // A shorter outage lets an upstream miss one renewal at most.
     let outage_min = settings.bounds.upstream_heartbeat;
     let caches = TopicCaches::new(dispatcher.clone()).with_outage_min(outage_min);
@@ -238,18 +238,15 @@
             caches.clone(),
             metrics.clone(),
             news_path_rx.clone(),
-            FollowTimings::new(topic, &settings.bounds),
-            settings.is_first_start,
+            current_settings.clone(),
         );
         tasks.spawn(topic.follower_name(), follower);
     }
-    let timings = FollowTimings::new(Topic::Hosts, &settings.bounds);
     let follower = follow_relay(
         news_path_rx,
         caches.clone(),
         metrics.clone(),
-        timings,
-        settings.answer_bytes_max(),
+        current_settings.clone(),
     );
     tasks.spawn("relay follower", follower);
     tasks.spawn(
@@ -261,7 +258,6 @@
         register(source, settings.clone(), caches.clone()),
     );
     spawn_peer_tasks(&mut tasks, &dispatcher, socket, outgoing_rx);
-    let (settings_tx, current_settings) = watch::channel(settings.clone());
     // Look-ups and readiness are answered until the process ends.
     let (_open_tx, open) = watch::channel(false);
     let peer_gw = gw.clone();
--- a/src/edge/topic_watch.rs
+++ b/src/edge/topic_watch.rs
@@ -44,7 +44,10 @@
         SuspendAwareInstant,
         TopicCaches, //
     },
-    settings::Bounds,
+    settings::{
+        Bounds,
+        Settings, //
+    },
     store_era::EraStep,
     store_health::StoreState,
     topic::{
@@ -271,19 +274,21 @@
     caches: TopicCaches,
     metrics: Arc<EdgeMetrics>,
     path: watch::Receiver<UpdateSource>,
-    timings: FollowTimings,
-    is_first_start: bool,
+    settings: watch::Receiver<Arc<Settings>>,
 ) {
-    if is_first_start {
+    if settings.borrow().is_first_start {
         sleep(FIRST_START_PAUSE).await;
     }
-    wait_for_relay(topic, &caches, timings, path.clone()).await;
+    // The bounds may change while the process runs.
+    let timings = || FollowTimings::new(topic, &settings.borrow().bounds);
+    wait_for_relay(topic, &caches, timings(), path.clone()).await;
     let mut pause = RETRY_PAUSE_MIN;
     let mut history_lost = false;
     let mut was_relayed = false;
     let mut has_failed = false;
     loop {
         let current_path = *path.borrow();
+        let timings = timings();
         if let Some(until) = relayed_until(&caches, topic, timings, current_path)
             && !history_lost
         {
@@ -405,15 +410,15 @@
     DecodeAnswer(#[from] rmp_serde::decode::Error),
 }
 
-/// Follows all topics through the relay, while the host has one. An answer of more than
-/// `answer_bytes_max` bytes counts as none.
+/// Follows all topics through the relay, while the host has one. An answer that is larger than the
+/// settings allow counts as none.
 pub async fn follow_relay(
     mut path: watch::Receiver<UpdateSource>,
     caches: TopicCaches,
     metrics: Arc<EdgeMetrics>,
-    timings: FollowTimings,
-    answer_bytes_max: usize,
+    settings: watch::Receiver<Arc<Settings>>,
 ) {
+    let answer_bytes_max = settings.borrow().answer_bytes_max();
     let connections = Connections::new().with_call_body_max(answer_bytes_max);
     loop {
         let current_relay = path.borrow_and_update().relay;
@@ -423,7 +428,7 @@
             }
             continue;
         };
-        let wait = timings.query_wait(level);
+        let wait = FollowTimings::new(Topic::Hosts, &settings.borrow().bounds).query_wait(level);
         let query = RelayQuery {
             after: caches.positions(),
             wait_ms: wait.as_millis() as u64,
--- a/tests/edge_store_outage.rs
+++ b/tests/edge_store_outage.rs
@@ -161,3 +161,27 @@
         }
     }
 }
+
+/// Fails where the waits of the start outlast bounds that were tightened since: a silent connection is
+/// then noticed too late.
+#[tokio::test(start_paused = true)]
+async fn tightened_bounds_hold_without_a_restart() {
+    let tight = ms(1400);
+    for count in [1, 3] {
+        let (store, hosts) = start(count).await;
+        for host in &hosts {
+            let mut settings = host.settings.clone();
+            settings.bounds.drain = tight;
+            settings.bounds.adoption = tight;
+            host.settings_tx.send_replace(Arc::new(settings));
+        }
+        for phase in 0..12 {
+            store.write_upstream("b", Standing::Ready);
+            sleep(ms(6000 + phase * 30)).await;
+            let removed = remove_during(&store, Trouble::Silence).await;
+            sleep_until(removed + tight).await;
+            let case = format!("{count} hosts, phase {phase}");
+            assert_eq!(users(&hosts).await, BTreeSet::new(), "{case}");
+        }
+    }
+}
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -73,7 +73,6 @@
             Topic, //
         },
         topic_watch::{
-            FollowTimings,
             UpdateSource,
             follow_store, //
         },
@@ -391,6 +390,7 @@
     pub settings: Settings,
     pub caches: TopicCaches,
     pub metrics: Arc<EdgeMetrics>,
+    pub settings_tx: watch::Sender<Arc<Settings>>,
     dispatcher: Address<Dispatcher>,
     configuration: Arc<ArcSwapOption<Configuration>>,
     hosts: Hosts,
@@ -423,6 +423,7 @@
     store.register(&entry).await.expect("the store accepts it");
     let own = (dispatcher.clone(), caches.clone());
     hosts.lock().expect("lock").insert(settings.peers, own);
+    let (settings_tx, settings_rx) = watch::channel(Arc::new(settings.clone()));
     for topic in Topic::ALL {
         tasks.spawn(follow_store(
             store.clone(),
@@ -430,8 +431,7 @@
             caches.clone(),
             metrics.clone(),
             path_rx.clone(),
-            FollowTimings::new(topic, &settings.bounds),
-            false,
+            settings_rx.clone(),
         ));
     }
     tasks.spawn(follow_relay(path_rx, caches.clone(), hosts.clone()));
@@ -446,6 +446,7 @@
         settings,
         caches,
         metrics,
+        settings_tx,
         dispatcher,
         configuration,
         hosts: hosts.clone(),
