platform: an entry with missing fields names no upstream

Cause: fields that the product does not use were not looked for, and an entry without `born` passed for another start of the upstream.

Entries without `born` are left out where others have it; some platforms publish no `born` at all.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -20,6 +20,7 @@
 pub mod explain;
 pub mod forward;
 pub mod freshness;
+pub mod incomplete_records;
 pub mod log_limit;
 pub mod machine_pace;
 pub mod message;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -38,6 +38,7 @@
 use super::{
     dispatcher::Dispatcher,
     freshness::suspended_time,
+    incomplete_records::remove_incomplete,
     message::{
         EraChanged,
         StoreObserved,
@@ -216,6 +217,7 @@
         let era = changes.era.unwrap_or_default();
         match topic {
             Topic::Upstreams => {
+                remove_incomplete(&self.records, &mut changes.changes);
                 let known_era = self.position.map(|p| p.era);
                 if known_era != Some(era) {
                     self.rewritten.clear();
--- a/tests/edge_store_outage.rs
+++ b/tests/edge_store_outage.rs
@@ -12,13 +12,17 @@
 
 use cardamomroad::edge::{
     model::Standing,
-    topic::Topic, //
+    topic::{
+        Record,
+        Topic, //
+    },
 };
 use rollback_fleet::{
     FakeStore,
     Fault,
     Host,
-    start_host, //
+    start_host,
+    upstream, //
 };
 use tokio::time::{
     Instant,
@@ -185,3 +189,23 @@
         }
     }
 }
+
+/// Fails where an entry of another writer, without a time of start, passes for a restart of an
+/// upstream that is draining.
+#[tokio::test(start_paused = true)]
+async fn an_entry_without_a_time_of_start_does_not_end_a_drain() {
+    let (store, hosts) = start(3).await;
+    store.write_upstream("b", Standing::Draining);
+    sleep(ms(1000)).await;
+    let mut entry = upstream("b", Standing::Ready);
+    entry.born = None;
+    let record = Record::Upstream(Box::new(entry));
+    store.write(Topic::Upstreams, "u-b", Some(record));
+    for _ in 0..20 {
+        sleep(ms(100)).await;
+        assert_eq!(users(&hosts).await, BTreeSet::new());
+    }
+    store.write_upstream("b", Standing::Ready);
+    sleep(ms(1500)).await;
+    assert_eq!(users(&hosts).await, names(&hosts));
+}
