quarantine: hosts take turns to try a request after its refusal

Cause: a refusal ends at the same moment on all hosts, and each one admitted the request, also several times, before the first crash became known.

Change: after the refusal a request runs once in 5 s at a host, and each host waits for its turn, 5 s after the one before and a minute at most. A crash renews the refusal within that time, an answer forgives.

Evidence: hosts_take_turns_to_try_a_request_after_its_refusal, twelve hosts and five minutes, fails without the interval and passes with two trials.

--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -10,6 +10,7 @@
 };
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Dispatcher,
@@ -213,6 +214,9 @@
             return;
         }
         self.share_holders = Some(holders);
+        let hash = |host: &HostName| xxh3_64(host.as_str().as_bytes());
+        let others = self.peers.names().iter().map(hash).collect();
+        self.quarantine.set_hosts(hash(&self.settings.host), others);
         let mut zones = self.peers.share_holders(now, kept);
         let own = zones.entry(self.settings.zone.clone()).or_default();
         if includes_own {
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -358,6 +358,7 @@
             domain,
         };
         self.local_runs.insert(run, local_run);
+        self.quarantine.record_run(now, job.suspect);
         self.record_placement(now, &job, key, list_index, load);
         let ended = AttemptEnded {
             run,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -14,6 +14,10 @@
 //! A frequent request is in flight on many upstreams at once, so that it gets many deaths if several
 //! of them crash together for another reason. If this host has seen it answered before, deaths that
 //! lie close together therefore count as one.
+//!
+//! After a refusal the request may run once, as a trial that decides whether it is forgiven or
+//! refused for longer. If all hosts tried it at the same time, it would crash many upstreams again,
+//! so that each host waits for its turn.
 
 use std::{
     collections::BTreeMap,
@@ -51,6 +55,11 @@
 pub const REFUSAL_FIRST: Duration = Duration::from_secs(60);
 /// The largest number of times that [`REFUSAL_FIRST`] is doubled.
 const REFUSAL_DOUBLINGS_MAX: u32 = 8;
+/// Time between the trials of a fingerprint after its refusal, at one host and between hosts. It
+/// covers a run, and the time in which all hosts learn of a crash.
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
+/// The last turn of a host for a trial; all later ones have the same.
+const TRIAL_TURNS_MAX: u32 = 12;
 /// How long a fingerprint is kept after its last death.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// The largest number of fingerprints in the table.
@@ -184,6 +193,8 @@
 struct SuspectRecord {
     last_death: Instant,
     marks: SmallVec<[KnownMark; 4]>,
+    /// When this host last let it run although it had enough deaths to be refused.
+    tried_at: Option<Instant>,
 }
 
 impl SuspectRecord {
@@ -257,6 +268,9 @@
     answers: RecentAnswers,
     /// The number of less dangerous suspects that were sent to other hosts so far.
     sent: usize,
+    /// Hashes of the names of this host and of the others, which determine the turns for trials.
+    own_host: u64,
+    other_hosts: Vec<u64>,
 }
 
 /// A table of answered fingerprints in which each has one possible place.
@@ -300,12 +314,41 @@
     /// Returns how much longer a request is refused on every upstream; `None` if it may run.
     pub fn refused_for(&self, now: Instant, suspect: Suspect) -> Option<Duration> {
         let was_answered = self.answers.contains(now, suspect);
-        let until = self.records.get(&suspect)?.refused_until(was_answered)?;
+        let record = self.records.get(&suspect)?;
+        let mut until = record.refused_until(was_answered)?;
+        if until <= now {
+            until += TRIAL_INTERVAL * self.turn(suspect);
+            until = until.max(record.tried_at.map_or(until, |at| at + TRIAL_INTERVAL));
+        }
         until
             .checked_duration_since(now)
             .filter(|left| !left.is_zero())
     }
 
+    /// Sets the hosts that take turns, by the hashes of their names.
+    pub fn set_hosts(&mut self, own: u64, others: Vec<u64>) {
+        self.own_host = own;
+        self.other_hosts = others;
+    }
+
+    /// Returns this host's turn for trials of a suspect, from 0.
+    fn turn(&self, suspect: Suspect) -> u32 {
+        let rank = |host: u64| xxh3_64_with_seed(&suspect.0.to_le_bytes(), host);
+        let own = rank(self.own_host);
+        let earlier = self.other_hosts.iter().filter(|host| rank(**host) < own);
+        u32::try_from(earlier.count()).map_or(TRIAL_TURNS_MAX, |n| n.min(TRIAL_TURNS_MAX))
+    }
+
+    /// Records that a request is sent to an upstream. If it has enough deaths to be refused, this is
+    /// its trial.
+    pub fn record_run(&mut self, now: Instant, suspect: Suspect) {
+        if let Some(record) = self.records.get_mut(&suspect)
+            && record.deaths() >= DEATHS_TO_REFUSE
+        {
+            record.tried_at = Some(now);
+        }
+    }
+
     /// Decides whether a request may run on an upstream.
     pub fn admit(&mut self, now: Instant, suspect: Suspect, upstream: SocketAddr) -> Admission {
         if self.is_refused(now, suspect) {
@@ -316,6 +359,7 @@
             _ if self.alone.contains_key(&upstream) => Admission::Busy,
             _ => {
                 self.alone.insert(upstream, suspect);
+                self.record_run(now, suspect);
                 Admission::Alone
             }
         }
@@ -450,6 +494,7 @@
             .or_insert_with(|| SuspectRecord {
                 last_death: died_at,
                 marks: SmallVec::new(),
+                tried_at: None,
             });
         record.merge(mark, died_at);
         record.last_death = record.last_death.max(died_at);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -466,3 +466,52 @@
     }
     assert!(host.is_refused(t0 + SAME_DEATH_WINDOW * 2, HARMLESS_REQUEST));
 }
+
+/// Fails where all hosts admit a crashing request at the same moment after its refusal, or one host
+/// admits it several times at once: each host's own trial then crashes another upstream.
+#[test]
+fn hosts_take_turns_to_try_a_request_after_its_refusal() {
+    let t0 = Instant::now();
+    let names: Vec<u64> = (0..12).collect();
+    let mut hosts: Vec<Quarantine> = Vec::new();
+    for own in &names {
+        let mut host = Quarantine::new();
+        let others = names.iter().copied().filter(|n| n != own);
+        host.set_hosts(*own, others.collect());
+        hosts.push(host);
+    }
+    for n in 0..3 {
+        hosts[0].on_death(t0, upstream(n), &[CRASHING_REQUEST]);
+    }
+    let entries = hosts[0].entries(t0, usize::MAX);
+    for host in &mut hosts {
+        host.merge(t0, &entries);
+    }
+    let mut crashes = 0;
+    // It comes to every host twice in 0.2 s; a crash becomes known everywhere 3 s later.
+    let mut news: Vec<(Instant, Vec<SuspectEntry>)> = Vec::new();
+    for step in 0..5 * 300_u32 {
+        let now = t0 + Duration::from_millis(200) * step;
+        for (at, entries) in &news {
+            if *at == now {
+                hosts.iter_mut().for_each(|h| h.merge(now, entries));
+            }
+        }
+        for host in &mut hosts {
+            let admitted = (0..2).filter(|_| {
+                !host.is_refused(now, CRASHING_REQUEST) && {
+                    host.record_run(now, CRASHING_REQUEST);
+                    true
+                }
+            });
+            let admitted = admitted.count();
+            crashes += admitted;
+            for _ in 0..admitted {
+                host.on_death(now, upstream(100 + crashes as u16), &[CRASHING_REQUEST]);
+                news.push((now + 3 * SECOND, host.entries(now, usize::MAX)));
+            }
+        }
+    }
+    // After 60 s, and 120 s after that.
+    assert_eq!(crashes, 2, "in five minutes");
+}
