connection: do not take a slow reader for a silent connection

Cause: TCP_USER_TIMEOUT, which notices connections that went silent, also ends one whose peer acknowledges everything and keeps its window closed.

Change: the limit applies to requests with less than 16 KiB of body, which the buffers of the sockets hold; longer ones end at their deadline.

Evidence: a_body_that_is_read_slowly_is_sent_to_the_end fails with the limit for all bodies and passes; the tests of tests/connection_* pass.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -25,10 +25,11 @@
 };
 use http_body_util::BodyExt;
 use hyper::{
-    Request,
-    Response,
-    StatusCode,
-    body::Incoming, //
+    Request, Response, StatusCode,
+    body::{
+        Body,
+        Incoming, //
+    },
     client::conn::http1::{
         self,
         SendRequest, //
@@ -39,7 +40,6 @@
     },
 };
 use hyper_util::rt::TokioIo;
-use rustix::net::sockopt;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -53,7 +53,8 @@
 use self::limited_stream::{
     HEAD_MAX_BYTES,
     LimitedStream,
-    ReadLimit, //
+    ReadLimit,
+    UnacknowledgedLimit, //
 };
 use crate::{
     body::ProxyBody,
@@ -68,8 +69,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time limit for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long sent data may stay unacknowledged before the connection fails (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long sent data may stay unacknowledged before the connection fails, in milliseconds.
+const UNACKNOWLEDGED_MAX_MS: u32 = 3000;
+/// Length of a body in bytes from which this limit does not apply. The system also applies it to a
+/// peer that reads slowly and so keeps its receive window closed; the buffers of the sockets hold a
+/// shorter body.
+const SLOWLY_READ_BODY_MIN: u64 = 16 * 1024;
 
 /// How many bytes of bodies [`Connections::call`] reads at a time by default.
 const CALL_BODY_BYTES_DEFAULT: u64 = 64 << 20;
@@ -111,11 +116,12 @@
     TooLarge,
 }
 
-/// The request sender of one connection, and the read limit of its stream.
+/// The request sender of one connection, and the limits of its stream.
 #[derive(Debug)]
 struct Sender {
     requests: SendRequest<ProxyBody>,
     read_limit: ReadLimit,
+    unacknowledged: UnacknowledgedLimit,
 }
 
 impl Sender {
@@ -358,6 +364,11 @@
         req: Request<ProxyBody>,
     ) -> Result<Exchange, SendError> {
         sender.read_limit.limit_head();
+        let body_bytes = req.body().size_hint().exact();
+        let is_long = body_bytes.is_none_or(|bytes| bytes >= SLOWLY_READ_BODY_MIN);
+        sender
+            .unacknowledged
+            .set(if is_long { 0 } else { UNACKNOWLEDGED_MAX_MS });
         match sender.requests.try_send_request(req).await {
             Ok(res) if !is_final_status(res.status()) => Err(SendError::Lost {
                 address,
@@ -409,10 +420,9 @@
         Err(_) => return Err("connecting timed out".to_owned()),
     };
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    let unacknowledged_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-    sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms).map_err(|e| e.to_string())?;
     let read_limit = ReadLimit::new(held);
-    let stream = LimitedStream::new(stream, read_limit.clone());
+    let unacknowledged = UnacknowledgedLimit::default();
+    let stream = LimitedStream::new(stream, read_limit.clone(), unacknowledged.clone());
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(HEAD_MAX_BYTES)
         .handshake(TokioIo::new(stream))
@@ -426,5 +436,6 @@
     Ok(Sender {
         requests,
         read_limit,
+        unacknowledged,
     })
 }
--- a/src/connection/limited_stream.rs
+++ b/src/connection/limited_stream.rs
@@ -1,5 +1,5 @@
-//! Limits the bytes that an upstream may send before the head of its answer is complete, and counts
-//! those that the HTTP client buffers.
+//! Limits the bytes that an upstream may send before the head of its answer is complete, counts
+//! those that the HTTP client buffers, and limits the time for which sent bytes stay unacknowledged.
 //!
 //! A faulty upstream may send an endless stream of invalid data or of interim responses.
 //! Without a limit, reading it would use the whole bandwidth of the link.
@@ -10,6 +10,7 @@
     sync::{
         Arc,
         atomic::{
+            AtomicU32,
             AtomicU64,
             Ordering, //
         },
@@ -20,6 +21,7 @@
     },
 };
 
+use rustix::net::sockopt;
 use tokio::{
     io::{
         AsyncRead,
@@ -127,23 +129,55 @@
     }
 }
 
+/// How long sent bytes may stay unacknowledged before the connection fails, in milliseconds
+/// (`TCP_USER_TIMEOUT`); 0 for the default of the system. Shared with the connection's sender, and
+/// applied by the next write.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnacknowledgedLimit(Arc<AtomicU32>);
+
+impl UnacknowledgedLimit {
+    /// Sets the limit for the next request.
+    pub(super) fn set(&self, ms: u32) {
+        self.0.store(ms, Ordering::Relaxed);
+    }
+}
+
 /// A TCP stream whose reads fail once the limit is exceeded.
 #[derive(Debug)]
 pub(super) struct LimitedStream {
     stream: TcpStream,
     read_limit: ReadLimit,
+    unacknowledged: UnacknowledgedLimit,
+    /// The limit that the socket has, in milliseconds.
+    applied_ms: u32,
     /// Reads in a row that found the limit used up.
     exhausted_reads: u32,
 }
 
 impl LimitedStream {
-    pub(super) fn new(stream: TcpStream, read_limit: ReadLimit) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        read_limit: ReadLimit,
+        unacknowledged: UnacknowledgedLimit,
+    ) -> Self {
         Self {
             stream,
             read_limit,
+            unacknowledged,
+            applied_ms: 0,
             exhausted_reads: 0,
         }
     }
+
+    /// Applies the limit of unacknowledged bytes to the socket if it has changed.
+    fn apply_unacknowledged(&mut self) -> io::Result<()> {
+        let ms = self.unacknowledged.0.load(Ordering::Relaxed);
+        if ms != self.applied_ms {
+            sockopt::set_tcp_user_timeout(&self.stream, ms)?;
+            self.applied_ms = ms;
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -188,6 +222,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unacknowledged()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -196,6 +231,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unacknowledged()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
