edge: only repeated failures make the store count as failing

Cause: one refused call (503, 429) that did not wait still made the store count as failing. The host then ceased to be the reader of the store until its next answer, and all others may follow another one; its other topics waited for the configuration's.

Change: the store counts as failing when calls that do not wait fail one after another, each sent after the first of them had failed. Calls of several topics that fail together count once.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -556,7 +556,8 @@
     /// Records that a call of the store failed that was sent at `sent_at`. `is_watch` tells whether
     /// it may have failed while it waited for a change.
     pub fn record_failure(&self, sent_at: Instant, is_watch: bool) {
-        self.update_store(|store| store.record_failure(sent_at, is_watch));
+        let now = Instant::now();
+        self.update_store(|store| store.record_failure(now, sent_at, is_watch));
     }
 
     fn reachability(&self) -> MutexGuard<'_, Reachability> {
--- a/src/edge/store_health.rs
+++ b/src/edge/store_health.rs
@@ -23,20 +23,27 @@
     /// The last call was answered, or there was none yet.
     #[default]
     Answering,
-    /// A watch failed while it waited. The next call shows whether the store answers.
+    /// A call failed. The next ones, which do not wait, show whether the store answers.
     Doubtful,
-    /// A call that did not wait failed, too.
+    /// Calls that do not wait fail one after another.
     Failing,
 }
 
+/// A failed call that did not wait for a change.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    sent_at: Instant,
+    failed_at: Instant,
+}
+
 /// Whether the store answers, and when its last outage ended.
 #[derive(Clone, Debug)]
 pub struct StoreHealth {
     state: StoreState,
     /// When the store was last known to answer this host or the relay.
     answered_at: Option<Instant>,
-    /// When the first call that did not wait was sent, of those that failed since.
-    failing_since: Option<Instant>,
+    /// The first failed call since then that did not wait; `None` if there is none.
+    first_failure: Option<Failure>,
     outage_ended_at: Option<Instant>,
     outage_min: Duration,
 }
@@ -54,7 +61,7 @@
         Self {
             state: StoreState::default(),
             answered_at: None,
-            failing_since: None,
+            first_failure: None,
             outage_ended_at: None,
             outage_min,
         }
@@ -75,7 +82,8 @@
         let lasts = |since: Option<Instant>, min| {
             since.is_some_and(|at| now.saturating_duration_since(at) >= min)
         };
-        let is_failing = lasts(self.failing_since.take(), FAILURE_MIN);
+        let failing_since = self.first_failure.take().map(|f| f.sent_at);
+        let is_failing = lasts(failing_since, FAILURE_MIN);
         if is_failing && lasts(self.answered_at, self.outage_min) {
             self.outage_ended_at = Some(now);
         }
@@ -83,16 +91,21 @@
         self.answered_at = Some(now);
     }
 
-    /// Records that a call failed that was sent at `sent_at`. `is_watch` tells whether it may have
-    /// failed while it waited for a change.
-    pub fn record_failure(&mut self, sent_at: Instant, is_watch: bool) {
+    /// Records that a call failed at `now` that was sent at `sent_at`. `is_watch` tells whether it
+    /// may have failed while it waited for a change.
+    pub fn record_failure(&mut self, now: Instant, sent_at: Instant, is_watch: bool) {
+        let is_repeated = self.first_failure.is_some_and(|f| f.failed_at <= sent_at);
+        if !is_watch && is_repeated {
+            self.state = StoreState::Failing;
+        }
+        if self.state == StoreState::Answering {
+            self.state = StoreState::Doubtful;
+        }
         if !is_watch {
-            self.failing_since.get_or_insert(sent_at);
+            let failed_at = now;
+            self.first_failure
+                .get_or_insert(Failure { sent_at, failed_at });
         }
-        self.state = match self.failing_since {
-            Some(_) => StoreState::Failing,
-            None => StoreState::Doubtful,
-        };
     }
 
     /// Records that the store has answered a call of the relay that was sent at `sent_at`.
--- a/tests/edge_store_outage.rs
+++ b/tests/edge_store_outage.rs
@@ -12,6 +12,10 @@
 
 use cardamomroad::edge::{
     model::Standing,
+    store_health::{
+        StoreHealth,
+        StoreState, //
+    },
     topic::{
         Record,
         Topic, //
@@ -209,3 +213,22 @@
     sleep(ms(1500)).await;
     assert_eq!(users(&hosts).await, names(&hosts));
 }
+
+/// Fails where one refused call, or several that were sent together, end the host's role as the reader
+/// of the store, which makes all others follow another one.
+#[test]
+fn only_repeated_failures_make_a_store_fail() {
+    let t0 = Instant::now();
+    let mut store = StoreHealth::new(ms(1500));
+    store.record_answer(t0);
+    store.record_failure(t0 + ms(900), t0, true);
+    for _ in 0..4 {
+        store.record_failure(t0 + ms(1010), t0 + ms(1000), false);
+    }
+    assert_eq!(store.state(), StoreState::Doubtful);
+    store.record_failure(t0 + ms(1120), t0 + ms(1110), false);
+    assert_eq!(store.state(), StoreState::Failing);
+    store.record_answer(t0 + ms(1400));
+    assert_eq!(store.state(), StoreState::Answering);
+    assert_eq!(store.outage_ended_at(), None, "too short");
+}
