--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -53,7 +53,7 @@
         LocalRun,
         ZoneHashes, //
     },
-    peer_messages::ShareHolders,
+    peer_messages::HostsInUse,
 };
 use super::{
     answer_size::AnswerSizes,
@@ -223,8 +223,8 @@
     upstreams_read_at: Option<Instant>,
     /// When the latest read of the registered hosts was sent.
     hosts_read_at: Option<SuspendAwareInstant>,
-    /// Hosts among which the organisations' rates are divided; `None` before they are known.
-    share_holders: Option<ShareHolders>,
+    /// The state of the known hosts that was last applied; `None` before they are known.
+    hosts_in_use: Option<HostsInUse>,
     /// When the list of registered hosts was first received.
     hosts_known_at: Option<Instant>,
     path_chosen: bool,
@@ -283,7 +283,7 @@
             store_read_at: None,
             upstreams_read_at: None,
             hosts_read_at: None,
-            share_holders: None,
+            hosts_in_use: None,
             hosts_known_at: None,
             path_chosen: false,
             leaving: false,
@@ -329,7 +329,7 @@
             self.pending_removals.remove(&id);
             self.upstreams.remove(&id);
         }
-        self.update_share_holders(now);
+        self.apply_host_changes(now);
         self.send_heartbeat(now);
         self.request_tokens(now);
         self.choose_path(now);
--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -85,7 +85,7 @@
             if self.hosts_read_at.is_none_or(|known| known.at < read_at.at) {
                 self.hosts_read_at = Some(read_at);
             }
-            self.update_share_holders(now);
+            self.apply_host_changes(now);
         }
         self.drain_queue(now, None);
     }
--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -58,9 +58,9 @@
 /// Time between the end of a removed host's use of its part of the rates and the use by others.
 const SHARE_RELEASE_MARGIN: Duration = Duration::from_secs(5);
 
-/// State of the hosts among which the organisations' rates are divided.
+/// Identifies a state of the known hosts, so that what depends on it is computed only once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ShareHolders {
+pub(super) struct HostsInUse {
     /// Number of changes of the registered hosts so far.
     changes: u64,
     /// Whether this host has parts.
@@ -190,9 +190,9 @@
         }
     }
 
-    /// Divides the organisations' rates among the hosts that may have parts of them, if these have
-    /// changed.
-    pub(super) fn update_share_holders(&mut self, now: Instant) {
+    /// Applies changes of the known hosts: divides the organisations' rates among those that may have
+    /// parts of them, and sets the turns in which hosts try requests after a refusal.
+    pub(super) fn apply_host_changes(&mut self, now: Instant) {
         let Some(read_at) = self.hosts_read_at else {
             return;
         };
@@ -205,15 +205,15 @@
         // serves no requests with keys by then, unless it reads the other topics only.
         let includes_own = read_at.age() < age_max;
         let kept = age_max.saturating_add(SHARE_RELEASE_MARGIN);
-        let holders = ShareHolders {
+        let state = HostsInUse {
             changes: self.peers.changes(),
             includes_own,
             removed: self.peers.share_holders_removed(now, kept).count(),
         };
-        if self.share_holders == Some(holders) {
+        if self.hosts_in_use == Some(state) {
             return;
         }
-        self.share_holders = Some(holders);
+        self.hosts_in_use = Some(state);
         let hash = |host: &HostName| xxh3_64(host.as_str().as_bytes());
         let others = self.peers.names().iter().map(hash).collect();
         self.quarantine.set_hosts(hash(&self.settings.host), others);
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -128,7 +128,7 @@
     /// Number of the last report, digest or loan of this process.
     sequence: u64,
     /// When the registration became known to this process.
-    registered_at: Option<Instant>,
+    registered_at: Instant,
     /// When the last message of any kind from this process arrived.
     process_heard_at: Option<Instant>,
     /// When the last report, digest or loan from the host itself arrived.
@@ -140,13 +140,13 @@
 }
 
 impl Peer {
-    fn new(entry: HostRegistration) -> Self {
+    fn new(now: Instant, entry: HostRegistration) -> Self {
         Self {
             tie_breaker: tie_breaker(&entry.name),
             entry,
             incarnation: Incarnation::default(),
             sequence: 0,
-            registered_at: None,
+            registered_at: now,
             process_heard_at: None,
             last_message: None,
             state: HostState::Stale,
@@ -276,7 +276,7 @@
         if let Some(peer) = self.peers.get_mut(&entry.name) {
             if peer.entry.zone == entry.zone {
                 peer.entry = entry;
-                peer.registered_at = Some(now);
+                peer.registered_at = now;
                 return;
             }
             let name = entry.name.clone();
@@ -284,9 +284,7 @@
         }
         self.changes += 1;
         *self.sizes.entry(entry.zone.clone()).or_default() += 1;
-        let mut peer = Peer::new(entry);
-        peer.registered_at = Some(now);
-        self.peers.insert(peer.entry.name.clone(), peer);
+        self.peers.insert(entry.name.clone(), Peer::new(now, entry));
     }
 
     /// Removes a host whose registration was removed.
--- a/src/edge/peers/gone.rs
+++ b/src/edge/peers/gone.rs
@@ -79,7 +79,7 @@
     /// and no other leader of this zone hears it.
     fn is_silent_for(&self, now: Instant, peer: &Peer, span: Duration) -> bool {
         let is_past = |at: Instant| now.saturating_duration_since(at) >= span;
-        peer.registered_at.is_some_and(is_past)
+        is_past(peer.registered_at)
             && peer.process_heard_at.is_none_or(is_past)
             && !self.is_heard(now, &peer.entry.name)
     }
