edge: try a region whose hosts are not heard before refusing for want of one

Cause: a region of which no leader is heard counted as unreachable. Its hosts may be gone for good while its upstreams run.

Change: such a region is tried if the request's region has no upstream for it and no region that is heard has one. Where it is cut off, an attempt costs the time to connect and suspends that upstream, as before.

Evidence: an_evacuated_region_uses_the_upstreams_of_one_whose_hosts_are_gone failed before ("0: Refused(NoUpstream, 0ns)") and passes, with the 13 other tests of tests/edge_scheduling.rs.

--- a/src/edge/dispatcher/domains.rs
+++ b/src/edge/dispatcher/domains.rs
@@ -167,28 +167,33 @@
 
     /// Returns another region that may have a slot for a request. All requests for an object
     /// overflow to the same region; objects are distributed in proportion to the slots.
+    ///
+    /// A region whose hosts are not heard may be cut off from this one, which costs a request the
+    /// time to connect, or only its hosts may be gone. It is tried only if `is_last_resort`.
     pub(super) fn overflow_region(
         &self,
         now: Instant,
         job: &Job,
         full_region: &RegionName,
+        is_last_resort: bool,
     ) -> Option<RegionName> {
         let pool = self.upstreams.pool(&job.service)?;
-        let mut best: Option<(f64, &RegionName)> = None;
+        let mut best: Option<(bool, f64, &RegionName)> = None;
         for (zone, region) in &self.settings.regions {
             let hash = zone_hash(zone);
             let slots = pool.slots_in(hash);
             let is_open =
                 region != full_region && slots > 0 && !self.evacuated_zones.contains(zone);
-            if !is_open || self.is_region_unreachable(now, region) {
+            let is_unheard = self.is_region_unreachable(now, region);
+            if !is_open || (is_unheard && !is_last_resort) {
                 continue;
             }
             let rank = weighted_rank(job.object, hash, slots);
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, region));
+            if best.is_none_or(|(unheard, least, _)| (is_unheard, rank) < (unheard, least)) {
+                best = Some((is_unheard, rank, region));
             }
         }
-        best.map(|(_, region)| region.clone())
+        best.map(|(.., region)| region.clone())
     }
 
     /// Returns which host schedules a domain, for a request with this latency target.
--- a/src/edge/dispatcher/requests.rs
+++ b/src/edge/dispatcher/requests.rs
@@ -265,7 +265,7 @@
         if !waiting.job.regions.is_empty() || waiting.is_overflow {
             return None;
         }
-        let region = self.overflow_region(now, &waiting.job, &waiting.region)?;
+        let region = self.overflow_region(now, &waiting.job, &waiting.region, !has_slots)?;
         let domain = self.domains(&waiting.job, &region).into_iter().next()?;
         // Without a scheduler the free slots are unknown, and under overload a wrong guess evicts
         // cached objects.
--- a/tests/edge_scheduling.rs
+++ b/tests/edge_scheduling.rs
@@ -365,3 +365,32 @@
         );
     }
 }
+
+/// Guards against refusals while another region has room: its hosts are gone for good, or only do not
+/// hear this one, and its upstreams are still there.
+#[tokio::test(start_paused = true)]
+async fn an_evacuated_region_uses_the_upstreams_of_one_whose_hosts_are_gone() {
+    let fleet = TestFleet::start(Plan {
+        zones: vec![("bac-a", "bac", 2, 3), ("nam-a", "nam", 2, 3)],
+        ..plan()
+    })
+    .await;
+    for host in fleet.hosts_in_zone("nam-a") {
+        host.set_partitioned(true);
+    }
+    let hosts = fleet.hosts_in_zone("bac-a");
+    for host in &hosts {
+        let zone = host.settings.zone.clone();
+        host.publish(Topic::Evacuations, "bac-a", Record::Evacuation(zone));
+    }
+    sleep(Duration::from_secs(5)).await;
+    for object in 0..8 {
+        for host in &hosts {
+            let outcome = fleet.send(host, object).await.expect("an outcome");
+            assert!(
+                matches!(outcome, Outcome::Answered(_)),
+                "{object}: {outcome:?}"
+            );
+        }
+    }
+}
