edge: answers of the relay end a failure of the store

Cause: a follower whose own call had failed once kept that failure for as long as the relay served it. When the relay fell silent much later, the follower's first answered call then counted as the end of an outage, after which removed upstreams stayed in use for 2 s more. Introduced with store_health; found by reading.

Change: a read of the relay that was sent after the failure ends it.

Evidence: answers_of_the_relay_end_a_failure failed before ("left: Failing, right: Answering") and passes.

--- a/src/edge/store_health.rs
+++ b/src/edge/store_health.rs
@@ -108,9 +108,14 @@
         }
     }
 
-    /// Records that the store has answered a call of the relay that was sent at `sent_at`.
+    /// Records that the store has answered a call of the relay that was sent at `sent_at`. This host
+    /// makes no calls then, so that earlier failures of its own say nothing about later ones.
     pub fn record_relayed_answer(&mut self, sent_at: Instant) {
         self.answered_at = self.answered_at.max(Some(sent_at));
+        if self.first_failure.is_some_and(|f| f.failed_at <= sent_at) {
+            self.first_failure = None;
+            self.state = StoreState::Answering;
+        }
     }
 
     /// Records the end of an outage that the relay has observed.
--- a/tests/edge_store_outage.rs
+++ b/tests/edge_store_outage.rs
@@ -25,7 +25,7 @@
     FakeStore,
     Fault,
     Host,
-    start_host,
+    start_fleet,
     upstream, //
 };
 use tokio::time::{
@@ -55,16 +55,7 @@
 }
 
 async fn start(count: usize) -> (Arc<FakeStore>, Vec<Host>) {
-    let store = FakeStore::new(None);
-    store.write_configuration(1);
-    store.write_upstream("a", Standing::Ready);
-    store.write_upstream("b", Standing::Ready);
-    let registry = Arc::default();
-    let mut hosts = Vec::new();
-    for n in 0..count {
-        hosts.push(start_host(&format!("h{n}"), &store, &registry).await);
-    }
-    sleep(ms(10_000)).await;
+    let (store, hosts) = start_fleet(None, count).await;
     assert_eq!(users(&hosts).await, names(&hosts));
     (store, hosts)
 }
@@ -232,3 +223,22 @@
     assert_eq!(store.state(), StoreState::Answering);
     assert_eq!(store.outage_ended_at(), None, "too short");
 }
+
+/// Fails where a failure of long ago makes an outage of the next time in which the relay is silent: the
+/// relay's answers have ended it.
+#[test]
+fn answers_of_the_relay_end_a_failure() {
+    let t0 = Instant::now();
+    let mut store = StoreHealth::new(ms(1500));
+    store.record_answer(t0);
+    for sent in [2000, 2100] {
+        store.record_failure(t0 + ms(sent + 10), t0 + ms(sent), false);
+    }
+    assert_eq!(store.state(), StoreState::Failing);
+    for sent in [1900, 2500, 60_000] {
+        store.record_relayed_answer(t0 + ms(sent));
+    }
+    assert_eq!(store.state(), StoreState::Answering);
+    store.record_answer(t0 + ms(62_200));
+    assert_eq!(store.outage_ended_at(), None);
+}
