--- a/tests/edge_store_rollback.rs
+++ b/tests/edge_store_rollback.rs
@@ -50,6 +50,7 @@
     FakeStore,
     Host,
     configuration,
+    start_fleet,
     start_host, //
 };
 use tokio::time::{
@@ -84,19 +85,9 @@
     TopicCaches::new(Mailbox::unbounded().0)
 }
 
-/// Starts a store in an era with version 1 of the configuration and an upstream in each zone, and
-/// `count` hosts that follow it.
+/// Starts a fleet whose hosts use both upstreams.
 async fn start(era: Option<u64>, count: usize) -> (Arc<FakeStore>, Vec<Host>) {
-    let store = FakeStore::new(era);
-    store.write_configuration(1);
-    store.write_upstream("a", Standing::Ready);
-    store.write_upstream("b", Standing::Ready);
-    let registry = Arc::default();
-    let mut hosts = Vec::new();
-    for n in 0..count {
-        hosts.push(start_host(&format!("h{n}"), &store, &registry).await);
-    }
-    sleep(10 * SECOND).await;
+    let (store, hosts) = start_fleet(era, count).await;
     for host in &hosts {
         assert!(host.is_fresh().await);
         assert_eq!(host.used_zones().await, zones(&["a", "b"]));
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -397,6 +397,22 @@
     _tasks: JoinSet<()>,
 }
 
+/// Starts a store in an era, with version 1 of the configuration and an upstream in each zone, and
+/// `count` hosts that follow it, and waits until they know each other.
+pub async fn start_fleet(era: Option<u64>, count: usize) -> (Arc<FakeStore>, Vec<Host>) {
+    let store = FakeStore::new(era);
+    store.write_configuration(1);
+    store.write_upstream("a", Standing::Ready);
+    store.write_upstream("b", Standing::Ready);
+    let registry = Arc::default();
+    let mut hosts = Vec::new();
+    for n in 0..count {
+        hosts.push(start_host(&format!("h{n}"), &store, &registry).await);
+    }
+    sleep(Duration::from_secs(10)).await;
+    (store, hosts)
+}
+
 /// Starts a host that knows the others in `hosts` and registers itself.
 pub async fn start_host(name: &str, store: &Arc<FakeStore>, hosts: &Hosts) -> Host {
     let settings = settings(name);
