pool: count a due probe as a free slot

Cause: a suspect upstream is found again by the next request that is sent to it. The choice of the zone, the queue and the load reports count free slots, and a suspect upstream has none. Once all upstreams of a zone are suspect, no request reaches the pool that would probe them. /status of the live host named both upstreams suspect, with nothing running, and the plan gave the own zone all its weight. Ruled out by that state: leaked slots and leaked marks of quarantine.

Change: a due probe counts as a free slot if the upstream reported since its back-off or never reports, and its zone then comes before the plan. Otherwise only requests that wait in the queue probe it, so that a dead zone attracts no work from others.

--- a/src/host/choose.rs
+++ b/src/host/choose.rs
@@ -122,6 +122,13 @@
 
     /// Chooses the zone by plan, free slots and link headroom.
     fn choose_zone(&mut self, now: Instant, msg: &Choose) -> Choice {
+        // A plan that moved the work away must not keep a recovered upstream from being found.
+        let pool = self.pools.get(&msg.service);
+        if pool.is_some_and(|p| p.has_recovery_probe(now))
+            && !self.is_drained(&self.cfg.zone, &msg.service)
+        {
+            return self.choose_upstream(now, msg, explain::Choice::OwnZone, Basis::new());
+        }
         let candidates = self.candidates(now, msg);
         let own = candidates.iter().position(|c| c.zone == self.cfg.zone);
         let Some(own) = own else {
--- a/src/host/queueing.rs
+++ b/src/host/queueing.rs
@@ -181,8 +181,8 @@
             let _ = expired.tx.send(refusal);
         }
         loop {
-            let free = self.pools.get(service).map_or(0, |p| p.free_slots(now));
-            let Some(queue) = self.queues.get_mut(service).filter(|_| free > 0) else {
+            let has_room = self.pools.get(service).is_some_and(|p| p.has_room(now));
+            let Some(queue) = self.queues.get_mut(service).filter(|_| has_room) else {
                 return;
             };
             let Some(waiter) = queue.pop() else {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -324,11 +324,23 @@
         }
     }
 
-    /// Returns the number of free slots of this gateway.
+    /// Returns the number of free slots of this gateway, including probes of upstreams that may
+    /// have recovered.
     pub fn free_slots(&self, now: Instant) -> u32 {
         self.upstreams.iter().map(|u| u.free(now)).sum()
     }
 
+    /// Returns whether a request may start now on an upstream of this gateway.
+    pub fn has_room(&self, now: Instant) -> bool {
+        let mut upstreams = self.upstreams.iter();
+        self.shares_confirmed && upstreams.any(|u| u.free(now) > 0 || u.is_probe_due(now))
+    }
+
+    /// Returns whether a suspect upstream that may have recovered is due for a probe.
+    pub fn has_recovery_probe(&self, now: Instant) -> bool {
+        self.shares_confirmed && self.upstreams.iter().any(|u| u.may_have_recovered(now))
+    }
+
     /// Returns the number of free slots in the zone: this gateway's own, plus those in
     /// recent reports from its other gateways.
     pub fn zone_free_slots(&self, now: Instant) -> u32 {
--- a/src/pool/upstream.rs
+++ b/src/pool/upstream.rs
@@ -158,8 +158,12 @@
         }
     }
 
-    /// Returns the number of further requests that may start now.
+    /// Returns the number of further requests that may start now, one if a probe is due to
+    /// an upstream that may have recovered.
     pub fn free(&self, now: Instant) -> u32 {
+        if self.may_have_recovered(now) {
+            return 1;
+        }
         self.limit(now).saturating_sub(self.running)
     }
 
@@ -171,6 +175,15 @@
             && now >= self.backoff_until
     }
 
+    /// Returns whether a probe is due and the upstream's own reports do not speak against it:
+    /// one was received since the back-off, or none ever was.
+    pub fn may_have_recovered(&self, now: Instant) -> bool {
+        self.is_probe_due(now)
+            && self
+                .reported
+                .is_none_or(|r| r.requested_at >= self.backoff_until)
+    }
+
     /// Returns the load after one more request, relative to the weight.
     pub fn load_with_one_more(&self, now: Instant) -> f64 {
         let limit = f64::from(self.limit(now).max(1));
--- a/standins/tests/proof_answers.rs
+++ b/standins/tests/proof_answers.rs
@@ -29,7 +29,10 @@
 };
 use tokio::{
     task::JoinSet,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 /// The path of a service in the receiving host's zone, and of one that needs forwarding.
@@ -38,6 +41,10 @@
 const LONG_UPLOAD_BYTES: u64 = 40_000_000;
 /// A body size large enough that some bytes reach the caller despite buffering.
 const FLUSHED_BYTES: u64 = 70_000;
+/// Requests that time out, enough to make both upstreams of a service suspect.
+const TIMEOUTS_TO_SUSPECT_ALL: usize = 12;
+/// Time after which the hosts of other zones know the load of a zone.
+const LOAD_REPORTS_SPREAD: Duration = Duration::from_secs(3);
 /// The seed for random delays, lengths, deadlines and cancellations.
 const SEED: u64 = 7;
 
@@ -107,6 +114,25 @@
     assert!(tally.with_reason("deadline") >= 10, "{tally}");
 }
 
+/// Guards against a service that is refused for good once all of its upstreams are suspect.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstreams_that_all_timed_out_are_found_again() {
+    let fleet = fleet(1, &[]).await;
+    let caller = caller(&fleet, "c", MAIN_ORGANISATION, "workbench");
+    // The first host is in the zone of the upstreams, the second one in another zone.
+    for host in ["trung-a-1", "bac-a-1"] {
+        let host = fleet.host(host).unwrap().callers();
+        for _ in 0..TIMEOUTS_TO_SUSPECT_ALL {
+            let ask = Ask::get(PATHS[1]).with_header("x-standin-delay-ms", 200);
+            let ask = ask.with_deadline(Duration::from_millis(20));
+            caller.send_to(host, &ask, None).await;
+        }
+        sleep(LOAD_REPORTS_SPREAD).await;
+        let reply = send_until_admitted(&caller, host, &Ask::get(PATHS[1])).await;
+        assert!(matches!(reply.verdict, Verdict::Whole(_)), "{reply}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn uploads_arrive_whole_over_a_hop() {
     let fleet = fleet(1, &[]).await;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -332,6 +332,26 @@
     assert_eq!(rig.pool.free_slots(rig.now), 1);
 }
 
+/// Guards against a pool whose upstreams are all suspect and that never gets the request by
+/// which it would be found again.
+#[test]
+fn a_due_probe_counts_as_a_free_slot_unless_the_upstream_stays_silent() {
+    let mut rig = Rig::new(1, 4, 1);
+    let at = rig.start().unwrap();
+    rig.finish(at, Outcome::Refused);
+    assert!(!rig.pool.has_room(rig.now), "backing off");
+    rig.wait(Duration::from_millis(200));
+    assert_eq!(rig.pool.free_slots(rig.now), 1, "it never reported");
+    let at = rig.start().unwrap();
+    rig.report(0, ReportedState::Ready, 0);
+    rig.finish(at, Outcome::Refused);
+    rig.wait(Duration::from_millis(400));
+    assert_eq!(rig.pool.free_slots(rig.now), 0, "silent since it failed");
+    assert!(rig.pool.has_room(rig.now), "own requests still probe it");
+    rig.report(0, ReportedState::Ready, 0);
+    assert_eq!(rig.pool.free_slots(rig.now), 1);
+}
+
 #[test]
 fn probes_of_a_dead_upstream_grow_rare() {
     let mut rig = Rig::new(1, 4, 1);
