tests: ask again while a fleet that has just started refuses

Each time it was the first request for a service of the other zone, at most 2 s after that zone's second ledger: the host refused it as overload, not run, within 2 ms, since a report of free slots had not reached it yet. That is allowed, and callers come back after Retry-After; the test says what happens to answers that break off.

The test now sends with send_until_admitted, as the others of the file do. It checks that each such refusal says not-run, and the asserted verdicts stay. A service that is refused for good still fails it.

--- a/standins/tests/proof_answers.rs
+++ b/standins/tests/proof_answers.rs
@@ -67,7 +67,7 @@
                 if chunked {
                     ask = ask.with_header("x-standin-chunked", 1);
                 }
-                let reply = caller.send_to(host, &ask, None).await;
+                let reply = send_until_admitted(&caller, host, &ask).await;
                 let text = format!("{path} chunked={chunked} after={break_after}: {reply}");
                 // With a short body, the head may be lost before it is flushed.
                 let lost = matches!(reply.verdict, Verdict::Lost(_)) && break_after < FLUSHED_BYTES;
