peers: reuse the hashes of host names

The turns for trials hashed the names of all hosts again, after copying them. The peers keep the same hashes to break ties. Behaviour is the same. A removed host's registration is moved to the former hosts, not copied.

--- a/src/edge/dispatcher/peer_messages.rs
+++ b/src/edge/dispatcher/peer_messages.rs
@@ -10,7 +10,6 @@
 };
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Dispatcher,
@@ -214,9 +213,8 @@
             return;
         }
         self.hosts_in_use = Some(state);
-        let hash = |host: &HostName| xxh3_64(host.as_str().as_bytes());
-        let others = self.peers.names().iter().map(hash).collect();
-        self.quarantine.set_hosts(hash(&self.settings.host), others);
+        let (own, others) = self.peers.tie_breakers();
+        self.quarantine.set_hosts(own, others);
         let mut zones = self.peers.share_holders(now, kept);
         let own = zones.entry(self.settings.zone.clone()).or_default();
         if includes_own {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -293,10 +293,10 @@
             return;
         };
         self.changes += 1;
-        self.keep_former(now, peer.entry.clone());
         if let Some(size) = self.sizes.get_mut(&peer.entry.zone) {
             *size = size.saturating_sub(1);
         }
+        self.keep_former(now, peer.entry);
     }
 
     /// Returns how many times another host became known or was removed.
@@ -304,6 +304,12 @@
         self.changes
     }
 
+    /// Returns the hash of this host's name, and those of the other registered hosts' names.
+    pub fn tie_breakers(&self) -> (u64, Vec<u64>) {
+        let others = self.peers.values().map(|p| p.tie_breaker);
+        (self.own_tie_breaker, others.collect())
+    }
+
     /// Returns the names of all other registered hosts.
     pub fn names(&self) -> Vec<HostName> {
         self.peers.keys().cloned().collect()
