edge: name the timeout of the store's calls once

How long a watch may wait depends on the time after which the client of the store gives up a silent connection. It stands beside the trait that they share.

--- a/src/edge/topic.rs
+++ b/src/edge/topic.rs
@@ -23,6 +23,10 @@
     ZoneName, //
 };
 
+/// How long a call of a [`Source`] may take beyond the time for which it waits; it fails then, as on
+/// a connection that went silent.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A list of named records that the platform publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Topic {
--- a/src/edge/topic_watch.rs
+++ b/src/edge/topic_watch.rs
@@ -51,6 +51,7 @@
     store_era::EraStep,
     store_health::StoreState,
     topic::{
+        ANSWER_TIMEOUT,
         Source,
         SourceError,
         Topic, //
@@ -96,8 +97,6 @@
 /// watches old: the one that returned it and the one in progress. The rest is a margin for
 /// timers that fire late.
 const WATCH_WAIT_FRACTION: f64 = 0.45;
-/// How long after the end of its wait a call of the store fails on a connection that went silent.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest fraction of a bound that a watch waits on a host without followers.
 const LONE_WAIT_FRACTION: f64 = 0.4;
 /// The fraction of a bound, less the time in which a silent connection is noticed and the topic is
@@ -193,7 +192,7 @@
         };
         timings.wait = bound.map_or(HOSTS_WATCH_WAIT, |b| watch(b).max(WATCH_WAIT_MIN));
         let lone_watch = |bound: Duration| {
-            let recovery = SILENCE_TIMEOUT + RETRY_PAUSE_MIN + STORE_READ_TIME;
+            let recovery = ANSWER_TIMEOUT + RETRY_PAUSE_MIN + STORE_READ_TIME;
             let rest = bound.saturating_sub(recovery);
             let wait = bound.mul_f64(LONE_WAIT_FRACTION);
             wait.min(rest.mul_f64(LONE_WAIT_REST_FRACTION))
--- a/tests/support/rollback_fleet.rs
+++ b/tests/support/rollback_fleet.rs
@@ -63,6 +63,7 @@
             Settings, //
         },
         topic::{
+            ANSWER_TIMEOUT,
             Change,
             Changes,
             Era,
@@ -140,9 +141,6 @@
     Silent,
 }
 
-/// How long a call waits for an answer, in addition to the time for which it asks the store to wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A store without a network.
 pub struct FakeStore {
     state: Mutex<State>,
