--- a/src/edge/dispatcher/observations.rs
+++ b/src/edge/dispatcher/observations.rs
@@ -22,7 +22,6 @@
             Configuration,
             Standing, //
         },
-        relay::SuspendAwareInstant,
         topic::{
             Change,
             Record,
@@ -69,7 +68,8 @@
             && self.is_configuration_current
             && self.versions.may_confirm(now, self.version_in_force())
         {
-            self.freshness.confirm(msg.read_sent_at, msg.suspended);
+            self.freshness
+                .confirm(msg.read_at.at, msg.read_at.suspended);
         }
         if msg.topic == Topic::Hosts {
             if self.hosts_known_at.is_none() {
@@ -78,12 +78,11 @@
             }
             self.peers.listen(now);
             self.choose_path(now);
-            let read_at = SuspendAwareInstant {
-                at: msg.read_sent_at,
-                suspended: msg.suspended,
-            };
-            if self.hosts_read_at.is_none_or(|known| known.at < read_at.at) {
-                self.hosts_read_at = Some(read_at);
+            if self
+                .hosts_read_at
+                .is_none_or(|known| known.at < msg.read_at.at)
+            {
+                self.hosts_read_at = Some(msg.read_at);
             }
             self.apply_host_changes(now);
         }
--- a/src/edge/message.rs
+++ b/src/edge/message.rs
@@ -32,6 +32,7 @@
         Regions,
         Registration, //
     },
+    relay::SuspendAwareInstant,
     settings::Settings,
     topic::{
         Changes,
@@ -73,9 +74,7 @@
     /// Whether the update comes from the store or from the relay.
     pub origin: UpdateOrigin,
     /// When the read of the store was sent.
-    pub read_sent_at: Instant,
-    /// Total time that the machine had been suspended when the read was sent.
-    pub suspended: Duration,
+    pub read_at: SuspendAwareInstant,
     /// The result of the read.
     pub news: TopicUpdate,
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -511,8 +511,7 @@
             TopicObserved {
                 topic,
                 origin,
-                read_sent_at: read_at.at,
-                suspended: read_at.suspended,
+                read_at,
                 news,
             },
         );
--- a/tests/support/simulated_fleet.rs
+++ b/tests/support/simulated_fleet.rs
@@ -311,8 +311,7 @@
     TopicObserved {
         topic,
         origin: UpdateOrigin::Store,
-        read_sent_at: Instant::now(),
-        suspended: cardamomroad::edge::freshness::suspended_time(),
+        read_at: cardamomroad::edge::relay::SuspendAwareInstant::now(),
         news: TopicUpdate::Whole(Changes {
             changes: changes.collect(),
             revision: Revision(1),
