--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -409,3 +409,14 @@
     rig.pool.set_members(members(1, &[2]));
     assert_eq!(rig.reason(), Reason::LeastLoaded);
 }
+
+/// Guards against a queue that is refused as a whole while a paused process asks for its shares.
+#[test]
+fn a_paused_process_hands_no_slots_to_waiting_requests() {
+    let mut rig = Rig::new(1, 4, 2);
+    rig.now += PAUSE_MAX + Duration::from_millis(1);
+    rig.pool.tick(rig.now);
+    assert!(!rig.pool.has_room(rig.now));
+    rig.pool.set_members(members(1, &[2]));
+    assert!(rig.pool.has_room(rig.now));
+}
